Serve real sockets: a relay around the decision module

The first relay: accept, first line, pick, one attempt at a time, relay both ways, watch, probes, SIGTERM. Decisions stay in src/logic.rs behind the facade src/decide.rs (pick, report, tick); the network code sees no events or actions. wire.rs reads its JSON with simd-json now, so that the configuration and the adapter share one reading of the settings.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,7 +28,10 @@
 //! ```
 
 pub mod api;
+pub mod config;
+pub mod decide;
 pub mod logic;
+pub mod net;
 pub mod wire;
 
 pub use logic::Balancer;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,128 @@
+//! The relay's command line.
+
+use argh::FromArgs;
+use crossbeam_channel::bounded;
+use lilacrail::api::Member;
+use lilacrail::config::Config;
+use lilacrail::decide::{run_timers, Decisions, Orders};
+use lilacrail::net::client::Relay;
+use lilacrail::net::discovery::{Directory, Watcher};
+use lilacrail::net::{log, probe, spawn};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::net::TcpListener;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+/// Relay for long-lived connections.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Serve(Serve),
+    Check(Check),
+    Version(Version),
+}
+
+/// Serves clients, as the file named by BALANCER_CONFIG says.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct Serve {}
+
+/// Reads and checks a configuration.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// the file; without it, the one that BALANCER_CONFIG names
+    #[argh(positional)]
+    config: Option<String>,
+}
+
+/// Prints the version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct Version {}
+
+type Failure = Box<dyn std::error::Error>;
+
+fn main() -> ExitCode {
+    let result = match argh::from_env::<Arguments>().command {
+        Command::Serve(_) => serve(),
+        Command::Check(check) => check_config(check),
+        Command::Version(_) => {
+            println!("jaspermoor {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log(&format!("jaspermoor: {e}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn env(key: &str) -> Option<String> {
+    std::env::var(key).ok()
+}
+
+fn check_config(check: Check) -> Result<(), Failure> {
+    let config = Config::load(&|key| match (key, &check.config) {
+        ("BALANCER_CONFIG", Some(path)) => Some(path.clone()),
+        _ => env(key),
+    })?;
+    println!(
+        "{}: listens on {}, discovery at {}, {} backends known, {} classes",
+        config.name,
+        config.listen,
+        config.discovery,
+        config.known.len(),
+        config.names.classes.len()
+    );
+    Ok(())
+}
+
+fn serve() -> Result<(), Failure> {
+    let config = Config::load(&env)?;
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let (watch, watch_orders) = bounded(4);
+    let (probe, probe_orders) = bounded(64);
+    let directory = Arc::new(Directory::default());
+    directory.update(true, &config.known);
+    let cached: Vec<Member> = config.known.iter().map(|(_, member)| member.clone()).collect();
+    let decisions = Decisions::new(config.settings.clone(), config.seed, cached, Orders { watch, probe });
+    let listener = TcpListener::bind(config.listen)
+        .map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?;
+    let relay = Relay::new(&config, decisions.clone(), directory.clone());
+
+    let timers = decisions.clone();
+    spawn("timers", move || run_timers(&timers))?;
+    let shared = relay.clone();
+    spawn("watch", move || {
+        let watcher = Watcher {
+            discovery: config.discovery,
+            names: &shared.names,
+            directory: &shared.directory,
+            decisions: &shared.decisions,
+            version: config.known_version,
+        };
+        watcher.run(&watch_orders);
+    })?;
+    let shared = relay.clone();
+    spawn("probe", move || probe::run(&probe_orders, &shared.directory, &shared.decisions, &shared.names))?;
+    let shared = relay.clone();
+    spawn("accept", move || shared.accept(&listener))?;
+    log(&format!("{}: serves on {}", config.name, config.listen));
+    if let Some(signal) = signals.forever().next() {
+        log(&format!("{}: signal {signal}, moving the standing connections", config.name));
+        relay.drain();
+        log(&format!("{}: stopped", config.name));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/net/client.rs
@@ -0,0 +1,492 @@
+//! The side of the clients: accepting, a connection's first line, its answer, and its end.
+
+use crate::api::{Micros, Outcome, RequestId};
+use crate::config::{Config, Names};
+use crate::decide::{Decisions, Flow, Verdict};
+use crate::net::backend::{self, Attempt};
+use crate::net::discovery::Directory;
+use crate::net::line::{opening, trim, LineBuffer, Open, Opening};
+use crate::net::{log, spawn, timed_out};
+use crossbeam_channel::{bounded, Sender};
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// A connection that has begun a line must end it within this.
+const HALF_LINE: Duration = Duration::from_secs(5);
+/// A connection that has asked for nothing is closed after this.
+const IDLE: Duration = Duration::from_secs(60);
+/// The longest wait for a client to take its answer.
+const ANSWER: Duration = Duration::from_secs(1);
+/// Descriptors kept back for the listener, discovery, probes, and clients that are only refused.
+const RESERVE: usize = 96;
+/// Of those, for clients that are only refused.
+const REFUSED_AT_ONCE: usize = 64;
+/// Memory that a connection may need: two stacks as far as they are used, and two buffers.
+const PER_CONNECTION: usize = 80 * 1024;
+/// How long connections go on coming after the signal to stop.
+const STILL_COMING: Duration = Duration::from_millis(450);
+/// The longest deadline that the platform waits for before it kills, and what it adds.
+const KILL_DEADLINE: Duration = Duration::from_secs(3);
+const KILL_AFTER: Duration = Duration::from_millis(700);
+
+/// What all connections share.
+pub struct Relay {
+    /// The decisions.
+    pub decisions: Arc<Decisions>,
+    /// The backends' addresses.
+    pub directory: Arc<Directory>,
+    /// Names of classes, zones and columns.
+    pub names: Names,
+    /// The longest dial.
+    pub dial_timeout: Duration,
+    /// The longest wait that a refused client obeys.
+    max_retry_after: Micros,
+    /// How long the clients wait at most.
+    longest_deadline: Duration,
+    /// The most connections at a time.
+    most: usize,
+    count: AtomicUsize,
+    next: AtomicU64,
+    sessions: Mutex<BTreeMap<u64, Weak<Session>>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Relay {
+    /// A relay with this configuration, within its limits.
+    pub fn new(config: &Config, decisions: Arc<Decisions>, directory: Arc<Directory>) -> Arc<Self> {
+        let by_sockets = (config.limits.sockets as usize).saturating_sub(RESERVE) / 2;
+        let by_memory = config.limits.memory_mb as usize * 1024 * 1024 / 2 / PER_CONNECTION;
+        let longest = config.names.deadlines.iter().max().copied().unwrap_or(0);
+        Arc::new(Relay {
+            decisions,
+            directory,
+            names: config.names.clone(),
+            dial_timeout: Duration::from_micros(config.settings.dial_timeout),
+            max_retry_after: config.settings.max_retry_after,
+            longest_deadline: Duration::from_micros(longest),
+            most: by_sockets.min(by_memory).max(1),
+            count: AtomicUsize::new(0),
+            next: AtomicU64::new(0),
+            sessions: Mutex::default(),
+        })
+    }
+
+    /// Takes in connections for good.
+    pub fn accept(self: &Arc<Self>, listener: &TcpListener) -> ! {
+        loop {
+            // What cannot be taken in now waits in the listener's queue.
+            if self.count.load(Ordering::Relaxed) >= self.most + REFUSED_AT_ONCE {
+                sleep(Duration::from_millis(5));
+                continue;
+            }
+            match listener.accept() {
+                Ok((client, _)) => self.begin(client),
+                Err(e) => {
+                    log(&format!("accept: {e}"));
+                    sleep(Duration::from_millis(5));
+                }
+            }
+        }
+    }
+
+    fn begin(self: &Arc<Self>, client: TcpStream) {
+        let full = self.count.fetch_add(1, Ordering::Relaxed) >= self.most;
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let session = Arc::new(Session { relay: self.clone(), client, number, state: Mutex::default() });
+        lock(&self.sessions).insert(number, Arc::downgrade(&session));
+        if let Err(e) = spawn("session", move || serve(&session, full)) {
+            log(&format!("accept: no thread: {e}"));
+        }
+    }
+
+    fn live(&self) -> Vec<Arc<Session>> {
+        lock(&self.sessions).values().filter_map(Weak::upgrade).collect()
+    }
+
+    /// Serves on while connections come, moves the standing ones in a paced way, and returns once
+    /// none is left or the platform is about to kill.
+    pub fn drain(&self) {
+        let start = Instant::now();
+        let kill = self.longest_deadline.min(KILL_DEADLINE) + KILL_AFTER;
+        let step = Duration::from_millis(25);
+        // All told to move by then: time enough for the ends and for answers that are still owed.
+        let moved_by = kill.mul_f32(0.6).max(STILL_COMING + step);
+        while start.elapsed() + Duration::from_millis(200) < kill {
+            sleep(step);
+            let now = start.elapsed();
+            let standing: Vec<_> = self.live().into_iter().filter(|s| s.stands()).collect();
+            if now < STILL_COMING {
+                continue;
+            }
+            let steps = (moved_by.saturating_sub(now).as_secs_f32() / step.as_secs_f32()).max(1.0);
+            let share = (standing.len() as f32 / steps).ceil() as usize;
+            standing.iter().take(share).for_each(|s| s.relocate());
+            if now > 2 * STILL_COMING && self.count.load(Ordering::Relaxed) == 0 {
+                return;
+            }
+        }
+    }
+}
+
+#[derive(Default)]
+struct State {
+    name: String,
+    backend: Option<Arc<TcpStream>>,
+    /// Attempts below this number are called off.
+    called_off: u16,
+    up: bool,
+    moving: bool,
+    /// When the client ended, and whether by a reset.
+    client_ended: Option<(Instant, bool)>,
+    /// When this relay ended the client's side.
+    closed: Option<Instant>,
+    /// When the oldest unanswered line of the client was passed on.
+    asked: Option<Micros>,
+}
+
+/// One client's connection. Its two threads share each socket: no descriptor is doubled.
+pub struct Session {
+    relay: Arc<Relay>,
+    /// The client's socket.
+    pub client: TcpStream,
+    number: u64,
+    state: Mutex<State>,
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        lock(&self.relay.sessions).remove(&self.number);
+        self.relay.count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Flow for Session {
+    fn give_up(&self, attempt: u16) {
+        let mut state = lock(&self.state);
+        state.called_off = state.called_off.max(attempt + 1);
+        if let (false, Some(backend)) = (state.up, &state.backend) {
+            let _ = backend.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn relocate(&self) {
+        let mut state = lock(&self.state);
+        if let (true, Some(backend)) = (state.up && !state.moving, &state.backend) {
+            // Wakes the thread that reads there, once it has passed on what has come.
+            let _ = backend.shutdown(Shutdown::Read);
+            state.moving = true;
+        }
+    }
+}
+
+impl Session {
+    /// Takes the socket of an attempt; false if the attempt is called off.
+    pub fn hold(&self, backend: &Arc<TcpStream>, attempt: u16) -> bool {
+        let mut state = lock(&self.state);
+        if state.called_off > attempt || state.client_ended.is_some() {
+            return false;
+        }
+        state.backend = Some(backend.clone());
+        true
+    }
+
+    /// Lets go of the socket of an attempt.
+    pub fn release(&self) {
+        lock(&self.state).backend = None;
+    }
+
+    /// Whether an attempt is called off, or its client has left.
+    pub fn called_off(&self, attempt: u16) -> bool {
+        let state = lock(&self.state);
+        state.called_off > attempt || state.client_ended.is_some()
+    }
+
+    /// The connection's own id.
+    pub fn name(&self) -> String {
+        lock(&self.state).name.clone()
+    }
+
+    fn stands(&self) -> bool {
+        let state = lock(&self.state);
+        state.up && !state.moving
+    }
+
+    /// Whether the client is to be moved.
+    pub fn moving(&self) -> bool {
+        lock(&self.state).moving
+    }
+
+    /// A client's line has been passed on.
+    pub fn asked(&self, now: Micros) {
+        lock(&self.state).asked.get_or_insert(now);
+    }
+
+    /// The backend has said something.
+    pub fn answered(&self) {
+        lock(&self.state).asked = None;
+    }
+
+    /// How long the client has waited for the backend to say something.
+    pub fn unanswered(&self, now: Micros) -> Micros {
+        lock(&self.state).asked.map_or(0, |asked| now.saturating_sub(asked))
+    }
+
+    /// The client has ended its side.
+    pub fn client_has_ended(&self, by_reset: bool) {
+        lock(&self.state).client_ended = Some((Instant::now(), by_reset));
+    }
+
+    /// Whether the client has ended its side.
+    pub fn client_ended(&self) -> bool {
+        lock(&self.state).client_ended.is_some()
+    }
+
+    /// Whether the client ended by a reset.
+    pub fn client_was_reset(&self) -> bool {
+        lock(&self.state).client_ended.is_some_and(|(_, reset)| reset)
+    }
+
+    /// Whether the client ended at least so long ago.
+    pub fn client_ended_for(&self, span: Duration) -> bool {
+        lock(&self.state).client_ended.is_some_and(|(at, _)| at.elapsed() >= span)
+    }
+
+    /// Ends the backend's side as the client ended.
+    pub fn end_backend(&self, by_reset: bool) {
+        let state = lock(&self.state);
+        let Some(backend) = &state.backend else { return };
+        if by_reset {
+            backend::reset(backend);
+        }
+        let how = match (by_reset, state.up) {
+            (true, _) => Shutdown::Read,
+            (false, true) => Shutdown::Write,
+            (false, false) => Shutdown::Both,
+        };
+        let _ = backend.shutdown(how);
+    }
+
+    /// Ends the client's side.
+    pub fn close_client(&self, how: Shutdown) {
+        lock(&self.state).closed = Some(Instant::now());
+        let _ = self.client.shutdown(how);
+    }
+
+    /// Whether the client's side was ended here at least so long ago.
+    pub fn closed_for(&self, span: Duration) -> bool {
+        lock(&self.state).closed.is_some_and(|at| at.elapsed() >= span)
+    }
+
+    fn say(&self, answer: &str) {
+        let _ = self.client.set_write_timeout(Some(ANSWER));
+        let _ = (&self.client).write_all(format!("{answer}\r\n").as_bytes());
+        self.close_client(Shutdown::Write);
+    }
+}
+
+/// What the log says of a connection that has ended.
+#[derive(Default)]
+struct Account {
+    name: String,
+    class: String,
+    backend: String,
+    attempts: u16,
+    reason: &'static str,
+}
+
+fn serve(session: &Arc<Session>, full: bool) {
+    let relay = &session.relay;
+    let began = Instant::now();
+    let mut account = Account::default();
+    match first_line(session) {
+        Ok((open, rest)) => {
+            lock(&session.state).name = open.name.clone();
+            account.name = open.name.clone();
+            account.class = relay.names.classes[open.request.class].clone();
+            if full {
+                // No descriptor is left for a backend: nothing was sent, so a refusal promises nothing false.
+                session.say(&refusal(relay.max_retry_after / 2));
+                account.reason = "no-descriptors";
+            } else {
+                place(session, &open, rest, &mut account);
+            }
+        }
+        // The health checks of the front come and go; they are no connections.
+        Err("") => return,
+        Err(reason) => account.reason = reason,
+    }
+    session.release();
+    log(&format!(
+        "end id={} class={} backend={} attempts={} ms={} reason={}",
+        account.name,
+        account.class,
+        account.backend,
+        account.attempts,
+        began.elapsed().as_millis(),
+        account.reason
+    ));
+}
+
+/// Reads up to the line that asks for a connection. An error is the reason for the log; none where
+/// the connection only asked whether the relay is there.
+fn first_line(session: &Session) -> Result<(Open, LineBuffer), &'static str> {
+    let client = &session.client;
+    let set = client.set_nodelay(true).and_then(|()| client.set_read_timeout(Some(backend::LOOK)));
+    set.and_then(|()| client.set_write_timeout(Some(ANSWER))).map_err(|_| "socket-error")?;
+    let mut buffer = LineBuffer::default();
+    let mut since = Instant::now();
+    loop {
+        match buffer.line() {
+            Ok(Some(line)) => match opening(trim(buffer.at(line)), &session.relay.names) {
+                Ok(Opening::Open(open)) => return Ok((open, buffer)),
+                Ok(Opening::Ping) => {
+                    since = Instant::now();
+                    (&*client).write_all(b"PONG\r\n").map_err(|_| "")?;
+                    continue;
+                }
+                Err(what) => {
+                    session.say(&format!("ERR {what}"));
+                    return Err(what);
+                }
+            },
+            Ok(None) => {}
+            Err(_) => {
+                session.say("ERR line-too-long");
+                return Err("line-too-long");
+            }
+        }
+        let half = !buffer.rest().is_empty();
+        match buffer.fill(&mut &*client) {
+            Ok(0) => return Err(if half { "half-a-line" } else { "" }),
+            Ok(_) if !half => since = Instant::now(),
+            Ok(_) => {}
+            Err(e) if !timed_out(&e) => return Err(if half { "half-a-line" } else { "" }),
+            Err(_) => {}
+        }
+        let half = !buffer.rest().is_empty();
+        if half && since.elapsed() > HALF_LINE {
+            session.say("ERR half-a-line");
+            return Err("half-a-line");
+        }
+        if !half && since.elapsed() > IDLE {
+            return Err("");
+        }
+    }
+}
+
+/// The words of a refusal, with the time after which to come again.
+fn refusal(wait: Micros) -> String {
+    if wait == 0 {
+        "BUSY".to_string()
+    } else {
+        format!("BUSY {}", wait.div_ceil(1000))
+    }
+}
+
+/// Has a request placed and its connection served to its end.
+fn place(session: &Arc<Session>, open: &Open, rest: LineBuffer, account: &mut Account) {
+    let relay = &session.relay;
+    let (id_out, id_in) = bounded::<RequestId>(1);
+    let (up_out, up_in) = bounded(1);
+    let other = session.clone();
+    let spawned = spawn("upstream", move || {
+        backend::upstream(&other.relay, &other, &id_in, &up_in, rest);
+    });
+    if spawned.is_err() {
+        session.say(&refusal(relay.max_retry_after / 2));
+        account.reason = "no-thread";
+        return;
+    }
+    if let Some(at) = &open.at {
+        adopt(session, open, at, id_out, up_out, account);
+        return;
+    }
+    let flow: Arc<dyn Flow> = session.clone();
+    let pick = relay.decisions.pick(open.request.clone(), flow, |id| {
+        let _ = id_out.send(id);
+    });
+    let id = pick.id;
+    account.reason = loop {
+        match pick.verdict() {
+            Verdict::Attempt { server, until, number } => {
+                account.attempts += 1;
+                account.backend = relay.directory.endpoint(server).map_or(String::new(), |e| e.name);
+                let began = relay.decisions.now();
+                let a = Attempt { server, until: Some(until), number };
+                match backend::attempt(relay, session, open, id, &a) {
+                    Ok(up) if relay.decisions.up(id, relay.decisions.now() - began) => {
+                        break relayed(session, id, up, &up_out);
+                    }
+                    Ok(up) => {
+                        // Answered meanwhile: the attempt is closed before anything else happens.
+                        drop(up);
+                        session.release();
+                        relay.decisions.report(id, Outcome::Cancelled, Vec::new());
+                    }
+                    Err((outcome, report)) => relay.decisions.report(id, outcome, report),
+                }
+            }
+            Verdict::Refuse(wait) => {
+                session.say(&refusal(wait.min(relay.max_retry_after)));
+                break "refused";
+            }
+            Verdict::Fail => {
+                session.say("FAILED");
+                break "failed";
+            }
+            Verdict::Gone => break "client-gave-up",
+        }
+    };
+    relay.decisions.forget(id);
+    if account.reason == "client-gave-up" {
+        session.close_client(Shutdown::Both);
+    }
+}
+
+fn relayed(
+    session: &Session,
+    id: RequestId,
+    up: backend::Up,
+    up_out: &Sender<Arc<TcpStream>>,
+) -> &'static str {
+    let relay = &session.relay;
+    lock(&session.state).up = true;
+    let _ = up_out.send(up.0.clone());
+    let end = backend::downstream(relay, session, id, up);
+    session.release();
+    relay.decisions.end(id, end.outcome, end.report);
+    end.reason
+}
+
+/// Brings a connection back to the backend at which it was open before the run.
+fn adopt(
+    session: &Arc<Session>,
+    open: &Open,
+    at: &str,
+    id_out: Sender<RequestId>,
+    up_out: Sender<Arc<TcpStream>>,
+    account: &mut Account,
+) {
+    let relay = &session.relay;
+    let server = super::discovery::server_id(at);
+    account.backend = at.to_string();
+    account.attempts = 1;
+    let id = relay.decisions.adopt(open.request.clone(), server, session.clone());
+    let _ = id_out.send(id);
+    match backend::attempt(relay, session, open, id, &Attempt { server, until: None, number: 0 }) {
+        Ok(up) => account.reason = relayed(session, id, up, &up_out),
+        Err((outcome, report)) => {
+            relay.decisions.end(id, outcome, report);
+            session.say("FAILED");
+            account.reason = "not-adopted";
+        }
+    }
+}
--- /dev/null
+++ b/src/net/line.rs
@@ -0,0 +1,228 @@
+//! The line protocol: a buffer that grows as it needs and is compacted in place, and the parsers.
+
+use crate::api::{Micros, Request};
+use crate::config::Names;
+use crate::decide::{Note, LONGEST};
+use std::io::{self, Read};
+use std::ops::Range;
+
+/// The longest line, its end included.
+pub const MAX_LINE: usize = 4096;
+/// Bytes that a buffer makes room for at a time.
+const CHUNK: usize = 512;
+
+/// Bytes that have come and are not yet used up.
+#[derive(Default)]
+pub struct LineBuffer {
+    bytes: Vec<u8>,
+    start: usize,
+    end: usize,
+}
+
+/// A line is longer than the protocol allows.
+#[derive(Debug, PartialEq, Eq)]
+pub struct TooLong;
+
+impl LineBuffer {
+    /// What has come and is not used up.
+    pub fn rest(&self) -> &[u8] {
+        &self.bytes[self.start..self.end]
+    }
+
+    /// Reads once; 0 is the end of the stream.
+    pub fn fill(&mut self, from: &mut impl Read) -> io::Result<usize> {
+        if self.start > 0 {
+            self.bytes.copy_within(self.start..self.end, 0);
+            (self.start, self.end) = (0, self.end - self.start);
+        }
+        if self.bytes.len() < self.end + CHUNK {
+            self.bytes.resize(self.end + CHUNK, 0);
+        }
+        loop {
+            match from.read(&mut self.bytes[self.end..]) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Ok(n) => {
+                    self.end += n;
+                    return Ok(n);
+                }
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// The next whole line, its end included; it is not used up.
+    pub fn peek(&self) -> Result<Option<&[u8]>, TooLong> {
+        let rest = self.rest();
+        match rest.iter().position(|&b| b == b'\n') {
+            Some(at) if at < MAX_LINE => Ok(Some(&rest[..=at])),
+            None if rest.len() < MAX_LINE => Ok(None),
+            _ => Err(TooLong),
+        }
+    }
+
+    /// Takes the next whole line, its end included.
+    pub fn line(&mut self) -> Result<Option<Range<usize>>, TooLong> {
+        let Some(length) = self.peek()?.map(|line| line.len()) else { return Ok(None) };
+        let from = self.start;
+        self.start += length;
+        Ok(Some(from..self.start))
+    }
+
+    /// Drops all that has come.
+    pub fn discard(&mut self) {
+        (self.start, self.end) = (0, 0);
+    }
+
+    /// Takes all whole lines that have come, their ends included; empty if there is none.
+    pub fn lines(&mut self) -> Result<Range<usize>, TooLong> {
+        let from = self.start;
+        while self.line()?.is_some() {}
+        Ok(from..self.start)
+    }
+
+    /// The bytes of a range that was just taken.
+    pub fn at(&self, range: Range<usize>) -> &[u8] {
+        &self.bytes[range]
+    }
+}
+
+/// A line without its end.
+pub fn trim(line: &[u8]) -> &[u8] {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
+
+/// What a connection's first line asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Opening {
+    /// Whether the relay is there.
+    Ping,
+    /// A connection.
+    Open(Open),
+}
+
+/// A client's request for a connection.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Open {
+    /// The connection's own id, for the log.
+    pub name: String,
+    /// The request as the decisions see it.
+    pub request: Request,
+    /// The backend at which it was open before.
+    pub at: Option<String>,
+    /// Where in the line the value of `d` stands.
+    wait: Option<Range<usize>>,
+    /// The line without its end.
+    line: String,
+}
+
+impl Open {
+    /// The line for a backend: unchanged, but for how long it will be waited for.
+    pub fn forward(&self, left: Option<Micros>) -> String {
+        match (&self.wait, left) {
+            (Some(d), Some(left)) => {
+                format!("{}{}{}\r\n", &self.line[..d.start], left / 1000, &self.line[d.end..])
+            }
+            _ => format!("{}\r\n", self.line),
+        }
+    }
+}
+
+/// Reads a connection's first line (without its end); what is wrong with it is one word.
+pub fn opening(line: &[u8], names: &Names) -> Result<Opening, &'static str> {
+    let line = std::str::from_utf8(line).map_err(|_| "not-utf8")?;
+    if line == "PING" {
+        return Ok(Opening::Ping);
+    }
+    let rest = line.strip_prefix("OPEN ").ok_or("unknown-command")?;
+    let mut words = rest.split(' ');
+    let (Some(name), Some(key), Some(list), None) = (words.next(), words.next(), words.next(), words.next())
+    else {
+        return Err("wrong-number-of-words");
+    };
+    if name.is_empty() {
+        return Err("no-id");
+    }
+    let mut open = Open {
+        name: name.to_string(),
+        request: Request { key: word64(key).ok_or("bad-key")?, ..Request::default() },
+        at: None,
+        wait: None,
+        line: line.to_string(),
+    };
+    let q = &mut open.request;
+    let mut class = None;
+    let mut at = line.len() - list.len();
+    for field in list.split(',') {
+        let (key, value) = field.split_once('=').ok_or("bad-field")?;
+        match key {
+            "c" => class = Some(names.class(value).ok_or("unknown-class")?),
+            "d" => {
+                let ms: f64 = value.parse().map_err(|_| "bad-wait")?;
+                q.left = crate::wire::micros(ms).ok_or("bad-wait")?.min(LONGEST);
+                open.wait = Some(at + 2..at + field.len());
+            }
+            "g" => q.group = word64(value).ok_or("bad-group")?,
+            "r" | "again" => q.again |= value == "1",
+            "at" if value.is_empty() => return Err("bad-backend"),
+            "at" => open.at = Some(value.to_string()),
+            _ => {}
+        }
+        at += field.len() + 1;
+    }
+    q.class = class.ok_or("no-class")?;
+    if open.wait.is_none() {
+        q.left = names.deadline(q.class);
+    }
+    Ok(Opening::Open(open))
+}
+
+fn word64(text: &str) -> Option<u64> {
+    u64::from_str_radix(text, 16).ok().filter(|_| !text.starts_with('+'))
+}
+
+/// What a backend's line means to the relay.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    /// The connection stands.
+    Up,
+    /// Served to its end.
+    Bye(Vec<f32>),
+    /// The client is sent away.
+    Move,
+    /// An error.
+    Err(Vec<f32>),
+    /// Turned away unseen.
+    Busy(Vec<f32>),
+    /// News of the connection.
+    Note(Note),
+    /// Anything else: a line for the client alone.
+    Other,
+}
+
+/// Reads a backend's line (without its end).
+pub fn told(line: &[u8], names: &Names) -> Told {
+    let Ok(text) = std::str::from_utf8(line) else { return Told::Other };
+    let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
+    match word {
+        "UP" if !rest.is_empty() => Told::Up,
+        "BYE" => Told::Bye(report(rest, names)),
+        "MOVE" => Told::Move,
+        "ERR" => Told::Err(report(rest, names)),
+        "BUSY" => Told::Busy(report(rest, names)),
+        "LOAD" => match rest.parse::<f32>() {
+            Ok(x) if x.is_finite() && x >= 0.0 => Told::Note(Note::Load(x)),
+            _ => Told::Other,
+        },
+        _ => Told::Other,
+    }
+}
+
+/// Reads a load report, in the order of the settings' columns; empty if a column is missing.
+pub fn report(text: &str, names: &Names) -> Vec<f32> {
+    let value = |column: &String| {
+        let field = text.split(',').find_map(|f| f.split_once('=').filter(|(key, _)| key == column));
+        field.and_then(|(_, v)| v.parse::<f32>().ok()).filter(|v| v.is_finite())
+    };
+    names.columns.iter().map(value).collect::<Option<Vec<f32>>>().unwrap_or_default()
+}
--- /dev/null
+++ b/src/net/probe.rs
@@ -0,0 +1,56 @@
+//! Probes: `STATS` on a connection of its own, when the decisions ask for one.
+
+use crate::api::{Outcome, ServerId};
+use crate::config::Names;
+use crate::decide::Decisions;
+use crate::net::discovery::Directory;
+use crate::net::line::{report, trim, LineBuffer};
+use crossbeam_channel::Receiver;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// The longest wait for each step of a probe.
+const LIMIT: Duration = Duration::from_millis(250);
+
+/// Carries out probes, one after another.
+pub fn run(orders: &Receiver<ServerId>, directory: &Directory, decisions: &Decisions, names: &Names) {
+    for server in orders {
+        let (outcome, report) = probe(server, directory, names);
+        decisions.probed(server, outcome, report);
+    }
+}
+
+fn probe(server: ServerId, directory: &Directory, names: &Names) -> (Outcome, Vec<f32>) {
+    let failed = |outcome| (outcome, Vec::new());
+    let Some(endpoint) = directory.endpoint(server) else { return failed(Outcome::Moot) };
+    let Ok(mut stream) = TcpStream::connect_timeout(&endpoint.addr, LIMIT) else {
+        return failed(Outcome::ConnectFailed);
+    };
+    let set = stream.set_nodelay(true).and_then(|()| stream.set_read_timeout(Some(LIMIT)));
+    if set.and_then(|()| stream.write_all(b"STATS\r\n")).is_err() {
+        return failed(Outcome::ConnectFailed);
+    }
+    let mut buffer = LineBuffer::default();
+    loop {
+        match buffer.fill(&mut stream) {
+            Ok(0) => return failed(Outcome::Reset),
+            Ok(_) => {}
+            Err(e) if super::timed_out(&e) => return failed(Outcome::Timeout),
+            Err(_) => return failed(Outcome::Reset),
+        }
+        match buffer.line() {
+            Ok(None) => {}
+            Ok(Some(line)) => return answer(trim(buffer.at(line)), names),
+            Err(_) => return failed(Outcome::Error),
+        }
+    }
+}
+
+/// Reads a backend's answer to `STATS`.
+pub fn answer(line: &[u8], names: &Names) -> (Outcome, Vec<f32>) {
+    let text = String::from_utf8_lossy(line);
+    let (word, rest) = text.split_once(' ').unwrap_or((&text, ""));
+    let outcome = if word == "PONG" { Outcome::Ok } else { Outcome::Error };
+    (outcome, report(rest, names))
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,7 +5,9 @@
     Action, Class, Column, Effect, Event, Group, ListKind, Member, MemberState, Micros, Outcome, Request,
     RequestId, ServerId, Settings, Weights,
 };
-use serde_json::{Map, Value};
+use simd_json::owned::Object;
+use simd_json::prelude::*;
+use simd_json::OwnedValue as Value;
 use std::fmt;
 
 /// Bytes of a batch before the length field has been read to its end.
@@ -417,7 +419,7 @@
 /// An object of the settings together with the path that leads to it.
 struct Section<'a> {
     path: String,
-    map: &'a Map<String, Value>,
+    map: &'a Object,
 }
 
 impl<'a> Section<'a> {
@@ -459,7 +461,7 @@
     }
 
     fn number(&self, key: &str, least: f64, most: f64) -> Result<f64, SettingsError> {
-        match self.get(key)?.as_f64() {
+        match self.get(key)?.cast_f64() {
             Some(n) if n >= least && n <= most => Ok(n),
             Some(n) => self.bad(key, &format!("is {n}, outside {least} to {most}")),
             None => self.bad(key, "is not a number"),
@@ -493,11 +495,16 @@
     }
 }
 
-/// Reads the settings of an instance. Keys that the module has no use for are ignored.
+/// Reads the text of an instance's settings.
 pub fn settings(text: &[u8]) -> Result<Settings, SettingsError> {
-    let value: Value = serde_json::from_slice(text)
+    let value = simd_json::to_owned_value(&mut text.to_vec())
         .map_err(|e| SettingsError(format!("The settings are not valid JSON: {e}.")))?;
-    let top = Section::of(&value, "profile_data")?;
+    settings_of(&value)
+}
+
+/// Reads the settings object. Keys that the module has no use for are ignored.
+pub fn settings_of(value: &Value) -> Result<Settings, SettingsError> {
+    let top = Section::of(value, "profile_data")?;
     let top = Section { path: String::new(), ..top };
     let limits = top.section("limits")?;
     let rules = top.section("rules")?;
@@ -535,7 +542,7 @@
             "unsafe" => Effect::Unsafe,
             _ => return c.bad("idempotency", "is none of 'safe', 'keyed' and 'unsafe'"),
         };
-        let message_aim = match message_aims.get(i).map(|v| v.as_f64().and_then(micros)) {
+        let message_aim = match message_aims.get(i).map(|v| v.cast_f64().and_then(micros)) {
             Some(Some(aim)) => aim,
             Some(None) => return top.bad("family_info.message_aim", "holds something that is not a time"),
             None => 0,
