Tell delay notes from load notes by their one-second beat

No delay note ever reached the module.

Checked with a trace of all relayed lines: echoes come back at once (0 to 3 ms) throughout the jam, so round trips show nothing. But LOAD carries two things: loads in microseconds a second, and, once a second on one connection of each relay, the same few hundred in all three relays at the same moment: the delay in milliseconds (502.3, 556.4, 526.0 ... 2147.6), within 0.4 ms of the second.

At fault: net/line.rs read every LOAD as a load. net/note.rs now tells them apart by the beat; both are passed on to the client unchanged as before.

Left: the first note of a jam cannot be told from a load, so the module hears of it 1 s late.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -150,7 +150,7 @@
 }
 
 /// Relays from the backend to the client until the connection ends; the only writer to the client.
-pub fn downstream(relay: &Relay, session: &Session, id: RequestId, up: Up) -> End {
+pub fn downstream(relay: &Relay, session: &Session, id: RequestId, server: ServerId, up: Up) -> End {
     let (backend, mut buffer) = up;
     let client = &session.client;
     let limits = backend.set_read_timeout(Some(LOOK)).and_then(|()| client.set_write_timeout(Some(STUCK)));
@@ -165,7 +165,10 @@
         if !lines.is_empty() {
             for line in buffer.at(lines.clone()).split_inclusive(|&b| b == b'\n') {
                 match told(trim(line), &relay.names) {
-                    Told::Note(note) => relay.decisions.note(id, note),
+                    Told::Load(x) => {
+                        let note = relay.notes.read(server, id, relay.decisions.now(), x);
+                        relay.decisions.note(id, note);
+                    }
                     Told::Bye(report) => farewell = Some(End { report, ..end(Outcome::Ok, "served") }),
                     Told::Move => farewell = Some(end(Outcome::Cancelled, "sent-away")),
                     _ => {}
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,11 +1,12 @@
 //! The side of the clients: accepting, a connection's first line, its answer, and its end.
 
-use crate::api::{Micros, Outcome, RequestId};
+use crate::api::{Micros, Outcome, RequestId, ServerId};
 use crate::config::{Config, Names};
 use crate::decide::{Decisions, Flow, Verdict};
 use crate::net::backend::{self, Attempt};
 use crate::net::discovery::Directory;
 use crate::net::line::{opening, trim, LineBuffer, Open, Opening};
+use crate::net::note::Notes;
 use crate::net::{log, spawn, timed_out};
 use crossbeam_channel::{bounded, Sender};
 use std::collections::BTreeMap;
@@ -42,6 +43,8 @@
     pub directory: Arc<Directory>,
     /// Names of classes, zones and columns.
     pub names: Names,
+    /// What backends told lately.
+    pub notes: Notes,
     /// The longest dial.
     pub dial_timeout: Duration,
     /// The longest wait that a refused client obeys.
@@ -69,6 +72,7 @@
             decisions,
             directory,
             names: config.names.clone(),
+            notes: Notes::default(),
             dial_timeout: Duration::from_micros(config.settings.dial_timeout),
             max_retry_after: config.settings.max_retry_after,
             longest_deadline: Duration::from_micros(longest),
@@ -423,7 +427,7 @@
                 let a = Attempt { server, until: Some(until), number };
                 match backend::attempt(relay, session, open, id, &a) {
                     Ok(up) if relay.decisions.up(id, relay.decisions.now() - began) => {
-                        break relayed(session, id, up, &up_out);
+                        break relayed(session, id, server, up, &up_out);
                     }
                     Ok(up) => {
                         // Answered meanwhile: the attempt is closed before anything else happens.
@@ -454,13 +458,14 @@
 fn relayed(
     session: &Session,
     id: RequestId,
+    server: ServerId,
     up: backend::Up,
     up_out: &Sender<Arc<TcpStream>>,
 ) -> &'static str {
     let relay = &session.relay;
     lock(&session.state).up = true;
     let _ = up_out.send(up.0.clone());
-    let end = backend::downstream(relay, session, id, up);
+    let end = backend::downstream(relay, session, id, server, up);
     session.release();
     relay.decisions.end(id, end.outcome, end.report);
     end.reason
@@ -482,7 +487,7 @@
     let id = relay.decisions.adopt(open.request.clone(), server, session.clone());
     let _ = id_out.send(id);
     match backend::attempt(relay, session, open, id, &Attempt { server, until: None, number: 0 }) {
-        Ok(up) => account.reason = relayed(session, id, up, &up_out),
+        Ok(up) => account.reason = relayed(session, id, server, up, &up_out),
         Err((outcome, report)) => {
             relay.decisions.end(id, outcome, report);
             session.say("FAILED");
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -2,7 +2,7 @@
 
 use crate::api::{Micros, Request};
 use crate::config::Names;
-use crate::decide::{Note, LONGEST};
+use crate::decide::LONGEST;
 use std::io::{self, Read};
 use std::ops::Range;
 
@@ -194,8 +194,8 @@
     Err(Vec<f32>),
     /// Turned away unseen.
     Busy(Vec<f32>),
-    /// News of the connection.
-    Note(Note),
+    /// The connection's load, or how long messages take: see [`crate::net::note`].
+    Load(f32),
     /// Anything else: a line for the client alone.
     Other,
 }
@@ -211,7 +211,7 @@
         "ERR" => Told::Err(report(rest, names)),
         "BUSY" => Told::Busy(report(rest, names)),
         "LOAD" => match rest.parse::<f32>() {
-            Ok(x) if x.is_finite() && x >= 0.0 => Told::Note(Note::Load(x)),
+            Ok(x) if x.is_finite() && x >= 0.0 => Told::Load(x),
             _ => Told::Other,
         },
         _ => Told::Other,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod discovery;
 pub mod line;
+pub mod note;
 pub mod probe;
 
 use std::io::{self, Write};
