--- a/examples/replay.rs
+++ b/examples/replay.rs
@@ -1,7 +1,7 @@
 //! Feeds a balancer a few seconds of a proxy's life and prints what it asks for.
 
-use lilacrail::api::*;
-use lilacrail::Balancer;
+use jaspermoor::api::*;
+use jaspermoor::Balancer;
 
 fn main() -> Result<(), Unknown> {
     let mut balancer = Balancer::new(Settings { balancers: 4, ..Settings::default() }, 2026);
--- a/src/bin/lilacrail-wirehost.rs
+++ b/src/bin/jaspermoor-simhost.rs
@@ -1,9 +1,9 @@
 //! Hosts many instances of the decision module on the bench's wire: batches come in on standard
 //! input, one reply each goes out on standard output. The instances share nothing.
 
-use lilacrail::api::{Action, Event};
-use lilacrail::wire::{self, Record, Reply, WireError};
-use lilacrail::Balancer;
+use jaspermoor::api::{Action, Event};
+use jaspermoor::wire::{self, Record, Reply, WireError};
+use jaspermoor::Balancer;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -120,7 +120,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("lilacrail-wirehost: {e}");
+            eprintln!("jaspermoor-simhost: {e}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,12 @@
-//! lilacrail makes the decisions of a balancer for long-lived connections.
+//! jaspermoor makes the decisions of a balancer for long-lived connections.
 //!
 //! A proxy tells a [`Balancer`] what it sees ([`api::Event`]) and carries out what the
 //! balancer asks for ([`api::Action`]). The balancer does no I/O and reads no clock: time comes
 //! in with each event, and randomness only from the seed it was made with.
 //!
 //! ```
-//! use lilacrail::api::{Action, Event, ListKind, Member, MemberState, RequestId, ServerId, Settings};
-//! use lilacrail::Balancer;
+//! use jaspermoor::api::{Action, Event, ListKind, Member, MemberState, RequestId, ServerId, Settings};
+//! use jaspermoor::Balancer;
 //!
 //! let mut balancer = Balancer::new(Settings::default(), 7);
 //! let mut actions = Vec::new();
@@ -22,7 +22,7 @@
 //! balancer.handle(0, Event::Members { kind: ListKind::Full, members }, &mut actions).unwrap();
 //! actions.clear();
 //!
-//! let request = lilacrail::api::Request { id: RequestId(1), key: 42, left: 800_000, ..Default::default() };
+//! let request = jaspermoor::api::Request { id: RequestId(1), key: 42, left: 800_000, ..Default::default() };
 //! balancer.handle(1_000, Event::Request(request), &mut actions).unwrap();
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { .. })));
 //! ```
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,4 +1,4 @@
-//! The decisions of lilacrail. Their interface (settings, events, actions) is in src/api.rs.
+//! The decisions of jaspermoor. Their interface (settings, events, actions) is in src/api.rs.
 //!
 //! The rule is RJ-CH, "Revisiting Consistent Hashing with Bounded Loads" (Chen, Coleman, Shrivastava):
 //! a key goes to the owner of slot h(key, 0), then h(key, 1), and so on, until a server is under its cap.
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,12 +2,12 @@
 
 use argh::FromArgs;
 use crossbeam_channel::bounded;
-use lilacrail::api::Member;
-use lilacrail::config::Config;
-use lilacrail::decide::{run_timers, Decisions, Orders};
-use lilacrail::net::client::Relay;
-use lilacrail::net::discovery::{Directory, Watcher};
-use lilacrail::net::{log, probe, spawn};
+use jaspermoor::api::Member;
+use jaspermoor::config::Config;
+use jaspermoor::decide::{run_timers, Decisions, Orders};
+use jaspermoor::net::client::Relay;
+use jaspermoor::net::discovery::{Directory, Watcher};
+use jaspermoor::net::{log, probe, spawn};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::TcpListener;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A proxy in miniature for tests: feeds events to one balancer and keeps what it asked for.
 #![allow(dead_code)]
 
-use lilacrail::api::*;
-use lilacrail::Balancer;
+use jaspermoor::api::*;
+use jaspermoor::Balancer;
 
 pub const MS: Micros = 1_000;
 
--- a/tests/host.rs
+++ b/tests/host.rs
@@ -6,7 +6,7 @@
 const SETTINGS: &str = include_str!("data/settings.json");
 
 fn host(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_lilacrail-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_jaspermoor-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use lilacrail::api::*;
-use lilacrail::logic::{hash, mix};
+use jaspermoor::api::*;
+use jaspermoor::logic::{hash, mix};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The servers of `keys` clients without a group, each asked of a proxy that holds nothing else.
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use lilacrail::api::*;
-use lilacrail::Balancer;
+use jaspermoor::api::*;
+use jaspermoor::Balancer;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -35,5 +35,5 @@
 fn the_deploy_file_names_what_is_built() {
     let deploy = fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/balancer.toml")).unwrap();
     assert!(deploy.contains("policy = [\"src/logic.rs\"]"));
-    assert!(deploy.contains("sim = \"exec target/release/lilacrail-wirehost\""));
+    assert!(deploy.contains("sim = \"exec target/release/jaspermoor-simhost\""));
 }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The codec: frames as the wire's page shows them, settings, and what is malformed.
 
-use lilacrail::api::*;
-use lilacrail::wire::*;
+use jaspermoor::api::*;
+use jaspermoor::wire::*;
 
 const SETTINGS: &str = include_str!("data/settings.json");
 
