Say in each refusal when to come again: 400 ms, within the settings' bound

Seen: the module refused with no time (0), so the relay could only say BUSY and a client came back at once to the same answer. At fault: answer() in src/logic.rs.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -72,6 +72,8 @@
 const RETRY_SAVED: f32 = 4.0;
 /// Wait before a held request looks again for a server.
 const HOLD: Micros = SECOND / 20;
+/// Advised wait of a refused client: about a set-up, long enough that its next try meets other counts.
+const RETRY_AFTER: Micros = SECOND * 2 / 5;
 /// Backoff of a failed call for the list, doubled up to eight times this, jittered.
 const ASK_BACKOFF: Micros = SECOND / 4;
 /// Time over which the connections of a draining server are moved away.
@@ -727,7 +729,9 @@
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             Effect::Keyed { .. } | Effect::Unsafe => !maybe_ran,
         };
-        out.push(if harmless { Action::Refuse(p.request.id, 0) } else { Action::Fail(p.request.id) });
+        let id = p.request.id;
+        let wait = RETRY_AFTER.min(self.settings.max_retry_after);
+        out.push(if harmless { Action::Refuse(id, wait) } else { Action::Fail(id) });
     }
 
     fn first(&mut self, id: RequestId) -> Result<(), Unknown> {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -664,3 +664,17 @@
     assert!(proxy.end(2, ServerId(77), Outcome::Reset, true).is_empty());
     assert!(proxy.end(1, ServerId(2), Outcome::Ok, true).is_empty());
 }
+
+/// A refusal without a time to come back had clients return at once, to the same answer.
+#[test]
+fn a_refusal_says_when_to_come_again_within_the_bound() {
+    for (bound, advised) in [(0, 0), (50 * MS, 50 * MS), (1_500 * MS, 400 * MS)] {
+        let settings = Settings { max_retry_after: bound, ..Settings::default() };
+        let mut proxy = Proxy::new(settings, 7);
+        let held = proxy.request(request(1, 42, 0));
+        let (at, token) = timers(&held)[0];
+        proxy.now = at;
+        let answer = proxy.fire(token);
+        assert!(answer.contains(&Action::Refuse(RequestId(1), advised)), "{bound}: {answer:?}");
+    }
+}
