Test the built relay on real sockets, and name the full path of faulty keys

One test for each rule and each way of ending, tables for the parsers, and the command line. Peers are a listener or a socket each; ports are free ones, waits are far longer than needed.

Found by rereading, fixed here, lines at fault in src/net: - client.rs: a move asked for right as the connection came up was lost, since 'up' was set after the decisions were told. - backend.rs: a client that took no bytes kept its other thread and descriptor; now both sides end, by a reset. - backend.rs: what followed a too long line could reach the backend in pieces. - discovery.rs: backends that had gone stayed in the directory for good. - config.rs: 'settings' errors named the key without its full path.

--- a/src/config.rs
+++ b/src/config.rs
@@ -78,6 +78,8 @@
     pub known_version: u64,
     /// The list as it was last known.
     pub known: Vec<(Endpoint, Member)>,
+    /// What is wrong with entries of it that were left out: it was not written by hand.
+    pub known_problems: Vec<String>,
     /// The settings of the decisions.
     pub settings: Settings,
     /// The names that go with them.
@@ -109,22 +111,23 @@
         let Some(settings_value) = top.get("settings") else { return bad("settings", "is missing") };
         let settings = match wire::settings_of(settings_value) {
             Ok(settings) => settings,
-            Err(e) => return bad("settings", e),
+            Err(e) if e.key == "profile_data" => return bad("settings", e.what),
+            Err(e) => return bad(&format!("settings.{}", e.key), e.what),
         };
         let names = Names {
-            classes: words(settings_value, "grades", Some("name"))?,
+            classes: words(settings_value, "settings.grades", Some("name"))?,
             deadlines: settings.classes.iter().map(|c| c.deadline).collect(),
-            zones: words(settings_value, "zones", None)?,
+            zones: words(settings_value, "settings.zones", None)?,
             columns: match settings_value.get("report") {
-                Some(report) => words(report, "columns", None)?,
+                Some(report) => words(report, "settings.report.columns", None)?,
                 None => Vec::new(),
             },
         };
-        let (known_version, known) = match top.get("known") {
-            None => (0, Vec::new()),
+        let (known_version, known, known_problems) = match top.get("known") {
+            None => (0, Vec::new(), Vec::new()),
             Some(known) => match discovery::listing(known, &names.zones) {
-                Ok(listing) => (listing.version, listing.servers),
-                Err(e) => return bad("known", e),
+                Ok(listing) => (listing.version, listing.servers, listing.problems),
+                Err(e) => return Err(ConfigError(format!("known.{e}"))),
             },
         };
         let name = text_of(&top, "name", env("BALANCER_NAME"))?.unwrap_or_else(|| "relay".into());
@@ -147,22 +150,23 @@
             },
             known_version,
             known,
+            known_problems,
             settings,
             names,
         })
     }
 }
 
-fn words(from: &Value, key: &str, inner: Option<&str>) -> Result<Vec<String>, ConfigError> {
-    let list = from.get(key).and_then(|l| l.as_array()).map_or(&[][..], |l| l);
+/// The texts of a list that stands under the last part of a path; of its objects, the text under `inner`.
+fn words(from: &Value, path: &str, inner: Option<&str>) -> Result<Vec<String>, ConfigError> {
+    let key = path.rsplit('.').next().unwrap_or(path);
+    let Some(list) = from.get(key).and_then(|l| l.as_array()) else { return bad(path, "is not a list") };
     let word = |(i, v): (usize, &Value)| {
         let v = inner.map_or(Some(v), |inner| v.get(inner));
+        let suffix = inner.map(|inner| format!(".{inner}")).unwrap_or_default();
         match v.and_then(|v| v.as_str()) {
             Some(word) => Ok(word.to_string()),
-            None => bad(
-                &format!("settings.{key}[{i}]{}", inner.map(|i| format!(".{i}")).unwrap_or_default()),
-                "is not a word",
-            ),
+            None => bad(&format!("{path}[{i}]{suffix}"), "is not a text"),
         }
     };
     list.iter().enumerate().map(word).collect()
@@ -190,7 +194,11 @@
 
 fn limit(top: &Value, key: &str, default: f64, least: f64, most: f64) -> Result<f64, ConfigError> {
     let path = format!("limits.{key}");
-    match top.get("limits").and_then(|l| l.get(key)) {
+    let limits = top.get("limits");
+    if limits.is_some_and(|l| !l.is_object()) {
+        return bad("limits", "is not an object");
+    }
+    match limits.and_then(|l| l.get(key)) {
         None => Ok(default),
         Some(value) => match value.cast_f64() {
             Some(n) if (least..=most).contains(&n) => Ok(n),
--- a/src/main.rs
+++ b/src/main.rs
@@ -95,10 +95,14 @@
     let (probe, probe_orders) = bounded(64);
     let directory = Arc::new(Directory::default());
     directory.update(true, &config.known);
+    for problem in &config.known_problems {
+        log(&format!("known: an entry was left out: {problem}"));
+    }
     let cached: Vec<Member> = config.known.iter().map(|(_, member)| member.clone()).collect();
     let decisions = Decisions::new(config.settings.clone(), config.seed, cached, Orders { watch, probe });
     let listener = TcpListener::bind(config.listen)
         .map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?;
+    let address = listener.local_addr()?;
     let relay = Relay::new(&config, decisions.clone(), directory.clone());
 
     let timers = decisions.clone();
@@ -118,7 +122,7 @@
     spawn("probe", move || probe::run(&probe_orders, &shared.directory, &shared.decisions, &shared.names))?;
     let shared = relay.clone();
     spawn("accept", move || shared.accept(&listener))?;
-    log(&format!("{}: serves on {}", config.name, config.listen));
+    log(&format!("{}: serves on {address}", config.name));
     if let Some(signal) = signals.forever().next() {
         log(&format!("{}: signal {signal}, moving the standing connections", config.name));
         relay.drain();
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -174,9 +174,13 @@
                     _ => {}
                 }
             }
-            if (&*client).write_all(buffer.at(lines)).is_err() && !session.client_ended() {
+            if let Err(e) = (&*client).write_all(buffer.at(lines)) {
+                // Both sides go as one did, and the other thread must not read on.
                 reset(&backend);
-                return end(Outcome::Cancelled, "client-stuck");
+                reset(client);
+                session.close_client(Shutdown::Read);
+                let reason = if timed_out(&e) { "client-stuck" } else { "client-reset" };
+                return end(Outcome::Cancelled, reason);
             }
         }
         match buffer.fill(&mut &*backend) {
@@ -243,6 +247,7 @@
 ) {
     let client = &session.client;
     let mut backend: Option<Arc<TcpStream>> = None;
+    let mut garbled = false;
     if client.set_read_timeout(Some(LOOK)).is_err() {
         return;
     }
@@ -281,6 +286,10 @@
             }
         }
         let Some(to) = &backend else { continue };
+        if garbled {
+            buffer.discard();
+            continue;
+        }
         match buffer.lines() {
             Ok(lines) if lines.is_empty() => {}
             Ok(lines) => {
@@ -290,8 +299,9 @@
             }
             Err(_) => {
                 log(&format!("client {}: a line is longer than allowed", session.name()));
+                // What follows may begin inside that line: none of it may reach the backend.
+                garbled = true;
                 session.relocate();
-                buffer.discard();
             }
         }
     }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -425,7 +425,10 @@
                 account.backend = relay.directory.endpoint(server).map_or(String::new(), |e| e.name);
                 let began = relay.decisions.now();
                 let a = Attempt { server, until: Some(until), number };
-                match backend::attempt(relay, session, open, id, &a) {
+                let result = backend::attempt(relay, session, open, id, &a);
+                // Before the decisions hear of it: they may ask for a move at once.
+                lock(&session.state).up = result.is_ok();
+                match result {
                     Ok(up) if relay.decisions.up(id, relay.decisions.now() - began) => {
                         break relayed(session, id, server, up, &up_out);
                     }
@@ -433,6 +436,7 @@
                         // Answered meanwhile: the attempt is closed before anything else happens.
                         drop(up);
                         session.release();
+                        lock(&session.state).up = false;
                         relay.decisions.report(id, Outcome::Cancelled, Vec::new());
                     }
                     Err((outcome, report)) => relay.decisions.report(id, outcome, report),
@@ -463,7 +467,6 @@
     up_out: &Sender<Arc<TcpStream>>,
 ) -> &'static str {
     let relay = &session.relay;
-    lock(&session.state).up = true;
     let _ = up_out.send(up.0.clone());
     let end = backend::downstream(relay, session, id, server, up);
     session.release();
@@ -487,7 +490,10 @@
     let id = relay.decisions.adopt(open.request.clone(), server, session.clone());
     let _ = id_out.send(id);
     match backend::attempt(relay, session, open, id, &Attempt { server, until: None, number: 0 }) {
-        Ok(up) => account.reason = relayed(session, id, server, up, &up_out),
+        Ok(up) => {
+            lock(&session.state).up = true;
+            account.reason = relayed(session, id, server, up, &up_out);
+        }
         Err((outcome, report)) => {
             relay.decisions.end(id, outcome, report);
             session.say("FAILED");
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -125,14 +125,17 @@
         self.servers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes over a list. One that is gone stays known by name.
+    /// Takes over a list. What is gone is forgotten: machines that are replaced have new ids.
     pub fn update(&self, full: bool, servers: &[(Endpoint, Member)]) {
         let mut known = self.lock();
         if full {
-            known.values_mut().for_each(|(_, state)| *state = MemberState::Gone);
+            known.clear();
         }
         for (endpoint, member) in servers {
-            known.insert(member.server, (endpoint.clone(), member.state));
+            match member.state {
+                MemberState::Gone => drop(known.remove(&member.server)),
+                state => drop(known.insert(member.server, (endpoint.clone(), state))),
+            }
         }
         self.changed.notify_all();
     }
@@ -237,6 +240,7 @@
         for problem in &listing.problems {
             log(&format!("discovery: an entry was left out: {problem}"));
         }
+        log(&format!("discovery: version {}, {} entries", listing.version, listing.servers.len()));
         self.version = listing.version;
         // The network first: it checks against this list once more, right before a first byte goes out.
         self.directory.update(listing.full, &listing.servers);
@@ -343,3 +347,71 @@
         self.part == Part::Ended
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Result<Listing, String> {
+        let value = simd_json::to_owned_value(&mut text.as_bytes().to_vec()).map_err(|e| e.to_string())?;
+        listing(&value, &["a".to_string(), "b".to_string()])
+    }
+
+    #[test]
+    fn entries_that_cannot_be_read_are_left_out_and_named() {
+        let sound = r#"{"id":"s-1","addr":"10.1.0.18:8080","zone":"b","kind":"m2","cell":3,"state":"active","weight":1.5,"started_ms":7}"#;
+        let cases = [
+            ("\"active\"", "\"asleep\"", "servers[1].state: 'asleep' is not known"),
+            ("10.1.0.18:8080", "nowhere", "servers[1].addr: is not an address and a port"),
+            ("\"b\"", "\"z\"", "servers[1].zone: 'z' is not known"),
+            ("\"s-1\"", "5", "servers[1].id: is not a text"),
+            ("7}", "-7}", "servers[1].started_ms: is not a time"),
+        ];
+        for (from, to, problem) in cases {
+            let text =
+                format!(r#"{{"version":4,"full":true,"servers":[{sound},{}]}}"#, sound.replace(from, to));
+            let listing = read(&text).unwrap();
+            assert_eq!(listing.problems, [problem]);
+            let (endpoint, member) = &listing.servers[0];
+            assert_eq!((listing.servers.len(), endpoint.name.as_str()), (1, "s-1"));
+            assert_eq!((member.zone, member.cell, member.started), (1, 3, Some(7_000)));
+        }
+    }
+
+    #[test]
+    fn what_is_no_listing_is_refused() {
+        for text in ["{}", "[]", "7", r#"{"version":1,"full":true,"servers":{}}"#, r#"{"version":-1}"#, "{"] {
+            assert!(read(text).is_err(), "{text}");
+        }
+        assert!(shallow("[".repeat(MAX_DEPTH + 1).as_bytes()).is_err());
+        assert!(shallow(br#"["[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[\"[[["]"#).is_ok());
+    }
+
+    #[test]
+    fn chunks_are_put_together_wherever_they_are_cut() {
+        let wire = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab\nc\n\r\n3;x=y\r\nde\n\r\n0\r\n\r\n";
+        for step in 1..wire.len() {
+            let (mut answer, mut lines) = (Answer::default(), Vec::new());
+            for piece in wire.chunks(step) {
+                answer.take(piece).unwrap();
+                while let Some(line) = answer.line().unwrap() {
+                    lines.push(String::from_utf8(line).unwrap());
+                }
+            }
+            assert_eq!((lines.concat().as_str(), answer.ended()), ("ab\nc\nde\n", true), "step {step}");
+        }
+    }
+
+    #[test]
+    fn answers_that_are_none_are_refused() {
+        let cases: &[&[u8]] = &[
+            b"HTTP/1.1 503 Service Unavailable\r\n\r\n",
+            b"nonsense\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc",
+        ];
+        for case in cases {
+            assert!(Answer::default().take(case).is_err(), "{}", String::from_utf8_lossy(case));
+        }
+    }
+}
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -226,3 +226,128 @@
     };
     names.columns.iter().map(value).collect::<Option<Vec<f32>>>().unwrap_or_default()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn names() -> Names {
+        let texts = |list: &[&str]| list.iter().map(|t| t.to_string()).collect();
+        Names {
+            classes: texts(&["chat", "call"]),
+            deadlines: vec![2_000_000, 3_000_000],
+            zones: texts(&["a"]),
+            columns: texts(&["active", "x0"]),
+        }
+    }
+
+    #[test]
+    fn a_first_line_is_read_or_refused_with_a_word() {
+        let request = |class, key, group, left, again| {
+            Ok(Request { class, key, group, left, again, ..Request::default() })
+        };
+        let cases: &[(&[u8], Result<Request, &str>)] = &[
+            (b"OPEN 9b 7f c=chat,d=2000,g=5c", request(0, 0x7f, 0x5c, 2_000_000, false)),
+            (b"OPEN 9b 7f d=0.5,c=call", request(1, 0x7f, 0, 500, false)),
+            (b"OPEN 9b 7f c=call", request(1, 0x7f, 0, 3_000_000, false)),
+            (b"OPEN 9b 7f c=chat,d=5,r=1", request(0, 0x7f, 0, 5_000, true)),
+            (b"OPEN 9b 7f c=chat,d=5,again=1,h=12,new=x", request(0, 0x7f, 0, 5_000, true)),
+            (b"OPEN 9b 7f c=chat,d=5,r=0", request(0, 0x7f, 0, 5_000, false)),
+            (b"OPEN 9b ffffffffffffffff c=chat,d=1e12", request(0, u64::MAX, 0, LONGEST, false)),
+            (b"OPEN 9b 7f c=chat,d=-1", Err("bad-wait")),
+            (b"OPEN 9b 7f c=chat,d=NaN", Err("bad-wait")),
+            (b"OPEN 9b 7f c=chat,d=soon", Err("bad-wait")),
+            (b"OPEN 9b 7f c=chat,g=xyz", Err("bad-group")),
+            (b"OPEN 9b 7f c=chat,at=", Err("bad-backend")),
+            (b"OPEN 9b 7f c=chat,", Err("bad-field")),
+            (b"OPEN 9b 7f d=5", Err("no-class")),
+            (b"OPEN 9b 7f c=none", Err("unknown-class")),
+            (b"OPEN 9b 10000000000000000 c=chat", Err("bad-key")),
+            (b"OPEN 9b +7 c=chat", Err("bad-key")),
+            (b"OPEN  7f c=chat", Err("no-id")),
+            (b"OPEN 9b 7f c=chat more", Err("wrong-number-of-words")),
+            (b"OPEN", Err("unknown-command")),
+            (b"open 9b 7f c=chat", Err("unknown-command")),
+            (b"\xff\xfe", Err("not-utf8")),
+        ];
+        for (line, expected) in cases {
+            let read = opening(line, &names()).map(|o| match o {
+                Opening::Open(open) => open.request,
+                Opening::Ping => panic!("a ping"),
+            });
+            assert_eq!(&read, expected, "{}", String::from_utf8_lossy(line));
+        }
+        assert_eq!(opening(b"PING", &names()), Ok(Opening::Ping));
+    }
+
+    #[test]
+    fn a_line_goes_on_unchanged_but_for_the_wait() {
+        let cases = [
+            ("OPEN 9b 7f c=chat,d=2000,g=5", "OPEN 9b 7f c=chat,d=1499,g=5\r\n"),
+            ("OPEN 9b 7f d=2000,c=chat", "OPEN 9b 7f d=1499,c=chat\r\n"),
+            ("OPEN 9b 7f c=chat,x=d=9,d=1", "OPEN 9b 7f c=chat,x=d=9,d=1499\r\n"),
+            ("OPEN 9b 7f c=chat", "OPEN 9b 7f c=chat\r\n"),
+        ];
+        for (line, forwarded) in cases {
+            let Ok(Opening::Open(open)) = opening(line.as_bytes(), &names()) else { panic!("{line}") };
+            assert_eq!(open.forward(Some(1_499_999)), forwarded);
+            assert_eq!(open.forward(None), format!("{line}\r\n"));
+        }
+    }
+
+    #[test]
+    fn a_backend_s_lines_are_told_apart() {
+        let report = vec![7.0, 0.5];
+        let cases: &[(&[u8], Told)] = &[
+            (b"UP r1", Told::Up),
+            (b"UP", Told::Other),
+            (b"BYE", Told::Bye(vec![])),
+            (b"BYE x0=0.5,active=7,new=1", Told::Bye(report.clone())),
+            (b"BYE x0=0.5", Told::Bye(vec![])),
+            (b"BYE x0=inf,active=7", Told::Bye(vec![])),
+            (b"MOVE", Told::Move),
+            (b"ERR active=7,x0=0.5", Told::Err(report.clone())),
+            (b"BUSY active=7,x0=0.5", Told::Busy(report)),
+            (b"LOAD 17.25", Told::Load(17.25)),
+            (b"LOAD", Told::Other),
+            (b"LOAD -1", Told::Other),
+            (b"LOAD NaN", Told::Other),
+            (b"M 1 abc", Told::Other),
+            (b"\xff", Told::Other),
+            (b"", Told::Other),
+        ];
+        for (line, expected) in cases {
+            assert_eq!(&told(line, &names()), expected, "{}", String::from_utf8_lossy(line));
+        }
+    }
+
+    #[test]
+    fn the_buffer_takes_lines_however_they_are_cut() {
+        let text = b"one\r\ntwo\nthree\r\nrest";
+        for step in 1..=text.len() {
+            let (mut buffer, mut lines) = (LineBuffer::default(), Vec::new());
+            for mut piece in text.chunks(step) {
+                while !piece.is_empty() {
+                    buffer.fill(&mut piece).unwrap();
+                    while let Some(line) = buffer.line().unwrap() {
+                        lines.push(String::from_utf8(trim(buffer.at(line)).to_vec()).unwrap());
+                    }
+                }
+            }
+            assert_eq!(lines, ["one", "two", "three"], "step {step}");
+            assert_eq!(buffer.rest(), b"rest");
+        }
+    }
+
+    #[test]
+    fn a_line_may_be_as_long_as_the_protocol_says_and_no_longer() {
+        for (length, good) in [(MAX_LINE - 1, true), (MAX_LINE, false), (3 * MAX_LINE, false)] {
+            let text = [vec![b'x'; length], b"\n".to_vec()].concat();
+            let (mut buffer, mut from) = (LineBuffer::default(), &text[..]);
+            while !from.is_empty() {
+                buffer.fill(&mut from).unwrap();
+            }
+            assert_eq!(buffer.line().is_ok(), good, "{length}");
+        }
+    }
+}
--- a/src/net/note.rs
+++ b/src/net/note.rs
@@ -40,8 +40,11 @@
             return Note::Load(x);
         }
         let mut all = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        all.retain(|_, heard| {
+            heard.retain(|h| now.saturating_sub(h.at) <= SECOND + OFF_BEAT);
+            !heard.is_empty()
+        });
         let heard = all.entry(server).or_default();
-        heard.retain(|h| now.saturating_sub(h.at) <= SECOND + OFF_BEAT);
         // The beat may pass to another connection, but only once it is known to be one.
         let delay = heard.iter().any(|h| {
             now.saturating_sub(h.at) + OFF_BEAT >= SECOND
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -404,13 +404,22 @@
     }
 }
 
-/// A setting that cannot be used: one plain sentence that names its key.
+/// A setting that cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SettingsError(String);
+pub struct SettingsError {
+    /// The path of its key; empty where the whole is meant.
+    pub key: String,
+    /// What is wrong with it.
+    pub what: String,
+}
 
 impl fmt::Display for SettingsError {
+    /// One plain sentence that names the key.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        match self.key.as_str() {
+            "" => write!(f, "The settings {}.", self.what),
+            key => write!(f, "The setting '{key}' {}.", self.what),
+        }
     }
 }
 
@@ -426,7 +435,7 @@
     fn of(value: &'a Value, path: &str) -> Result<Self, SettingsError> {
         match value.as_object() {
             Some(map) => Ok(Section { path: path.to_string(), map }),
-            None => Err(SettingsError(format!("The setting '{path}' is not an object."))),
+            None => Err(SettingsError { key: path.to_string(), what: "is not an object".into() }),
         }
     }
 
@@ -439,7 +448,7 @@
     }
 
     fn bad<T>(&self, key: &str, what: &str) -> Result<T, SettingsError> {
-        Err(SettingsError(format!("The setting '{}' {what}.", self.name(key))))
+        Err(SettingsError { key: self.name(key), what: what.to_string() })
     }
 
     fn get(&self, key: &str) -> Result<&'a Value, SettingsError> {
@@ -498,7 +507,7 @@
 /// Reads the text of an instance's settings.
 pub fn settings(text: &[u8]) -> Result<Settings, SettingsError> {
     let value = simd_json::to_owned_value(&mut text.to_vec())
-        .map_err(|e| SettingsError(format!("The settings are not valid JSON: {e}.")))?;
+        .map_err(|e| SettingsError { key: String::new(), what: format!("are not valid JSON: {e}") })?;
     settings_of(&value)
 }
 
--- /dev/null
+++ b/tests/peers/mod.rs
@@ -0,0 +1,266 @@
+//! Small peers for the tests of the built relay: backends, clients and discovery, one socket each.
+
+use socket2::SockRef;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The longest wait for anything: far more than it takes, so that a slow machine changes no verdict.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(Instant::now() < end, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+pub struct Peer {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Peer {
+    fn new(stream: TcpStream) -> Peer {
+        stream.set_nonblocking(false).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let reader = BufReader::new(stream.try_clone().unwrap());
+        Peer { stream, reader }
+    }
+
+    pub fn send(&mut self, line: &str) {
+        self.stream.write_all(format!("{line}\r\n").as_bytes()).unwrap();
+    }
+
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).unwrap();
+        line.strip_suffix("\r\n").unwrap_or_else(|| panic!("not a whole line: {line:?}")).to_string()
+    }
+
+    /// Reads one line, answers it and ends the connection.
+    pub fn answer(mut self, line: &str) {
+        self.line();
+        self.send(line);
+        self.end();
+    }
+
+    pub fn end(&self) {
+        self.stream.shutdown(Shutdown::Write).unwrap();
+    }
+
+    /// Whether the other side ends the connection, with nothing more said.
+    pub fn ended(&mut self) -> bool {
+        let mut rest = Vec::new();
+        match self.reader.read_to_end(&mut rest) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() == ErrorKind::ConnectionReset,
+        }
+    }
+
+    pub fn was_reset(&mut self) -> bool {
+        self.reader.read(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::ConnectionReset)
+    }
+
+    pub fn reset(self) {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+}
+
+pub struct Backend {
+    name: String,
+    addr: SocketAddr,
+    listener: Mutex<Option<TcpListener>>,
+}
+
+impl Backend {
+    fn try_accept(&self) -> Option<Peer> {
+        let listener = self.listener.lock().unwrap();
+        listener.as_ref().and_then(|l| l.accept().ok()).map(|(stream, _)| Peer::new(stream))
+    }
+
+    pub fn accept(&self) -> Peer {
+        until("a connection to a backend", || self.try_accept())
+    }
+
+    /// From now on connections are refused.
+    pub fn stop(&self) {
+        *self.listener.lock().unwrap() = None;
+    }
+}
+
+fn listener() -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    listener
+}
+
+pub struct Fleet {
+    backends: Vec<Backend>,
+    discovery: TcpListener,
+}
+
+impl Fleet {
+    pub fn new(names: &[&str]) -> Fleet {
+        let backend = |name: &&str| {
+            let l = listener();
+            let addr = l.local_addr().unwrap();
+            Backend { name: name.to_string(), addr, listener: Mutex::new(Some(l)) }
+        };
+        Fleet { backends: names.iter().map(backend).collect(), discovery: listener() }
+    }
+
+    pub fn backend(&self, name: &str) -> &Backend {
+        self.backends.iter().find(|b| b.name == name).unwrap()
+    }
+
+    pub fn accept_any(&self) -> (String, Peer) {
+        until("a connection to any backend", || {
+            self.backends.iter().find_map(|b| b.try_accept().map(|peer| (b.name.clone(), peer)))
+        })
+    }
+
+    pub fn entry(&self, name: &str, state: &str) -> String {
+        let addr = self.backend(name).addr;
+        format!(
+            "{{\"id\":\"{name}\",\"addr\":\"{addr}\",\"zone\":\"x\",\"kind\":\"a\",\"cell\":0,\
+             \"state\":\"{state}\",\"weight\":1.0,\"started_ms\":0}}"
+        )
+    }
+
+    /// Starts the relay, which knows all backends.
+    pub fn relay(&self) -> Relay {
+        let names: Vec<&str> = self.backends.iter().map(|b| b.name.as_str()).collect();
+        self.relay_that_knows(&names)
+    }
+
+    pub fn relay_that_knows(&self, names: &[&str]) -> Relay {
+        let entries: Vec<String> = names.iter().map(|name| self.entry(name, "active")).collect();
+        Relay::start(&config(self.discovery.local_addr().unwrap(), &entries))
+    }
+
+    /// Takes in the relay's watch.
+    pub fn watched(&self) -> Watch {
+        let mut peer = until("a watch", || self.discovery.accept().ok().map(|(stream, _)| Peer::new(stream)));
+        assert!(peer.line().starts_with("GET /v1/endpoints?watch=1"));
+        while !peer.line().is_empty() {}
+        peer.stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        Watch { peer }
+    }
+
+    /// A client and the backend that serves it.
+    pub fn pair(&self, relay: &Relay, id: &str) -> (Peer, Peer) {
+        let mut client = relay.client();
+        client.send(&format!("OPEN {id} 7f c=chat,d=60000"));
+        let (_, mut backend) = self.accept_any();
+        backend.line();
+        backend.send("UP r");
+        assert_eq!(client.line(), "UP r");
+        (client, backend)
+    }
+}
+
+pub struct Watch {
+    peer: Peer,
+}
+
+impl Watch {
+    pub fn say(&mut self, text: &str) {
+        let chunk = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
+        self.peer.stream.write_all(chunk.as_bytes()).unwrap();
+    }
+
+    pub fn tell(&mut self, version: u64, full: bool, entries: &[String]) {
+        let list = entries.join(",");
+        self.say(&format!("{{\"version\":{version},\"full\":{full},\"servers\":[{list}]}}"));
+    }
+}
+
+/// A configuration with the settings of the other tests, and times that no slow machine reaches.
+pub fn config(discovery: SocketAddr, known: &[String]) -> String {
+    let settings = include_str!("../data/settings.json")
+        .replace("\"pass\"", "\"proxy\"")
+        .replace("\"pushed\"", "\"on_request\"")
+        .replace("\"one\"", "\"chat\"")
+        .replace("\"goal_time\": 300.0", "\"goal_time\": 60000.0")
+        .replace("\"dial_timeout\": 250.0", "\"dial_timeout\": 10000.0");
+    format!(
+        "{{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"{discovery}\",\
+         \"seed\":\"8c1f30d27a5be964\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\
+         \"known\":{{\"version\":1,\"full\":true,\"servers\":[{}]}},\"settings\":{settings}}}",
+        known.join(",")
+    )
+}
+
+/// A file of its own for each call.
+pub fn file(text: &str) -> PathBuf {
+    static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let n = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("config-{}-{n}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+/// The program with that configuration and nothing else told.
+pub fn program(command: &str, config: &PathBuf) -> Command {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_jaspermoor"));
+    for key in ["BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY"] {
+        program.env_remove(key);
+    }
+    program.arg(command).env("BALANCER_CONFIG", config);
+    program
+}
+
+pub struct Relay {
+    child: Child,
+    addr: SocketAddr,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Relay {
+    fn start(config: &str) -> Relay {
+        let path = file(config);
+        let mut child = program("serve", &path).stderr(Stdio::piped()).spawn().unwrap();
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let (lines, said) = (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone());
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|l| said.lock().unwrap().push(l)));
+        let addr = until("the relay's start", || {
+            let log = log.lock().unwrap();
+            log.iter().find_map(|l| l.split_once("serves on ").map(|(_, addr)| addr.parse().unwrap()))
+        });
+        std::fs::remove_file(path).unwrap();
+        Relay { child, addr, log }
+    }
+
+    pub fn client(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.addr).unwrap())
+    }
+
+    pub fn wait_for_log(&self, part: &str) {
+        until(part, || self.log.lock().unwrap().iter().any(|l| l.contains(part)).then_some(()));
+    }
+
+    pub fn terminate(&self) {
+        let status = Command::new("sh").arg("-c").arg(format!("kill -TERM {}", self.child.id())).status();
+        assert!(status.unwrap().success());
+    }
+
+    pub fn exit(&mut self) -> ExitStatus {
+        until("the relay's end", || self.child.try_wait().unwrap())
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,272 @@
+//! The built relay on real sockets: one test for each rule, and one for each way of ending.
+
+mod peers;
+
+use peers::*;
+use std::io::Write;
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_client_is_served_and_its_lines_pass_unchanged_both_ways() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    let mut client = relay.client();
+    client.send("PING");
+    assert_eq!(client.line(), "PONG");
+    client.send("OPEN 01 7f c=chat,d=2000,g=5,x=1");
+    let mut backend = fleet.backend("s-1").accept();
+    let first = backend.line();
+    let d: u64 = first
+        .strip_prefix("OPEN 01 7f c=chat,d=")
+        .unwrap()
+        .strip_suffix(",g=5,x=1")
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!((1..=2000).contains(&d), "{first}");
+    backend.send("UP r1");
+    assert_eq!(client.line(), "UP r1");
+    client.send("M 1 abc");
+    assert_eq!(backend.line(), "M 1 abc");
+    backend.send("LOAD 17.5");
+    backend.send("M 1 abc");
+    assert_eq!(client.line(), "LOAD 17.5");
+    assert_eq!(client.line(), "M 1 abc");
+    backend.send("BYE");
+    backend.end();
+    assert_eq!(client.line(), "BYE");
+    assert!(client.ended());
+    relay.wait_for_log("reason=served");
+}
+
+/// Rule 1: one final answer in time, also where no backend answers.
+#[test]
+fn a_silent_backend_leads_to_one_answer_before_the_client_gives_up() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    let mut client = relay.client();
+    let began = Instant::now();
+    client.send("OPEN 01 7f c=chat,d=700");
+    let mut backend = fleet.backend("s-1").accept();
+    backend.line();
+    let answer = client.line();
+    let took = began.elapsed();
+    // Two answers, or none, would break the rule; so would one that comes much too late.
+    assert!(answer.starts_with("BUSY"), "{answer}");
+    assert!(took < Duration::from_secs(5), "{took:?}");
+    assert!(client.ended() && backend.ended());
+}
+
+/// Rule 1: what the module has given up on is answered at once, with the time to come again.
+#[test]
+fn a_refusal_is_not_held_back() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    let mut client = relay.client();
+    let began = Instant::now();
+    client.send("OPEN 01 7f c=chat,d=60000");
+    fleet.backend("s-1").accept().answer("BUSY");
+    assert_eq!(client.line(), "BUSY 400");
+    assert!(began.elapsed() < Duration::from_secs(20));
+}
+
+/// Rule 2: the second attempt begins after the first one's socket is closed.
+#[test]
+fn an_attempt_is_closed_before_the_next_begins() {
+    let fleet = Fleet::new(&["s-1", "s-2"]);
+    let relay = fleet.relay();
+    let mut client = relay.client();
+    client.send("OPEN 01 7f c=chat,d=60000");
+    let (at, mut first) = fleet.accept_any();
+    first.line();
+    first.send("BUSY");
+    assert!(first.ended(), "the relay keeps the first attempt open");
+    let other = if at == "s-1" { "s-2" } else { "s-1" };
+    let mut second = fleet.backend(other).accept();
+    second.line();
+    second.send("UP r2");
+    assert_eq!(client.line(), "UP r2");
+}
+
+/// A backend that refuses connections never ran the request: it goes elsewhere.
+#[test]
+fn a_refused_dial_goes_on_to_the_next_backend() {
+    let fleet = Fleet::new(&["s-1", "s-2"]);
+    let relay = fleet.relay();
+    fleet.backend("s-1").stop();
+    for n in 0..8 {
+        let mut client = relay.client();
+        client.send(&format!("OPEN 0{n} {n}f c=chat,d=60000"));
+        let mut backend = fleet.backend("s-2").accept();
+        backend.line();
+        backend.send("UP r");
+        assert_eq!(client.line(), "UP r");
+    }
+}
+
+/// Rule 3: nothing new goes to a backend that discovery has told to be leaving; what stands there
+/// is moved between two lines.
+#[test]
+fn a_drain_stops_new_connections_and_moves_the_standing_ones() {
+    let fleet = Fleet::new(&["s-1", "s-2"]);
+    let relay = fleet.relay();
+    let mut watch = fleet.watched();
+    let mut client = relay.client();
+    client.send("OPEN 01 7f c=chat,d=60000");
+    let (at, mut backend) = fleet.accept_any();
+    backend.line();
+    backend.send("UP r1");
+    assert_eq!(client.line(), "UP r1");
+    watch.tell(2, false, &[fleet.entry(&at, "leaving")]);
+    assert_eq!(client.line(), "MOVE");
+    assert!(client.ended() && backend.ended());
+    let other = if at == "s-1" { "s-2" } else { "s-1" };
+    for n in 0..8 {
+        let mut client = relay.client();
+        client.send(&format!("OPEN 1{n} {n}f c=chat,d=60000"));
+        let mut backend = fleet.backend(other).accept();
+        backend.line();
+        backend.send("UP r");
+        assert_eq!(client.line(), "UP r");
+    }
+    relay.wait_for_log("reason=moved");
+}
+
+/// Rule 4: a backend that has just started gets its share little by little, not all that comes.
+#[test]
+fn a_backend_that_has_just_started_is_not_flooded() {
+    let fleet = Fleet::new(&["s-1", "s-2"]);
+    let relay = fleet.relay();
+    let mut watch = fleet.watched();
+    let started = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis();
+    let cold = fleet.entry("s-2", "active").replace("\"started_ms\":0", &format!("\"started_ms\":{started}"));
+    watch.tell(2, false, &[cold]);
+    relay.wait_for_log("discovery: version 2");
+    let mut open = Vec::new();
+    let mut cold = 0;
+    for n in 0..12 {
+        let mut client = relay.client();
+        client.send(&format!("OPEN 2{n} {n}f c=chat,d=60000"));
+        let (at, mut backend) = fleet.accept_any();
+        cold += u32::from(at == "s-2");
+        backend.line();
+        backend.send("UP r");
+        assert_eq!(client.line(), "UP r");
+        open.push((client, backend));
+    }
+    assert!(cold <= 3, "{cold} of 12 went to the cold backend");
+}
+
+/// A restarted relay brings its connections back to where they were, also where its list is stale.
+#[test]
+fn a_connection_that_was_open_goes_to_its_backend() {
+    let fleet = Fleet::new(&["s-1", "s-2", "s-3"]);
+    let relay = fleet.relay_that_knows(&["s-1"]);
+    let mut client = relay.client();
+    client.send("OPEN 01 7f c=chat,d=2000,at=s-3");
+    fleet.watched().tell(2, true, &[fleet.entry("s-1", "active"), fleet.entry("s-3", "active")]);
+    let mut backend = fleet.backend("s-3").accept();
+    assert_eq!(backend.line(), "OPEN 01 7f c=chat,d=2000,at=s-3");
+    backend.send("UP r3");
+    assert_eq!(client.line(), "UP r3");
+}
+
+#[test]
+fn a_reset_passes_to_the_other_side_as_a_reset() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    let (mut client, backend) = fleet.pair(&relay, "01");
+    backend.reset();
+    assert!(client.was_reset());
+    relay.wait_for_log("reason=backend-reset");
+    let (client, mut backend) = fleet.pair(&relay, "02");
+    client.reset();
+    assert!(backend.was_reset());
+    relay.wait_for_log("reason=client-reset");
+}
+
+#[test]
+fn a_client_that_ends_ends_its_backend() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    let (client, mut backend) = fleet.pair(&relay, "01");
+    client.stream.shutdown(Shutdown::Write).unwrap();
+    assert!(backend.ended());
+    relay.wait_for_log("reason=client-left");
+}
+
+/// A client that leaves before its answer: the attempt is called off.
+#[test]
+fn an_attempt_ends_when_its_client_leaves() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    let mut client = relay.client();
+    client.send("OPEN 01 7f c=chat,d=60000");
+    let mut backend = fleet.backend("s-1").accept();
+    backend.line();
+    drop(client);
+    assert!(backend.ended());
+    relay.wait_for_log("reason=client-gave-up");
+}
+
+/// A machine that vanishes says nothing and keeps its connections open.
+#[test]
+fn a_backend_that_stays_silent_to_a_line_loses_its_client() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    let (mut client, _backend) = fleet.pair(&relay, "01");
+    client.send("M 1 abc");
+    assert_eq!(client.line(), "MOVE");
+    assert!(client.ended());
+    relay.wait_for_log("reason=backend-silent");
+}
+
+#[test]
+fn the_signal_to_stop_moves_what_stands_and_serves_what_still_comes() {
+    let fleet = Fleet::new(&["s-1"]);
+    let mut relay = fleet.relay();
+    let mut pairs: Vec<_> = (0..6).map(|n| fleet.pair(&relay, &format!("0{n}"))).collect();
+    relay.terminate();
+    pairs.push(fleet.pair(&relay, "late"));
+    for (client, backend) in &mut pairs {
+        assert_eq!(client.line(), "MOVE");
+        assert!(client.ended() && backend.ended());
+    }
+    assert!(relay.exit().success());
+}
+
+#[test]
+fn what_is_malformed_gets_a_clear_answer() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    let long = format!("OPEN 01 7f c=chat,x={}", "y".repeat(5000));
+    let cases: &[(&[u8], &str)] = &[
+        (b"HELLO\r\n", "ERR unknown-command"),
+        (b"\r\n", "ERR unknown-command"),
+        (b"OPEN 01 7f\r\n", "ERR wrong-number-of-words"),
+        (b"OPEN 01 7f c=nobody,d=5\r\n", "ERR unknown-class"),
+        (b"OPEN 01 \xff\xfe c=chat\r\n", "ERR not-utf8"),
+        (long.as_bytes(), "ERR line-too-long"),
+        (b"OPEN 01 7f c=ch", "ERR half-a-line"),
+    ];
+    for (bytes, answer) in cases {
+        let mut client = relay.client();
+        client.stream.write_all(bytes).unwrap();
+        assert_eq!(client.line(), *answer);
+    }
+    fleet.pair(&relay, "01");
+}
+
+/// Discovery that breaks off or talks nonsense is asked again; the list that is held stands.
+#[test]
+fn a_broken_watch_is_renewed() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    fleet.watched().say("{\"version\":2,\"full\":");
+    relay.wait_for_log("discovery: the watch failed");
+    fleet.watched().say("[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[");
+    fleet.pair(&relay, "01");
+    fleet.watched().tell(3, true, &[fleet.entry("s-1", "active")]);
+    fleet.pair(&relay, "02");
+}
