--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -501,3 +501,54 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::api::{Member, MemberState, ServerId};
+    use crate::config::Config;
+    use crate::decide::Orders;
+    use crate::net::discovery::Endpoint;
+    use std::io::Read;
+
+    /// A backend may leave, and a request may be answered, while the dial is under way: then not one
+    /// byte may go out on the new connection.
+    #[test]
+    fn nothing_is_sent_after_the_dial_to_a_backend_that_leaves_or_for_a_request_that_is_answered() {
+        for (state, answered) in [(MemberState::Draining, false), (MemberState::Ready, true)] {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let addr = listener.local_addr().unwrap();
+            let text = format!(
+                r#"{{"listen":"{addr}","discovery":"{addr}","seed":"1","settings":{}}}"#,
+                include_str!("../../tests/data/settings.json")
+            );
+            let config = Config::parse(text.into_bytes(), &|_| None).unwrap();
+            let server = ServerId(1);
+            let member = |state| Member { server, zone: 0, cell: 0, state, size: 1.0, started: None };
+            let (watch, _) = bounded(1);
+            let (probe, _) = bounded(1);
+            let cached = vec![member(MemberState::Ready)];
+            let decisions = Decisions::new(config.settings.clone(), 1, cached, Orders { watch, probe });
+            let directory = Arc::new(Directory::default());
+            directory.update(true, &[(Endpoint { name: "s-1".into(), addr }, member(state))]);
+            let relay = Relay::new(&config, decisions.clone(), directory);
+            relay.count.fetch_add(1, Ordering::Relaxed);
+            let client = TcpStream::connect(addr).unwrap();
+            let _front = listener.accept().unwrap();
+            let session =
+                Arc::new(Session { relay: relay.clone(), client, number: 0, state: Mutex::default() });
+            let Ok(Opening::Open(open)) = opening(b"OPEN 1 7f c=one,d=60000", &relay.names) else { panic!() };
+            let pick = decisions.pick(open.request.clone(), session.clone(), |_| {});
+            if answered {
+                decisions.vanish(pick.id);
+            }
+            let until = Some(decisions.now() + 60_000_000);
+            let a = Attempt { server, until, number: 0 };
+            let result = backend::attempt(&relay, &session, &open, pick.id, &a);
+            assert!(matches!(result, Err((Outcome::Moot, _))), "{state:?} {answered}");
+            let mut sent = Vec::new();
+            listener.accept().unwrap().0.read_to_end(&mut sent).unwrap();
+            assert_eq!(sent, b"", "{state:?} {answered}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/decide.rs
@@ -0,0 +1,120 @@
+//! The facade alone: verdicts, what overtakes an attempt, and calls to what is under way.
+
+use crossbeam_channel::{unbounded, Receiver, Sender};
+use jaspermoor::api::*;
+use jaspermoor::decide::{Decisions, Flow, Note, Orders, Verdict};
+use std::sync::Arc;
+use std::thread;
+
+/// Keeps what it was asked: an attempt to give up, or (none) to move.
+struct Asked(Sender<Option<u16>>);
+
+impl Flow for Asked {
+    fn give_up(&self, attempt: u16) {
+        self.0.send(Some(attempt)).unwrap();
+    }
+
+    fn relocate(&self) {
+        self.0.send(None).unwrap();
+    }
+}
+
+struct Bench {
+    decisions: Arc<Decisions>,
+    flow: Arc<Asked>,
+    asked: Receiver<Option<u16>>,
+    watch: Receiver<bool>,
+}
+
+fn member(n: u64, state: MemberState) -> Member {
+    Member { server: ServerId(n), zone: 0, cell: 0, state, size: 1.0, started: None }
+}
+
+/// Decisions over `n` servers, whose timers run as in the program.
+fn bench(n: u64) -> Bench {
+    let (watch, orders) = unbounded();
+    let (probe, _) = unbounded();
+    let settings = Settings { list_on_request: true, max_retry_after: SECOND, ..Settings::default() };
+    let cached = (1..=n).map(|n| member(n, MemberState::Ready)).collect();
+    let decisions = Decisions::new(settings, 7, cached, Orders { watch, probe });
+    let ticker = Arc::downgrade(&decisions);
+    thread::spawn(move || {
+        while let Some(decisions) = ticker.upgrade() {
+            decisions.tick();
+        }
+    });
+    let (asks, asked) = unbounded();
+    Bench { decisions, flow: Arc::new(Asked(asks)), asked, watch: orders }
+}
+
+fn request(left: Micros) -> Request {
+    Request { key: 42, left, ..Request::default() }
+}
+
+fn attempt(verdict: Verdict) -> (ServerId, u16) {
+    match verdict {
+        Verdict::Attempt { server, number, .. } => (server, number),
+        other => panic!("{other:?} in place of an attempt"),
+    }
+}
+
+#[test]
+fn a_report_brings_the_next_attempt_and_then_the_refusal() {
+    let b = bench(2);
+    let pick = b.decisions.pick(request(60 * SECOND), b.flow.clone(), |_| {});
+    let (first, number) = attempt(pick.verdict());
+    assert_eq!(number, 0);
+    b.decisions.report(pick.id, Outcome::Full, vec![]);
+    let (second, number) = attempt(pick.verdict());
+    assert!(number == 1 && second != first);
+    b.decisions.report(pick.id, Outcome::Full, vec![]);
+    assert!(matches!(pick.verdict(), Verdict::Refuse(wait) if wait > 0 && wait <= SECOND));
+    assert!(!b.decisions.owed(pick.id));
+}
+
+/// At the deadline the attempt is given up and answered; one that comes up after that is too late.
+#[test]
+fn the_deadline_overtakes_an_attempt() {
+    let b = bench(1);
+    let pick = b.decisions.pick(request(SECOND / 20), b.flow.clone(), |_| {});
+    attempt(pick.verdict());
+    assert_eq!(b.asked.recv().unwrap(), Some(0));
+    assert!(matches!(pick.verdict(), Verdict::Refuse(_)));
+    assert!(!b.decisions.up(pick.id, SECOND));
+}
+
+#[test]
+fn a_client_that_leaves_ends_the_wait() {
+    let b = bench(0);
+    let decisions = b.decisions.clone();
+    // No server is known: the request is held until its client leaves.
+    let pick = b.decisions.pick(request(60 * SECOND), b.flow.clone(), move |id| {
+        thread::spawn(move || decisions.vanish(id));
+    });
+    assert_eq!(pick.verdict(), Verdict::Gone);
+}
+
+#[test]
+fn a_drain_and_a_late_server_move_what_stands_there() {
+    let b = bench(2);
+    let pick = b.decisions.pick(request(60 * SECOND), b.flow.clone(), |_| {});
+    let (server, _) = attempt(pick.verdict());
+    assert!(b.decisions.up(pick.id, 1_000));
+    b.decisions.members(ListKind::Delta, vec![member(server.0, MemberState::Draining)]);
+    assert_eq!(b.asked.recv().unwrap(), None);
+    b.decisions.end(pick.id, Outcome::Cancelled, vec![]);
+
+    let id = b.decisions.adopt(request(SECOND), ServerId(3 - server.0), b.flow.clone());
+    b.decisions.note(id, Note::Load(5.0));
+    assert!(b.asked.is_empty());
+    b.decisions.note(id, Note::Delay(60 * SECOND));
+    assert_eq!(b.asked.recv().unwrap(), None);
+}
+
+#[test]
+fn a_failed_watch_is_asked_for_again() {
+    let b = bench(1);
+    assert_eq!(b.watch.recv(), Ok(true));
+    b.decisions.members(ListKind::Failed, vec![]);
+    assert_eq!(b.watch.recv(), Ok(true));
+}
