--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -546,6 +546,8 @@
             let a = Attempt { server, until, number: 0 };
             let result = backend::attempt(&relay, &session, &open, pick.id, &a);
             assert!(matches!(result, Err((Outcome::Moot, _))), "{state:?} {answered}");
+            // Its socket is closed by now: the next attempt may begin.
+            assert!(lock(&session.state).backend.is_none());
             let mut sent = Vec::new();
             listener.accept().unwrap().0.read_to_end(&mut sent).unwrap();
             assert_eq!(sent, b"", "{state:?} {answered}");
