One value for an attempt, and an example configuration that a test checks

The two functions of an attempt repeated their six parameters. The README's configuration could not be started as it stood; deploy/example.json can.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -33,8 +33,14 @@
     Err((outcome, Vec::new()))
 }
 
-/// What an attempt is made with.
-pub struct Attempt {
+/// One attempt of a session's request.
+pub struct Attempt<'a> {
+    /// Whose it is.
+    pub session: &'a Session,
+    /// What the client asked for.
+    pub open: &'a Open,
+    /// The request.
+    pub id: RequestId,
     /// Where to.
     pub server: ServerId,
     /// When to stop waiting; none for a connection that was open before the run.
@@ -47,27 +53,17 @@
 pub type Up = (Arc<TcpStream>, LineBuffer);
 
 /// Makes one attempt. When it has failed, its socket is closed before this returns.
-pub fn attempt(
-    relay: &Relay,
-    session: &Session,
-    open: &Open,
-    id: RequestId,
-    a: &Attempt,
-) -> Result<Up, Failed> {
-    let result = dial_and_wait(relay, session, open, id, a);
+pub fn attempt(a: &Attempt) -> Result<Up, Failed> {
+    let result = dial_and_wait(a);
     if result.is_err() {
-        session.release();
+        a.session.release();
     }
     result
 }
 
-fn dial_and_wait(
-    relay: &Relay,
-    session: &Session,
-    open: &Open,
-    id: RequestId,
-    a: &Attempt,
-) -> Result<Up, Failed> {
+fn dial_and_wait(a: &Attempt) -> Result<Up, Failed> {
+    let Attempt { session, open, id, .. } = *a;
+    let relay = &session.relay;
     let left = || a.until.map_or(ADOPT, |until| relay.decisions.left(until));
     let endpoint = match a.until {
         Some(_) => relay.directory.endpoint(a.server),
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -158,7 +158,8 @@
 
 /// One client's connection. Its two threads share each socket: no descriptor is doubled.
 pub struct Session {
-    relay: Arc<Relay>,
+    /// What it shares with all others.
+    pub relay: Arc<Relay>,
     /// The client's socket.
     pub client: TcpStream,
     number: u64,
@@ -424,8 +425,8 @@
                 account.attempts += 1;
                 account.backend = relay.directory.endpoint(server).map_or(String::new(), |e| e.name);
                 let began = relay.decisions.now();
-                let a = Attempt { server, until: Some(until), number };
-                let result = backend::attempt(relay, session, open, id, &a);
+                let until = Some(until);
+                let result = backend::attempt(&Attempt { session, open, id, server, until, number });
                 // Before the decisions hear of it: they may ask for a move at once.
                 lock(&session.state).up = result.is_ok();
                 match result {
@@ -489,7 +490,8 @@
     account.attempts = 1;
     let id = relay.decisions.adopt(open.request.clone(), server, session.clone());
     let _ = id_out.send(id);
-    match backend::attempt(relay, session, open, id, &Attempt { server, until: None, number: 0 }) {
+    let (until, number) = (None, 0);
+    match backend::attempt(&Attempt { session, open, id, server, until, number }) {
         Ok(up) => {
             lock(&session.state).up = true;
             account.reason = relayed(session, id, server, up, &up_out);
@@ -543,8 +545,8 @@
                 decisions.vanish(pick.id);
             }
             let until = Some(decisions.now() + 60_000_000);
-            let a = Attempt { server, until, number: 0 };
-            let result = backend::attempt(&relay, &session, &open, pick.id, &a);
+            let (session, open, id) = (&*session, &open, pick.id);
+            let result = backend::attempt(&Attempt { session, open, id, server, until, number: 0 });
             assert!(matches!(result, Err((Outcome::Moot, _))), "{state:?} {answered}");
             // Its socket is closed by now: the next attempt may begin.
             assert!(lock(&session.state).backend.is_none());
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -20,6 +20,12 @@
     assert!(good && said.contains("discovery at 127.0.0.1:9"), "{said}");
 }
 
+#[test]
+fn the_example_of_the_readme_is_sound() {
+    let (said, good) = run("check", include_str!("../deploy/example.json"));
+    assert!(good && said.contains("1 backends known"), "{said}");
+}
+
 #[test]
 fn the_version_is_told() {
     let (said, good) = run("version", "");
