End the wait for a connection from before the start after 35 s in all

Found by rereading: with no deadline of its own, an adopted connection's wait for UP began anew after each read that ran into its limit, so a silent backend held two threads and descriptors for good. At fault: dial_and_wait() in net/backend.rs. An attempt now always has an end; the test fails without it.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -22,7 +22,7 @@
 /// The longest wait for a client or backend that takes no bytes.
 const STUCK: Duration = Duration::from_secs(5);
 /// The longest wait for the `UP` of a connection that was open before the run.
-const ADOPT: Duration = Duration::from_secs(35);
+pub const ADOPT: Micros = 35_000_000;
 /// The longest wait for the dial of such a connection.
 const ADOPT_DIAL: Duration = Duration::from_secs(2);
 
@@ -43,8 +43,10 @@
     pub id: RequestId,
     /// Where to.
     pub server: ServerId,
-    /// When to stop waiting; none for a connection that was open before the run.
-    pub until: Option<Micros>,
+    /// When to stop waiting.
+    pub until: Micros,
+    /// Whether the connection was open there before the run.
+    pub adopted: bool,
     /// Its number among those of the request.
     pub number: u16,
 }
@@ -64,13 +66,13 @@
 fn dial_and_wait(a: &Attempt) -> Result<Up, Failed> {
     let Attempt { session, open, id, .. } = *a;
     let relay = &session.relay;
-    let left = || a.until.map_or(ADOPT, |until| relay.decisions.left(until));
-    let endpoint = match a.until {
-        Some(_) => relay.directory.endpoint(a.server),
-        None => relay.directory.await_endpoint(a.server, ADOPT),
+    let left = || relay.decisions.left(a.until);
+    let endpoint = match a.adopted {
+        false => relay.directory.endpoint(a.server),
+        true => relay.directory.await_endpoint(a.server, left()),
     };
     let Some(endpoint) = endpoint else { return failed(Outcome::Moot) };
-    let dial = if a.until.is_some() { relay.dial_timeout.min(left()) } else { ADOPT_DIAL };
+    let dial = if a.adopted { ADOPT_DIAL } else { relay.dial_timeout }.min(left());
     if dial.is_zero() {
         return failed(Outcome::Moot);
     }
@@ -84,14 +86,14 @@
     }
     // During the dial the backend may have left, or the request may have been answered: once more,
     // right before the first byte.
-    if a.until.is_some() && (!relay.directory.takes_new(a.server) || !relay.decisions.owed(id)) {
+    if !a.adopted && (!relay.directory.takes_new(a.server) || !relay.decisions.owed(id)) {
         return failed(Outcome::Moot);
     }
     let wait = left();
     if wait.is_zero() {
         return failed(Outcome::Moot);
     }
-    let line = open.forward(a.until.map(|_| wait.as_micros() as Micros));
+    let line = open.forward((!a.adopted).then_some(wait.as_micros() as Micros));
     let sent = stream
         .set_nodelay(true)
         .and_then(|()| stream.set_write_timeout(Some(wait)))
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -425,8 +425,8 @@
                 account.attempts += 1;
                 account.backend = relay.directory.endpoint(server).map_or(String::new(), |e| e.name);
                 let began = relay.decisions.now();
-                let until = Some(until);
-                let result = backend::attempt(&Attempt { session, open, id, server, until, number });
+                let adopted = false;
+                let result = backend::attempt(&Attempt { session, open, id, server, until, adopted, number });
                 // Before the decisions hear of it: they may ask for a move at once.
                 lock(&session.state).up = result.is_ok();
                 match result {
@@ -490,8 +490,8 @@
     account.attempts = 1;
     let id = relay.decisions.adopt(open.request.clone(), server, session.clone());
     let _ = id_out.send(id);
-    let (until, number) = (None, 0);
-    match backend::attempt(&Attempt { session, open, id, server, until, number }) {
+    let until = relay.decisions.now() + backend::ADOPT;
+    match backend::attempt(&Attempt { session, open, id, server, until, adopted: true, number: 0 }) {
         Ok(up) => {
             lock(&session.state).up = true;
             account.reason = relayed(session, id, server, up, &up_out);
@@ -513,40 +513,54 @@
     use crate::net::discovery::Endpoint;
     use std::io::Read;
 
+    struct Setup {
+        listener: TcpListener,
+        relay: Arc<Relay>,
+        session: Arc<Session>,
+        open: Open,
+        _front: TcpStream,
+    }
+
+    /// A session before a backend in that state; the backend is this test's listener.
+    fn setup(state: MemberState) -> Setup {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let text = format!(
+            r#"{{"listen":"{addr}","discovery":"{addr}","seed":"1","settings":{}}}"#,
+            include_str!("../../tests/data/settings.json")
+        );
+        let config = Config::parse(text.into_bytes(), &|_| None).unwrap();
+        let member = |state| Member { server: SERVER, zone: 0, cell: 0, state, size: 1.0, started: None };
+        let ((watch, _), (probe, _)) = (bounded(1), bounded(1));
+        let cached = vec![member(MemberState::Ready)];
+        let decisions = Decisions::new(config.settings.clone(), 1, cached, Orders { watch, probe });
+        let directory = Arc::new(Directory::default());
+        directory.update(true, &[(Endpoint { name: "s-1".into(), addr }, member(state))]);
+        let relay = Relay::new(&config, decisions, directory);
+        let client = TcpStream::connect(addr).unwrap();
+        let (_front, _) = listener.accept().unwrap();
+        relay.count.fetch_add(1, Ordering::Relaxed);
+        let session = Arc::new(Session { relay: relay.clone(), client, number: 0, state: Mutex::default() });
+        let Ok(Opening::Open(open)) = opening(b"OPEN 1 7f c=one,d=60000", &relay.names) else { panic!() };
+        Setup { listener, relay, session, open, _front }
+    }
+
+    const SERVER: ServerId = ServerId(1);
+
     /// A backend may leave, and a request may be answered, while the dial is under way: then not one
     /// byte may go out on the new connection.
     #[test]
     fn nothing_is_sent_after_the_dial_to_a_backend_that_leaves_or_for_a_request_that_is_answered() {
         for (state, answered) in [(MemberState::Draining, false), (MemberState::Ready, true)] {
-            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-            let addr = listener.local_addr().unwrap();
-            let text = format!(
-                r#"{{"listen":"{addr}","discovery":"{addr}","seed":"1","settings":{}}}"#,
-                include_str!("../../tests/data/settings.json")
-            );
-            let config = Config::parse(text.into_bytes(), &|_| None).unwrap();
-            let server = ServerId(1);
-            let member = |state| Member { server, zone: 0, cell: 0, state, size: 1.0, started: None };
-            let (watch, _) = bounded(1);
-            let (probe, _) = bounded(1);
-            let cached = vec![member(MemberState::Ready)];
-            let decisions = Decisions::new(config.settings.clone(), 1, cached, Orders { watch, probe });
-            let directory = Arc::new(Directory::default());
-            directory.update(true, &[(Endpoint { name: "s-1".into(), addr }, member(state))]);
-            let relay = Relay::new(&config, decisions.clone(), directory);
-            relay.count.fetch_add(1, Ordering::Relaxed);
-            let client = TcpStream::connect(addr).unwrap();
-            let _front = listener.accept().unwrap();
-            let session =
-                Arc::new(Session { relay: relay.clone(), client, number: 0, state: Mutex::default() });
-            let Ok(Opening::Open(open)) = opening(b"OPEN 1 7f c=one,d=60000", &relay.names) else { panic!() };
-            let pick = decisions.pick(open.request.clone(), session.clone(), |_| {});
+            let Setup { listener, relay, session, open, _front } = setup(state);
+            let pick = relay.decisions.pick(open.request.clone(), session.clone(), |_| {});
             if answered {
-                decisions.vanish(pick.id);
+                relay.decisions.vanish(pick.id);
             }
-            let until = Some(decisions.now() + 60_000_000);
+            let until = relay.decisions.now() + 60_000_000;
             let (session, open, id) = (&*session, &open, pick.id);
-            let result = backend::attempt(&Attempt { session, open, id, server, until, number: 0 });
+            let a = Attempt { session, open, id, server: SERVER, until, adopted: false, number: 0 };
+            let result = backend::attempt(&a);
             assert!(matches!(result, Err((Outcome::Moot, _))), "{state:?} {answered}");
             // Its socket is closed by now: the next attempt may begin.
             assert!(lock(&session.state).backend.is_none());
@@ -555,4 +569,15 @@
             assert_eq!(sent, b"", "{state:?} {answered}");
         }
     }
+
+    /// The wait for a connection from before the start once began anew after each silence, for good.
+    #[test]
+    fn the_wait_for_an_adopted_connection_ends() {
+        let Setup { listener: _listener, relay, session, open, _front } = setup(MemberState::Ready);
+        let id = relay.decisions.adopt(open.request.clone(), SERVER, session.clone());
+        let until = relay.decisions.now() + 300_000;
+        let (session, open) = (&*session, &open);
+        let a = Attempt { session, open, id, server: SERVER, until, adopted: true, number: 0 };
+        assert!(matches!(backend::attempt(&a), Err((Outcome::Timeout, _))));
+    }
 }
