Pass on the sound lines that come before one that is too long

Found by rereading: lines() in net/line.rs gave up whole lines already taken when a later one was too long, so a client lost answers that had come before it. The new rows of the buffer's test fail without the change.

--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -76,8 +76,14 @@
     /// Takes all whole lines that have come, their ends included; empty if there is none.
     pub fn lines(&mut self) -> Result<Range<usize>, TooLong> {
         let from = self.start;
-        while self.line()?.is_some() {}
-        Ok(from..self.start)
+        loop {
+            match self.line() {
+                Ok(Some(_)) => {}
+                // What came before a line that is too long is sound and still goes on.
+                Err(TooLong) if from == self.start => return Err(TooLong),
+                _ => return Ok(from..self.start),
+            }
+        }
     }
 
     /// The bytes of a range that was just taken.
@@ -349,5 +355,12 @@
             }
             assert_eq!(buffer.line().is_ok(), good, "{length}");
         }
+        let text = [b"sound\r\n".to_vec(), vec![b'x'; MAX_LINE]].concat();
+        let (mut buffer, mut from) = (LineBuffer::default(), &text[..]);
+        while !from.is_empty() {
+            buffer.fill(&mut from).unwrap();
+        }
+        assert_eq!(buffer.lines().map(|lines| buffer.at(lines).to_vec()), Ok(b"sound\r\n".to_vec()));
+        assert_eq!(buffer.lines(), Err(TooLong));
     }
 }
