Reload the configuration on SIGHUP and move the watch to the new discovery

Now SIGHUP is taken from before the configuration is read. A reload reads the whole file; one that cannot be used is logged and changes nothing. The file's discovery wins over the variable of the start. The open watch is shut down, its end is not reported as a failure, and the decisions hear that the list is to be had elsewhere (ListKind::Moved): they ask anew at once, whatever backoff the old place had earned. The whole list is asked for, since versions of one place say nothing at another. The list that is held stands until then. Signals are still taken while the relay stops.

--- a/src/api.rs
+++ b/src/api.rs
@@ -193,6 +193,8 @@
     Cached,
     /// A call failed or the subscription dropped; the old list stands.
     Failed,
+    /// The list is to be had elsewhere from now on; the old list stands.
+    Moved,
 }
 
 /// A request as it arrives.
--- a/src/config.rs
+++ b/src/config.rs
@@ -100,6 +100,23 @@
         Config::parse(text, env)
     }
 
+    /// Reads the file once more, while the program runs. What the file now says of discovery has to win
+    /// over the variable, which is as old as the process.
+    pub fn reload(env: Env) -> Result<Config, ConfigError> {
+        Config::load(&|key| if key == "BALANCER_DISCOVERY" { None } else { env(key) })
+    }
+
+    /// The keys whose new values need a restart.
+    pub fn fixed_changes(&self, new: &Config) -> Vec<&'static str> {
+        let same = [
+            ("name", self.name == new.name),
+            ("listen", self.listen == new.listen),
+            ("limits", self.limits == new.limits),
+            ("settings", self.settings == new.settings && self.names == new.names),
+        ];
+        same.iter().filter(|(_, same)| !same).map(|&(key, _)| key).collect()
+    }
+
     /// Reads the text of a configuration.
     pub fn parse(mut text: Vec<u8>, env: Env) -> Result<Config, ConfigError> {
         discovery::shallow(&text).map_err(|e| ConfigError(format!("BALANCER_CONFIG: {e}")))?;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -262,6 +262,12 @@
             out.push(Action::Timer(self.now + wait, TIMER_ASK));
             return;
         }
+        if kind == ListKind::Moved {
+            // A backoff for the old place says nothing of the new one.
+            (self.watching, self.ask_failures) = (false, 0);
+            self.ask(out);
+            return;
+        }
         if kind != ListKind::Cached {
             self.ask_failures = 0;
         } else if self.settings.list_on_request {
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,13 +2,13 @@
 
 use argh::FromArgs;
 use crossbeam_channel::bounded;
-use jaspermoor::api::Member;
+use jaspermoor::api::{ListKind, Member};
 use jaspermoor::config::Config;
 use jaspermoor::decide::{run_timers, Decisions, Orders};
 use jaspermoor::net::client::Relay;
-use jaspermoor::net::discovery::{Directory, Watcher};
+use jaspermoor::net::discovery::{Directory, Source, Watcher};
 use jaspermoor::net::{log, probe, spawn};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::TcpListener;
 use std::process::ExitCode;
@@ -89,8 +89,10 @@
 }
 
 fn serve() -> Result<(), Failure> {
+    // Before all else: a signal that comes during the start must neither end the program nor be missed.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let config = Config::load(&env)?;
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let source = Source::new(config.discovery);
     let (watch, watch_orders) = bounded(4);
     let (probe, probe_orders) = bounded(64);
     let directory = Arc::new(Directory::default());
@@ -107,14 +109,14 @@
 
     let timers = decisions.clone();
     spawn("timers", move || run_timers(&timers))?;
-    let shared = relay.clone();
+    let (shared, at, version) = (relay.clone(), source.clone(), config.known_version);
     spawn("watch", move || {
         let watcher = Watcher {
-            discovery: config.discovery,
+            source: &at,
             names: &shared.names,
             directory: &shared.directory,
             decisions: &shared.decisions,
-            version: config.known_version,
+            version,
         };
         watcher.run(&watch_orders);
     })?;
@@ -123,10 +125,40 @@
     let shared = relay.clone();
     spawn("accept", move || shared.accept(&listener))?;
     log(&format!("{}: serves on {address}", config.name));
-    if let Some(signal) = signals.forever().next() {
-        log(&format!("{}: signal {signal}, moving the standing connections", config.name));
-        relay.drain();
-        log(&format!("{}: stopped", config.name));
+    // A thread of its own: signals are still taken while the relay stops.
+    let (stop, stopped) = bounded::<()>(1);
+    let handle = signals.handle();
+    spawn("drain", move || {
+        if stopped.recv().is_ok() {
+            relay.drain();
+            handle.close();
+        }
+    })?;
+    for signal in signals.forever() {
+        if signal == SIGHUP {
+            reload(&config, &source, &decisions);
+        } else if stop.try_send(()).is_ok() {
+            log(&format!("{}: signal {signal}, moving the standing connections", config.name));
+        }
     }
+    log(&format!("{}: stopped", config.name));
     Ok(())
 }
+
+/// Reads the configuration once more and follows discovery to where it is now. A configuration that
+/// cannot be used changes nothing.
+fn reload(config: &Config, source: &Source, decisions: &Decisions) {
+    let new = match Config::reload(&env) {
+        Ok(new) => new,
+        Err(e) => return log(&format!("{}: reload refused: {e}", config.name)),
+    };
+    for key in config.fixed_changes(&new) {
+        log(&format!("{}: reload: {key}: a new value needs a restart", config.name));
+    }
+    let moved = source.relocate(new.discovery);
+    if moved {
+        decisions.members(ListKind::Moved, Vec::new());
+    }
+    let news = if moved { "now" } else { "still" };
+    log(&format!("{}: reload: discovery is {news} at {}", config.name, new.discovery));
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -9,8 +9,8 @@
 use simd_json::OwnedValue as Value;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// The longest wait for a connection to discovery.
@@ -164,10 +164,62 @@
     }
 }
 
+/// Where discovery is. It can move while a watch is open.
+pub struct Source {
+    place: Mutex<Place>,
+}
+
+struct Place {
+    addr: SocketAddr,
+    /// How often it has moved.
+    moves: u64,
+    /// The watch that is open there.
+    open: Option<Arc<TcpStream>>,
+}
+
+impl Source {
+    /// Discovery at this address.
+    pub fn new(addr: SocketAddr) -> Arc<Source> {
+        Arc::new(Source { place: Mutex::new(Place { addr, moves: 0, open: None }) })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Place> {
+        self.place.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// From now on discovery is at this address: a watch elsewhere is ended. False if it is there already.
+    pub fn relocate(&self, addr: SocketAddr) -> bool {
+        let mut place = self.lock();
+        if place.addr == addr {
+            return false;
+        }
+        (place.addr, place.moves) = (addr, place.moves + 1);
+        if let Some(open) = place.open.take() {
+            // Wakes the thread that reads there.
+            let _ = open.shutdown(Shutdown::Both);
+        }
+        true
+    }
+
+    fn current(&self) -> (SocketAddr, u64) {
+        let place = self.lock();
+        (place.addr, place.moves)
+    }
+
+    /// Takes the socket of a watch; false if discovery has moved since the address was read.
+    fn hold(&self, stream: &Arc<TcpStream>, moves: u64) -> bool {
+        let mut place = self.lock();
+        if place.moves == moves {
+            place.open = Some(stream.clone());
+        }
+        place.moves == moves
+    }
+}
+
 /// What the thread of the watch works with.
 pub struct Watcher<'a> {
     /// Where discovery is.
-    pub discovery: SocketAddr,
+    pub source: &'a Source,
     /// Names of the zones.
     pub names: &'a Names,
     /// What is told to the network.
@@ -182,12 +234,27 @@
     /// Watches whenever the decisions ask for it. A watch that fails is told to them: when to try
     /// again, and with what jitter, is theirs to say.
     pub fn run(mut self, orders: &Receiver<bool>) {
-        for on in orders {
+        let mut known = self.source.current().1;
+        for mut on in orders {
+            // Orders that have piled up: the last one counts.
+            while let Ok(later) = orders.try_recv() {
+                on = later;
+            }
             if !on {
                 continue;
             }
-            match self.watch(orders) {
+            // Read after the orders: a move that comes later than this ends the watch and brings an order.
+            let (addr, moves) = self.source.current();
+            if moves != known {
+                // Versions of one place say nothing at another: its whole list is asked for.
+                (known, self.version) = (moves, 0);
+            }
+            let result = self.watch(addr, moves, orders);
+            self.source.lock().open = None;
+            match result {
                 Ok(()) => log("discovery: the watch was ended as asked"),
+                // The decisions have asked for the new place already.
+                Err(_) if self.source.current().1 != moves => log(&format!("discovery: moved from {addr}")),
                 Err(e) => {
                     log(&format!("discovery: the watch failed: {e}"));
                     self.decisions.members(ListKind::Failed, Vec::new());
@@ -196,15 +263,18 @@
         }
     }
 
-    fn watch(&mut self, orders: &Receiver<bool>) -> Result<(), String> {
+    fn watch(&mut self, addr: SocketAddr, moves: u64, orders: &Receiver<bool>) -> Result<(), String> {
         let said = |e: std::io::Error| if timed_out(&e) { "silent".to_string() } else { e.to_string() };
-        let mut stream = TcpStream::connect_timeout(&self.discovery, DIAL).map_err(said)?;
+        let shared = Arc::new(TcpStream::connect_timeout(&addr, DIAL).map_err(said)?);
+        if !self.source.hold(&shared, moves) {
+            return Err("it moved".into());
+        }
+        let mut stream = &*shared;
         stream.set_nodelay(true).map_err(said)?;
         stream.set_read_timeout(Some(SILENT)).map_err(said)?;
         stream.set_write_timeout(Some(DIAL)).map_err(said)?;
         let after = if self.version > 0 { format!("&after={}", self.version) } else { String::new() };
-        let request =
-            format!("GET /v1/endpoints?watch=1{after} HTTP/1.1\r\nHost: {}\r\n\r\n", self.discovery);
+        let request = format!("GET /v1/endpoints?watch=1{after} HTTP/1.1\r\nHost: {addr}\r\n\r\n");
         stream.write_all(request.as_bytes()).map_err(said)?;
         let mut answer = Answer::default();
         let mut piece = [0; 4096];
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -649,6 +649,19 @@
     assert_ne!(waits[0], other, "jitter keeps proxies out of step");
 }
 
+/// A backoff that the old place of the list has earned once kept the new one waiting.
+#[test]
+fn a_list_that_has_moved_is_asked_for_at_once() {
+    let mut proxy = Proxy::new(Settings { list_on_request: true, ..Settings::default() }, 1);
+    proxy.list(ListKind::Cached, vec![ready(1)]);
+    let moved = [Action::Watch(true)];
+    assert_eq!(proxy.list(ListKind::Moved, Vec::new()), moved, "in place of an open watch");
+    let (at, token) = timers(&proxy.list(ListKind::Failed, Vec::new()))[0];
+    assert_eq!(proxy.list(ListKind::Moved, Vec::new()), moved, "in place of a backoff");
+    proxy.now = at;
+    assert!(proxy.fire(token).is_empty(), "the old backoff asks no second time");
+}
+
 #[test]
 fn a_pushed_list_is_never_asked_for() {
     let mut proxy = Proxy::new(Settings::default(), 1);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -105,7 +105,30 @@
 
 pub struct Fleet {
     backends: Vec<Backend>,
-    discovery: TcpListener,
+    pub discovery: Discovery,
+}
+
+/// Discovery at one address.
+pub struct Discovery(TcpListener);
+
+impl Discovery {
+    pub fn new() -> Discovery {
+        Discovery(listener())
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+
+    /// Takes in the relay's watch, which must begin with this request.
+    pub fn watched(&self, request: &str) -> Watch {
+        let mut peer = until("a watch", || self.0.accept().ok().map(|(stream, _)| Peer::new(stream)));
+        let line = peer.line();
+        assert!(line.starts_with(request), "{line}");
+        while !peer.line().is_empty() {}
+        peer.stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        Watch { peer }
+    }
 }
 
 impl Fleet {
@@ -115,7 +138,7 @@
             let addr = l.local_addr().unwrap();
             Backend { name: name.to_string(), addr, listener: Mutex::new(Some(l)) }
         };
-        Fleet { backends: names.iter().map(backend).collect(), discovery: listener() }
+        Fleet { backends: names.iter().map(backend).collect(), discovery: Discovery::new() }
     }
 
     pub fn backend(&self, name: &str) -> &Backend {
@@ -142,18 +165,20 @@
         self.relay_that_knows(&names)
     }
 
+    /// The configuration of a relay that knows all backends, with discovery at this address.
+    pub fn config(&self, discovery: SocketAddr) -> String {
+        let entries: Vec<String> = self.backends.iter().map(|b| self.entry(&b.name, "active")).collect();
+        config(discovery, &entries)
+    }
+
     pub fn relay_that_knows(&self, names: &[&str]) -> Relay {
         let entries: Vec<String> = names.iter().map(|name| self.entry(name, "active")).collect();
-        Relay::start(&config(self.discovery.local_addr().unwrap(), &entries))
+        Relay::start(&config(self.discovery.addr(), &entries), None)
     }
 
     /// Takes in the relay's watch.
     pub fn watched(&self) -> Watch {
-        let mut peer = until("a watch", || self.discovery.accept().ok().map(|(stream, _)| Peer::new(stream)));
-        assert!(peer.line().starts_with("GET /v1/endpoints?watch=1"));
-        while !peer.line().is_empty() {}
-        peer.stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
-        Watch { peer }
+        self.discovery.watched("GET /v1/endpoints?watch=1")
     }
 
     /// A client and the backend that serves it.
@@ -169,7 +194,7 @@
 }
 
 pub struct Watch {
-    peer: Peer,
+    pub peer: Peer,
 }
 
 impl Watch {
@@ -221,14 +246,20 @@
 
 pub struct Relay {
     child: Child,
+    config: PathBuf,
     addr: SocketAddr,
     log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Relay {
-    fn start(config: &str) -> Relay {
+    /// Starts it with this configuration and, if given, this value of `BALANCER_DISCOVERY`.
+    pub fn start(config: &str, discovery: Option<SocketAddr>) -> Relay {
         let path = file(config);
-        let mut child = program("serve", &path).stderr(Stdio::piped()).spawn().unwrap();
+        let mut command = program("serve", &path);
+        if let Some(discovery) = discovery {
+            command.env("BALANCER_DISCOVERY", discovery.to_string());
+        }
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let log = Arc::new(Mutex::new(Vec::new()));
         let (lines, said) = (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone());
         thread::spawn(move || lines.map_while(Result::ok).for_each(|l| said.lock().unwrap().push(l)));
@@ -236,8 +267,13 @@
             let log = log.lock().unwrap();
             log.iter().find_map(|l| l.split_once("serves on ").map(|(_, addr)| addr.parse().unwrap()))
         });
-        std::fs::remove_file(path).unwrap();
-        Relay { child, addr, log }
+        Relay { child, config: path, addr, log }
+    }
+
+    /// Replaces the configuration as a whole and signals a reload.
+    pub fn reload(&self, config: &str) {
+        std::fs::rename(file(config), &self.config).unwrap();
+        self.signal("HUP");
     }
 
     pub fn client(&self) -> Peer {
@@ -248,8 +284,8 @@
         until(part, || self.log.lock().unwrap().iter().any(|l| l.contains(part)).then_some(()));
     }
 
-    pub fn terminate(&self) {
-        let status = Command::new("sh").arg("-c").arg(format!("kill -TERM {}", self.child.id())).status();
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
         assert!(status.unwrap().success());
     }
 
@@ -262,5 +298,6 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
     }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -227,7 +227,7 @@
     let fleet = Fleet::new(&["s-1"]);
     let mut relay = fleet.relay();
     let mut pairs: Vec<_> = (0..6).map(|n| fleet.pair(&relay, &format!("0{n}"))).collect();
-    relay.terminate();
+    relay.signal("TERM");
     pairs.push(fleet.pair(&relay, "late"));
     for (client, backend) in &mut pairs {
         assert_eq!(client.line(), "MOVE");
@@ -236,6 +236,48 @@
     assert!(relay.exit().success());
 }
 
+/// A reload follows discovery to where the file now says it is, also where the variable of the start
+/// said otherwise; the list that is held stands until the new place answers. SIGHUP once ended the relay.
+#[test]
+fn a_reload_moves_the_watch_at_once_and_keeps_the_list() {
+    let fleet = Fleet::new(&["s-1", "s-2"]);
+    let (second, third) = (Discovery::new(), Discovery::new());
+    let mut relay = Relay::start(&fleet.config(third.addr()), Some(fleet.discovery.addr()));
+    let mut first = fleet.watched();
+    relay.reload(&fleet.config(second.addr()));
+    // Versions of the old place mean nothing at the new one: the whole list is asked for.
+    let mut watch = second.watched("GET /v1/endpoints?watch=1 HTTP");
+    assert!(first.peer.ended());
+    let (client, backend) = fleet.pair(&relay, "01");
+    watch.tell(9, true, &[fleet.entry("s-1", "leaving"), fleet.entry("s-2", "leaving")]);
+    relay.wait_for_log("discovery: version 9");
+    relay.wait_for_log("reason=moved");
+    drop((client, backend));
+    // One that cannot be used changes nothing.
+    relay.reload("{\"name\":");
+    relay.wait_for_log("reload refused: BALANCER_CONFIG: is not valid JSON");
+    watch.tell(10, false, &[fleet.entry("s-1", "active")]);
+    fleet.pair(&relay, "02");
+    // Several in a row, and one to a place where nothing answers.
+    relay.reload(&fleet.config(fleet.discovery.addr()));
+    let nowhere = Discovery::new().addr();
+    relay.reload(&fleet.config(nowhere));
+    relay.wait_for_log(&format!("now at {nowhere}"));
+    fleet.pair(&relay, "03");
+    relay.reload(&fleet.config(third.addr()));
+    third.watched("GET /v1/endpoints?watch=1 HTTP").tell(3, true, &[fleet.entry("s-2", "active")]);
+    relay.wait_for_log("discovery: version 3");
+    // A stop and a reload at the same time: the one still works, the other does no harm.
+    let (mut client, _backend) = fleet.pair(&relay, "04");
+    relay.signal("TERM");
+    relay.reload(&fleet.config(second.addr()));
+    second.watched("GET /v1/endpoints?watch=1 HTTP");
+    assert_eq!(client.line(), "MOVE");
+    assert!(client.ended());
+    drop(client);
+    assert!(relay.exit().success());
+}
+
 #[test]
 fn what_is_malformed_gets_a_clear_answer() {
     let fleet = Fleet::new(&["s-1"]);
