Let idle connections make room, and refuse openings that no backend can use

A probe that logged each connection's first bytes showed a crowd that says PING, or nothing, and stays: 371 connections at once, all descriptors the relay gave out. 206 clients with requests got BUSY (no-descriptors), 309 connections were not accepted at all, 99 of 730 bad clients got neither a word nor a close. 63 bad requests reached backends: ids of other open connections, and d=, which was cut to an hour and passed on.

Openings: plain numbers only, no doubled fields or ids, no control characters, nothing after the line.

--- /dev/null
+++ b/src/net/admit.rs
@@ -0,0 +1,223 @@
+//! Who may come in. Descriptors, memory and ids are given out here, so that connections which ask for
+//! nothing never take the room of those that do.
+
+use crate::config::Limits;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Descriptors for all that is no client's: standard streams, listener, signals, discovery, a probe,
+/// the configuration while it is read.
+const RESERVE: usize = 24;
+/// Memory that a connection may need that is served: two stacks as far as they are used, two buffers.
+const PER_REQUEST: usize = 48 * 1024;
+/// The same for one that has not asked yet: one of each.
+const PER_GUEST: usize = 24 * 1024;
+/// The fewest connections that may wait to be heard.
+const GUESTS_LEAST: usize = 16;
+/// One that has just come is not sent away unheard: its first line may be under way.
+const GRACE: Duration = Duration::from_millis(100);
+
+/// A connection whose first line has not come yet.
+struct Waiting {
+    stream: Arc<TcpStream>,
+    /// Whether it has ever asked something.
+    asked: bool,
+    /// When it last did, or came.
+    since: Instant,
+    sent_away: bool,
+}
+
+#[derive(Default)]
+struct Inner {
+    waiting: BTreeMap<u64, Waiting>,
+    open: BTreeSet<String>,
+}
+
+/// The room there is, and who has it.
+pub struct Admission {
+    guests_most: usize,
+    requests_most: usize,
+    next: AtomicU64,
+    inner: Mutex<Inner>,
+}
+
+/// Why a request is not let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// Another open connection has its id.
+    IdInUse,
+    /// No descriptors or no memory are left for it.
+    Full,
+}
+
+impl Admission {
+    /// The room within these limits. Clients with requests hold at most a third of the descriptors, and
+    /// each needs a second one for its backend; what is left is for those that have not asked yet.
+    pub fn new(limits: &Limits) -> Arc<Admission> {
+        let (sockets, memory) = (limits.sockets as usize, limits.memory_mb as usize * 1024 * 1024);
+        let requests_most = sockets.div_ceil(3).min(memory / 2 / PER_REQUEST).max(1);
+        let guests = sockets.saturating_sub(RESERVE + 2 * requests_most).min(memory / 4 / PER_GUEST);
+        Arc::new(Admission {
+            guests_most: guests.max(GUESTS_LEAST),
+            requests_most,
+            next: AtomicU64::new(0),
+            inner: Mutex::default(),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether one more connection can be taken in. If not, those are sent away that have asked for
+    /// nothing, the ones that have done so for longest first; it takes them a moment to go.
+    pub fn room(&self) -> bool {
+        let mut inner = self.lock();
+        if inner.waiting.len() < self.guests_most {
+            return true;
+        }
+        let now = Instant::now();
+        let mut idle: Vec<_> = inner.waiting.values_mut().collect();
+        if idle.iter().all(|w| !w.sent_away) {
+            idle.retain(|w| now.duration_since(w.since) >= GRACE);
+            idle.sort_by_key(|w| (w.asked, w.since));
+            // Several at a time: a crowd must not hold up the clients that come with it.
+            for w in idle.into_iter().take(self.guests_most.div_ceil(8)) {
+                w.sent_away = true;
+                let _ = w.stream.shutdown(Shutdown::Both);
+            }
+        }
+        false
+    }
+
+    /// Takes in a connection.
+    pub fn guest(self: &Arc<Self>, stream: TcpStream) -> Guest {
+        let (number, stream) = (self.next.fetch_add(1, Ordering::Relaxed), Arc::new(stream));
+        let waiting =
+            Waiting { stream: stream.clone(), asked: false, since: Instant::now(), sent_away: false };
+        self.lock().waiting.insert(number, waiting);
+        Guest { admission: self.clone(), number, stream }
+    }
+
+    /// How many requests and connections are under way.
+    pub fn requests(&self) -> usize {
+        self.lock().open.len()
+    }
+
+    /// The most requests and the most connections without one.
+    pub fn most(&self) -> (usize, usize) {
+        (self.requests_most, self.guests_most)
+    }
+}
+
+/// A connection that has not asked for anything yet; leaves when it is dropped.
+pub struct Guest {
+    admission: Arc<Admission>,
+    number: u64,
+    /// Its socket.
+    pub stream: Arc<TcpStream>,
+}
+
+impl Guest {
+    /// It has asked something.
+    pub fn asked(&self) {
+        if let Some(w) = self.admission.lock().waiting.get_mut(&self.number) {
+            (w.asked, w.since) = (true, Instant::now());
+        }
+    }
+
+    /// Lets in its request, with the id that the client gave it.
+    pub fn request(&self, id: &str) -> Result<Place, Denied> {
+        let mut inner = self.admission.lock();
+        // Two of one id could not be told apart by a backend: the second is no request of its own.
+        if inner.open.contains(id) {
+            return Err(Denied::IdInUse);
+        }
+        if inner.open.len() >= self.admission.requests_most {
+            return Err(Denied::Full);
+        }
+        inner.open.insert(id.to_string());
+        inner.waiting.remove(&self.number);
+        Ok(Place { admission: self.admission.clone(), number: self.number, id: id.to_string() })
+    }
+}
+
+impl Drop for Guest {
+    fn drop(&mut self) {
+        self.admission.lock().waiting.remove(&self.number);
+    }
+}
+
+/// The room that a request has until this is dropped.
+pub struct Place {
+    admission: Arc<Admission>,
+    /// The connection's number.
+    pub number: u64,
+    /// Its id.
+    pub id: String,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.admission.lock().open.remove(&self.id);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Read;
+    use std::net::TcpListener;
+
+    fn admission(sockets: u64, memory_mb: u64) -> Arc<Admission> {
+        Admission::new(&Limits { cores: 1.0, memory_mb, sockets })
+    }
+
+    #[test]
+    fn the_room_follows_the_limits() {
+        for (sockets, memory_mb) in [(128, 16), (256, 32), (384, 48), (756, 48), (1024, 192)] {
+            let (requests, guests) = admission(sockets, memory_mb).most();
+            let case = format!("{sockets} sockets, {memory_mb} MB: {requests}, {guests}");
+            assert!(2 * requests + guests + RESERVE <= sockets as usize, "{case}");
+            assert!(requests >= (sockets / 3) as usize && guests >= GUESTS_LEAST, "{case}");
+            let memory = requests * PER_REQUEST + guests * PER_GUEST;
+            assert!(memory <= memory_mb as usize * 1024 * 1024 * 3 / 4, "{case}");
+        }
+    }
+
+    /// Connections that said nothing once filled the relay, and clients with requests were refused.
+    #[test]
+    fn the_silent_make_room_and_those_that_asked_stay_longer() {
+        let admission = admission(128, 16);
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (mut far, mut guests) = (Vec::new(), Vec::new());
+        for _ in 0..admission.most().1 {
+            assert!(admission.room());
+            far.push(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
+            guests.push(admission.guest(listener.accept().unwrap().0));
+        }
+        guests[0].asked();
+        std::thread::sleep(GRACE);
+        assert!(!admission.room());
+        // The second has gone, the first and the last are still there.
+        assert_eq!(far[1].read(&mut [0]).unwrap(), 0);
+        for n in [0, far.len() - 1] {
+            far[n].set_nonblocking(true).unwrap();
+            assert!(far[n].read(&mut [0]).is_err());
+        }
+        // No more are sent away before those have gone.
+        assert!(!admission.room());
+        let gone = admission.lock().waiting.values().filter(|w| w.sent_away).count();
+        assert!(gone < far.len() / 2, "{gone}");
+        guests.remove(1);
+        assert!(admission.room());
+        // A request takes no room from the others that wait.
+        let place = guests[0].request("01").unwrap();
+        assert_eq!(guests[1].request("01").err(), Some(Denied::IdInUse));
+        drop(place);
+        assert!(guests[1].request("01").is_ok());
+    }
+}
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -3,6 +3,7 @@
 use crate::api::{Micros, Outcome, RequestId, ServerId};
 use crate::decide::Flow;
 use crate::net::client::{Relay, Session};
+use crate::net::greet::{part, LINGER};
 use crate::net::line::{told, trim, LineBuffer, Open, Told};
 use crate::net::{log, timed_out};
 use crossbeam_channel::Receiver;
@@ -17,8 +18,6 @@
 /// A backend that leaves a client's line unanswered for so long counts as lost: clients give up on a
 /// connection after 7 s, and a crowded backend may take about 3 s.
 const SILENT: Micros = 5_000_000;
-/// How long one side may take to end after the other has.
-pub const LINGER: Duration = Duration::from_secs(1);
 /// The longest wait for a client or backend that takes no bytes.
 const STUCK: Duration = Duration::from_secs(5);
 /// The longest wait for the `UP` of a connection that was open before the run.
@@ -150,7 +149,7 @@
 /// Relays from the backend to the client until the connection ends; the only writer to the client.
 pub fn downstream(relay: &Relay, session: &Session, id: RequestId, server: ServerId, up: Up) -> End {
     let (backend, mut buffer) = up;
-    let client = &session.client;
+    let client: &TcpStream = &session.client;
     let limits = backend.set_read_timeout(Some(LOOK)).and_then(|()| client.set_write_timeout(Some(STUCK)));
     if limits.and_then(|()| backend.set_write_timeout(Some(STUCK))).is_err() {
         return end(Outcome::Reset, "socket-error");
@@ -222,7 +221,7 @@
 
 /// Sends the client away between two lines, then ends both sides.
 fn leave(session: &Session, backend: &TcpStream, outcome: Outcome, reason: &'static str) -> End {
-    let _ = (&session.client).write_all(b"MOVE\r\n");
+    let _ = (&*session.client).write_all(b"MOVE\r\n");
     // Only the sending side: to close with a client's line unread would reset the connection, and
     // the reset could overtake `MOVE`. The other thread reads on until the client has ended.
     session.close_client(Shutdown::Write);
@@ -243,7 +242,7 @@
     up: &Receiver<Arc<TcpStream>>,
     mut buffer: LineBuffer,
 ) {
-    let client = &session.client;
+    let client: &TcpStream = &session.client;
     let mut backend: Option<Arc<TcpStream>> = None;
     let mut garbled = false;
     if client.set_read_timeout(Some(LOOK)).is_err() {
@@ -252,15 +251,11 @@
     loop {
         let read = buffer.fill(&mut &*client);
         if session.closed_for(Duration::ZERO) {
-            match read {
-                Ok(0) => return,
-                Err(e) if !timed_out(&e) => return,
-                _ if session.closed_for(LINGER) => return,
-                _ => {
-                    buffer.discard();
-                    continue;
-                }
-            }
+            return match read {
+                Ok(0) => {}
+                Err(e) if !timed_out(&e) => {}
+                _ => part(client),
+            };
         }
         match read {
             Ok(n) if n > 0 => {}
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,34 +1,22 @@
-//! The side of the clients: accepting, a connection's first line, its answer, and its end.
+//! The side of the clients: accepting, a request's answer, its connection, and its end.
 
 use crate::api::{Micros, Outcome, RequestId, ServerId};
 use crate::config::{Config, Names};
 use crate::decide::{Decisions, Flow, Verdict};
+use crate::net::admit::{Admission, Denied, Guest, Place};
 use crate::net::backend::{self, Attempt};
 use crate::net::discovery::Directory;
-use crate::net::line::{opening, trim, LineBuffer, Open, Opening};
+use crate::net::greet::{first_line, part, say};
+use crate::net::line::{LineBuffer, Open};
 use crate::net::note::Notes;
-use crate::net::{log, spawn, timed_out};
+use crate::net::{log, spawn};
 use crossbeam_channel::{bounded, Sender};
 use std::collections::BTreeMap;
-use std::io::Write;
 use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-/// A connection that has begun a line must end it within this.
-const HALF_LINE: Duration = Duration::from_secs(5);
-/// A connection that has asked for nothing is closed after this.
-const IDLE: Duration = Duration::from_secs(60);
-/// The longest wait for a client to take its answer.
-const ANSWER: Duration = Duration::from_secs(1);
-/// Descriptors kept back for the listener, discovery, probes, and clients that are only refused.
-const RESERVE: usize = 96;
-/// Of those, for clients that are only refused.
-const REFUSED_AT_ONCE: usize = 64;
-/// Memory that a connection may need: two stacks as far as they are used, and two buffers.
-const PER_CONNECTION: usize = 80 * 1024;
 /// How long connections go on coming after the signal to stop.
 const STILL_COMING: Duration = Duration::from_millis(450);
 /// The longest deadline that the platform waits for before it kills, and what it adds.
@@ -51,10 +39,8 @@
     max_retry_after: Micros,
     /// How long the clients wait at most.
     longest_deadline: Duration,
-    /// The most connections at a time.
-    most: usize,
-    count: AtomicUsize,
-    next: AtomicU64,
+    /// Who may come in.
+    pub admission: Arc<Admission>,
     sessions: Mutex<BTreeMap<u64, Weak<Session>>>,
 }
 
@@ -65,8 +51,6 @@
 impl Relay {
     /// A relay with this configuration, within its limits.
     pub fn new(config: &Config, decisions: Arc<Decisions>, directory: Arc<Directory>) -> Arc<Self> {
-        let by_sockets = (config.limits.sockets as usize).saturating_sub(RESERVE) / 2;
-        let by_memory = config.limits.memory_mb as usize * 1024 * 1024 / 2 / PER_CONNECTION;
         let longest = config.names.deadlines.iter().max().copied().unwrap_or(0);
         Arc::new(Relay {
             decisions,
@@ -76,9 +60,7 @@
             dial_timeout: Duration::from_micros(config.settings.dial_timeout),
             max_retry_after: config.settings.max_retry_after,
             longest_deadline: Duration::from_micros(longest),
-            most: by_sockets.min(by_memory).max(1),
-            count: AtomicUsize::new(0),
-            next: AtomicU64::new(0),
+            admission: Admission::new(&config.limits),
             sessions: Mutex::default(),
         })
     }
@@ -87,12 +69,17 @@
     pub fn accept(self: &Arc<Self>, listener: &TcpListener) -> ! {
         loop {
             // What cannot be taken in now waits in the listener's queue.
-            if self.count.load(Ordering::Relaxed) >= self.most + REFUSED_AT_ONCE {
-                sleep(Duration::from_millis(5));
+            if !self.admission.room() {
+                sleep(Duration::from_millis(1));
                 continue;
             }
             match listener.accept() {
-                Ok((client, _)) => self.begin(client),
+                Ok((client, _)) => {
+                    let (relay, guest) = (self.clone(), self.admission.guest(client));
+                    if let Err(e) = spawn("session", move || serve(&relay, guest)) {
+                        log(&format!("accept: no thread: {e}"));
+                    }
+                }
                 Err(e) => {
                     log(&format!("accept: {e}"));
                     sleep(Duration::from_millis(5));
@@ -101,16 +88,6 @@
         }
     }
 
-    fn begin(self: &Arc<Self>, client: TcpStream) {
-        let full = self.count.fetch_add(1, Ordering::Relaxed) >= self.most;
-        let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let session = Arc::new(Session { relay: self.clone(), client, number, state: Mutex::default() });
-        lock(&self.sessions).insert(number, Arc::downgrade(&session));
-        if let Err(e) = spawn("session", move || serve(&session, full)) {
-            log(&format!("accept: no thread: {e}"));
-        }
-    }
-
     fn live(&self) -> Vec<Arc<Session>> {
         lock(&self.sessions).values().filter_map(Weak::upgrade).collect()
     }
@@ -133,7 +110,7 @@
             let steps = (moved_by.saturating_sub(now).as_secs_f32() / step.as_secs_f32()).max(1.0);
             let share = (standing.len() as f32 / steps).ceil() as usize;
             standing.iter().take(share).for_each(|s| s.relocate());
-            if now > 2 * STILL_COMING && self.count.load(Ordering::Relaxed) == 0 {
+            if now > 2 * STILL_COMING && self.admission.requests() == 0 {
                 return;
             }
         }
@@ -142,7 +119,6 @@
 
 #[derive(Default)]
 struct State {
-    name: String,
     backend: Option<Arc<TcpStream>>,
     /// Attempts below this number are called off.
     called_off: u16,
@@ -161,15 +137,15 @@
     /// What it shares with all others.
     pub relay: Arc<Relay>,
     /// The client's socket.
-    pub client: TcpStream,
-    number: u64,
+    pub client: Arc<TcpStream>,
     state: Mutex<State>,
+    /// Given back last, when the sockets are closed.
+    place: Place,
 }
 
 impl Drop for Session {
     fn drop(&mut self) {
-        lock(&self.relay.sessions).remove(&self.number);
-        self.relay.count.fetch_sub(1, Ordering::Relaxed);
+        lock(&self.relay.sessions).remove(&self.place.number);
     }
 }
 
@@ -215,8 +191,8 @@
     }
 
     /// The connection's own id.
-    pub fn name(&self) -> String {
-        lock(&self.state).name.clone()
+    pub fn name(&self) -> &str {
+        &self.place.id
     }
 
     fn stands(&self) -> bool {
@@ -291,8 +267,7 @@
     }
 
     fn say(&self, answer: &str) {
-        let _ = self.client.set_write_timeout(Some(ANSWER));
-        let _ = (&self.client).write_all(format!("{answer}\r\n").as_bytes());
+        say(&self.client, answer);
         self.close_client(Shutdown::Write);
     }
 }
@@ -307,28 +282,44 @@
     reason: &'static str,
 }
 
-fn serve(session: &Arc<Session>, full: bool) {
-    let relay = &session.relay;
+fn serve(relay: &Arc<Relay>, guest: Guest) {
     let began = Instant::now();
     let mut account = Account::default();
-    match first_line(session) {
+    match first_line(&guest, &relay.names) {
         Ok((open, rest)) => {
-            lock(&session.state).name = open.name.clone();
             account.name = open.name.clone();
             account.class = relay.names.classes[open.request.class].clone();
-            if full {
-                // No descriptor is left for a backend: nothing was sent, so a refusal promises nothing false.
-                session.say(&refusal(relay.max_retry_after / 2));
-                account.reason = "no-descriptors";
-            } else {
-                place(session, &open, rest, &mut account);
+            match guest.request(&open.name) {
+                Ok(room) => {
+                    let client = guest.stream.clone();
+                    let session = Arc::new(Session {
+                        relay: relay.clone(),
+                        client,
+                        state: Mutex::default(),
+                        place: room,
+                    });
+                    lock(&relay.sessions).insert(session.place.number, Arc::downgrade(&session));
+                    drop(guest);
+                    place(&session, &open, rest, &mut account);
+                    session.release();
+                }
+                // Nothing was sent, so a refusal promises nothing false.
+                Err(Denied::Full) => {
+                    say(&guest.stream, &refusal(relay.max_retry_after / 2));
+                    account.reason = "no-descriptors";
+                    part(&guest.stream);
+                }
+                Err(Denied::IdInUse) => {
+                    say(&guest.stream, "ERR id-in-use");
+                    account.reason = "id-in-use";
+                    part(&guest.stream);
+                }
             }
         }
         // The health checks of the front come and go; they are no connections.
         Err("") => return,
         Err(reason) => account.reason = reason,
     }
-    session.release();
     log(&format!(
         "end id={} class={} backend={} attempts={} ms={} reason={}",
         account.name,
@@ -340,53 +331,6 @@
     ));
 }
 
-/// Reads up to the line that asks for a connection. An error is the reason for the log; none where
-/// the connection only asked whether the relay is there.
-fn first_line(session: &Session) -> Result<(Open, LineBuffer), &'static str> {
-    let client = &session.client;
-    let set = client.set_nodelay(true).and_then(|()| client.set_read_timeout(Some(backend::LOOK)));
-    set.and_then(|()| client.set_write_timeout(Some(ANSWER))).map_err(|_| "socket-error")?;
-    let mut buffer = LineBuffer::default();
-    let mut since = Instant::now();
-    loop {
-        match buffer.line() {
-            Ok(Some(line)) => match opening(trim(buffer.at(line)), &session.relay.names) {
-                Ok(Opening::Open(open)) => return Ok((open, buffer)),
-                Ok(Opening::Ping) => {
-                    since = Instant::now();
-                    (&*client).write_all(b"PONG\r\n").map_err(|_| "")?;
-                    continue;
-                }
-                Err(what) => {
-                    session.say(&format!("ERR {what}"));
-                    return Err(what);
-                }
-            },
-            Ok(None) => {}
-            Err(_) => {
-                session.say("ERR line-too-long");
-                return Err("line-too-long");
-            }
-        }
-        let half = !buffer.rest().is_empty();
-        match buffer.fill(&mut &*client) {
-            Ok(0) => return Err(if half { "half-a-line" } else { "" }),
-            Ok(_) if !half => since = Instant::now(),
-            Ok(_) => {}
-            Err(e) if !timed_out(&e) => return Err(if half { "half-a-line" } else { "" }),
-            Err(_) => {}
-        }
-        let half = !buffer.rest().is_empty();
-        if half && since.elapsed() > HALF_LINE {
-            session.say("ERR half-a-line");
-            return Err("half-a-line");
-        }
-        if !half && since.elapsed() > IDLE {
-            return Err("");
-        }
-    }
-}
-
 /// The words of a refusal, with the time after which to come again.
 fn refusal(wait: Micros) -> String {
     if wait == 0 {
@@ -511,6 +455,7 @@
     use crate::config::Config;
     use crate::decide::Orders;
     use crate::net::discovery::Endpoint;
+    use crate::net::line::{opening, Opening};
     use std::io::Read;
 
     struct Setup {
@@ -537,11 +482,11 @@
         let directory = Arc::new(Directory::default());
         directory.update(true, &[(Endpoint { name: "s-1".into(), addr }, member(state))]);
         let relay = Relay::new(&config, decisions, directory);
-        let client = TcpStream::connect(addr).unwrap();
+        let guest = relay.admission.guest(TcpStream::connect(addr).unwrap());
         let (_front, _) = listener.accept().unwrap();
-        relay.count.fetch_add(1, Ordering::Relaxed);
-        let session = Arc::new(Session { relay: relay.clone(), client, number: 0, state: Mutex::default() });
         let Ok(Opening::Open(open)) = opening(b"OPEN 1 7f c=one,d=60000", &relay.names) else { panic!() };
+        let (client, place) = (guest.stream.clone(), guest.request("1").unwrap());
+        let session = Arc::new(Session { relay: relay.clone(), client, state: Mutex::default(), place });
         Setup { listener, relay, session, open, _front }
     }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -8,7 +8,7 @@
 use simd_json::prelude::*;
 use simd_json::OwnedValue as Value;
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -279,7 +279,11 @@
         let mut answer = Answer::default();
         let mut piece = [0; 4096];
         loop {
-            let n = stream.read(&mut piece).map_err(said)?;
+            let n = match stream.read(&mut piece) {
+                // A process that is stopped and goes on sees this, although nothing has failed.
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                read => read.map_err(said)?,
+            };
             if n == 0 {
                 return Err("it ended".into());
             }
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -8,6 +8,11 @@
 
 /// The longest line, its end included.
 pub const MAX_LINE: usize = 4096;
+/// The longest id of a connection.
+const LONGEST_ID: usize = 64;
+/// The longest wait that is believed, in milliseconds: what 32 bits hold. Connections from before the
+/// start ask for more than an hour.
+const LONGEST_WAIT: f64 = u32::MAX as f64;
 /// Bytes that a buffer makes room for at a time.
 const CHUNK: usize = 512;
 
@@ -137,6 +142,9 @@
 /// Reads a connection's first line (without its end); what is wrong with it is one word.
 pub fn opening(line: &[u8], names: &Names) -> Result<Opening, &'static str> {
     let line = std::str::from_utf8(line).map_err(|_| "not-utf8")?;
+    if line.chars().any(char::is_control) {
+        return Err("control-character");
+    }
     if line == "PING" {
         return Ok(Opening::Ping);
     }
@@ -149,6 +157,9 @@
     if name.is_empty() {
         return Err("no-id");
     }
+    if name.len() > LONGEST_ID || !name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_') {
+        return Err("bad-id");
+    }
     let mut open = Open {
         name: name.to_string(),
         request: Request { key: word64(key).ok_or("bad-key")?, ..Request::default() },
@@ -159,17 +170,27 @@
     let q = &mut open.request;
     let mut class = None;
     let mut at = line.len() - list.len();
+    let mut keys = Vec::new();
     for field in list.split(',') {
         let (key, value) = field.split_once('=').ok_or("bad-field")?;
+        if keys.contains(&key) {
+            return Err("doubled-field");
+        }
+        keys.push(key);
         match key {
             "c" => class = Some(names.class(value).ok_or("unknown-class")?),
             "d" => {
-                let ms: f64 = value.parse().map_err(|_| "bad-wait")?;
+                let ms = decimal(value).filter(|ms| *ms <= LONGEST_WAIT).ok_or("bad-wait")?;
                 q.left = crate::wire::micros(ms).ok_or("bad-wait")?.min(LONGEST);
                 open.wait = Some(at + 2..at + field.len());
             }
             "g" => q.group = word64(value).ok_or("bad-group")?,
-            "r" | "again" => q.again |= value == "1",
+            "r" | "again" => match value {
+                "0" => {}
+                "1" => q.again = true,
+                _ => return Err("bad-flag"),
+            },
+            "h" if decimal(value).is_none() => return Err("bad-hint"),
             "at" if value.is_empty() => return Err("bad-backend"),
             "at" => open.at = Some(value.to_string()),
             _ => {}
@@ -184,7 +205,15 @@
 }
 
 fn word64(text: &str) -> Option<u64> {
-    u64::from_str_radix(text, 16).ok().filter(|_| !text.starts_with('+'))
+    u64::from_str_radix(text, 16).ok().filter(|_| text.len() <= 16 && !text.starts_with('+'))
+}
+
+/// A plain number without a sign or an exponent, as clients write them: what a backend could read
+/// otherwise than the relay does must not be passed on.
+fn decimal(text: &str) -> Option<f64> {
+    let plain = text.len() <= 32 && text.starts_with(|c: char| c.is_ascii_digit());
+    let plain = plain && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    text.parse().ok().filter(|x: &f64| plain && x.is_finite())
 }
 
 /// What a backend's line means to the relay.
@@ -257,9 +286,22 @@
             (b"OPEN 9b 7f d=0.5,c=call", request(1, 0x7f, 0, 500, false)),
             (b"OPEN 9b 7f c=call", request(1, 0x7f, 0, 3_000_000, false)),
             (b"OPEN 9b 7f c=chat,d=5,r=1", request(0, 0x7f, 0, 5_000, true)),
-            (b"OPEN 9b 7f c=chat,d=5,again=1,h=12,new=x", request(0, 0x7f, 0, 5_000, true)),
+            (b"OPEN 9b 7f c=chat,d=4294967295,again=0", request(0, 0x7f, 0, LONGEST, false)),
+            (b"OPEN 9b 7f c=chat,d=5,again=1,h=12.5,new=x", request(0, 0x7f, 0, 5_000, true)),
             (b"OPEN 9b 7f c=chat,d=5,r=0", request(0, 0x7f, 0, 5_000, false)),
-            (b"OPEN 9b ffffffffffffffff c=chat,d=1e12", request(0, u64::MAX, 0, LONGEST, false)),
+            (b"OPEN 9b ffffffffffffffff c=chat,d=4294967", request(0, u64::MAX, 0, LONGEST, false)),
+            (b"OPEN 9b 7f c=chat,d=4294967296", Err("bad-wait")),
+            (b"OPEN 9b 7f c=chat,d=99999999999999999999999", Err("bad-wait")),
+            (b"OPEN 9b 7f c=chat,d=1e3", Err("bad-wait")),
+            (b"OPEN 9b 7f c=chat,d=+5", Err("bad-wait")),
+            (b"OPEN 9b 7f c=chat,d=inf", Err("bad-wait")),
+            (b"OPEN 9b 7f c=chat,d=", Err("bad-wait")),
+            (b"OPEN 9b 7f c=chat,d=5,d=6", Err("doubled-field")),
+            (b"OPEN 9b 7f c=chat,d=5,h=-1", Err("bad-hint")),
+            (b"OPEN 9b 7f c=chat,d=5,again=2", Err("bad-flag")),
+            (b"OPEN 9b 7f c=chat,d=5,g=00000000000000001", Err("bad-group")),
+            (b"OPEN 9/b 7f c=chat", Err("bad-id")),
+            (b"OPEN 9b 7f c=chat,x=\0", Err("control-character")),
             (b"OPEN 9b 7f c=chat,d=-1", Err("bad-wait")),
             (b"OPEN 9b 7f c=chat,d=NaN", Err("bad-wait")),
             (b"OPEN 9b 7f c=chat,d=soon", Err("bad-wait")),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,11 @@
 //! The relay on sockets. It chooses no server, retries nothing by itself and judges no load: what to
 //! do comes from [`crate::decide`].
 
+pub mod admit;
 pub mod backend;
 pub mod client;
 pub mod discovery;
+pub mod greet;
 pub mod line;
 pub mod note;
 pub mod probe;
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -291,15 +291,85 @@
         (b"OPEN 01 \xff\xfe c=chat\r\n", "ERR not-utf8"),
         (long.as_bytes(), "ERR line-too-long"),
         (b"OPEN 01 7f c=ch", "ERR half-a-line"),
+        (b"OPEN 01 7f c=chat,d=5\r\nOPEN 02 7f c=chat,d=5\r\n", "ERR sent-on"),
+        (b"OPEN 01 7f c=chat,d=99999999999999999999999\r\n", "ERR bad-wait"),
     ];
     for (bytes, answer) in cases {
         let mut client = relay.client();
         client.stream.write_all(bytes).unwrap();
         assert_eq!(client.line(), *answer);
+        assert!(client.ended());
     }
     fleet.pair(&relay, "01");
 }
 
+/// An id is another's while its connection is open: passed on, the backend took two for one.
+#[test]
+fn the_id_of_an_open_connection_is_refused() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    let (client, backend) = fleet.pair(&relay, "01");
+    let mut other = relay.client();
+    other.send("OPEN 01 8f c=chat,d=5000");
+    assert_eq!(other.line(), "ERR id-in-use");
+    drop((client, backend));
+    relay.wait_for_log("id=01 class=chat backend=s-1");
+    relay.wait_for_log("reason=client-left");
+    fleet.pair(&relay, "01");
+}
+
+/// An answer once got lost: closing with input unread resets the connection, and a client that was still
+/// sending saw the reset in place of the answer.
+#[test]
+fn a_client_that_sends_on_still_reads_its_answer() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    let mut client = relay.client();
+    let piece = [b'k'; 64 * 1024];
+    // More than the sockets' buffers hold, all sent before anything is read.
+    let mut sent = 0;
+    while sent < 4 << 20 && client.stream.write_all(&piece).is_ok() {
+        sent += piece.len();
+    }
+    assert_eq!(client.line(), "ERR line-too-long");
+}
+
+/// A connection that says nothing is owed its end, and one that asks whether the relay is there stays.
+#[test]
+fn a_silent_connection_is_closed_and_a_health_check_is_not() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    let (mut silent, mut check) = (relay.client(), relay.client());
+    check.send("PING");
+    assert_eq!(check.line(), "PONG");
+    assert!(silent.ended());
+    check.send("PING");
+    assert_eq!(check.line(), "PONG");
+}
+
+/// A crowd that asks for nothing once took all descriptors: clients with requests were refused.
+#[test]
+fn a_crowd_that_asks_for_nothing_does_not_keep_others_out() {
+    let fleet = Fleet::new(&["s-1"]);
+    let few = fleet.config(fleet.discovery.addr()).replace("\"sockets\":1024", "\"sockets\":128");
+    let relay = Relay::start(&few, None);
+    let mut crowd = Vec::new();
+    for n in 0..300 {
+        let mut one = relay.client();
+        if n % 2 == 0 {
+            one.send("PING");
+        }
+        crowd.push(one);
+        if n % 50 == 0 {
+            crowd.extend({
+                let (client, backend) = fleet.pair(&relay, &format!("{n}"));
+                [client, backend]
+            });
+        }
+    }
+    fleet.pair(&relay, "last");
+}
+
 /// Discovery that breaks off or talks nonsense is asked again; the list that is held stands.
 #[test]
 fn a_broken_watch_is_renewed() {
