Probe the servers' load: keys stay in their zone while it has room, and leave the full

At fault: src/logic.rs threw Event::Probed away, so the x0 that a probe reports (load over capacity, true over all relays) was never known. Now each ready server is probed every 1.5 s; between reports the own sends count, times the relays. Keys go by the same homes and jumps, first to servers of the own zone up to 0.6 of capacity, then to any up to 0.8 or 1.3 times the mean. A report counts for 5 s.

--- a/src/api.rs
+++ b/src/api.rs
@@ -76,6 +76,8 @@
 pub enum Column {
     /// Load asked of the server over what it can do.
     Load,
+    /// Requests or connections that it holds.
+    Active,
     /// Anything that the module does not use.
     Other,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,7 @@
 //! Sections stand in the order in which a request meets them.
 
 use crate::api::{
-    Action, Effect, Event, Group, ListKind, Member, MemberState, Micros, Outcome, Request, RequestId,
+    Action, Column, Effect, Event, Group, ListKind, Member, MemberState, Micros, Outcome, Request, RequestId,
     ServerId, Settings, Unknown, Weights, SECOND,
 };
 use oorandom::Rand64;
@@ -13,7 +13,7 @@
 
 // ---- Tunables -------------------------------------------------------------------------------------
 
-/// Slots of the array (m): enough that the points of a thousand servers seldom collide.
+/// Slots of the array (m): the points of a thousand servers seldom collide.
 const SLOTS: usize = 1 << 15;
 /// Points of a server of usual size on the array: they even out the arcs (virtual bins of the paper).
 const POINTS: f32 = 48.0;
@@ -45,30 +45,35 @@
 const STRIKES: u32 = 3;
 /// First ejection time; doubles each time up to eight times this, and is jittered.
 const EJECT: Micros = 4 * SECOND;
-/// Share of the shortest message aim from which a delay note cuts a server's cap.
+/// Shares of the shortest message aim from which a delay note cuts a server's cap, and moves connections.
 const DELAY_SIGN: f32 = 0.4;
-/// Share of the shortest message aim from which connections are moved off.
 const DELAY_MOVE: f32 = 0.6;
-/// Share of the own connections moved off a strained server a second, times delay over aim: a flat
-/// number would move the more at once the more proxies hold something there.
+/// Share of the own connections moved off a strained server a second, times delay over aim.
 const MOVE_SHARE: f32 = 0.25;
+/// Each server is probed about this often for its load over its capacity.
+const PROBE_EVERY: Micros = SECOND * 3 / 2;
+/// A report that is older says nothing.
+const REPORT_STALE: Micros = 5 * SECOND;
+/// A server takes keys of its own zone first up to NEAR_LOAD of its capacity, and any that find it by
+/// their jumps up to FULL_LOAD or OVER_MEAN times the mean of all, whichever is more.
+const NEAR_LOAD: f32 = 0.6;
+const FULL_LOAD: f32 = 0.8;
+const OVER_MEAN: f32 = 1.3;
 /// Weight of a home in the own zone against one elsewhere: nearly always first, and no home more.
 const NEAR: f32 = 10.0;
 /// Share of late servers among those in use from which a group stays with its strained homes.
 const STAY_FROM: f32 = 0.15;
-/// Load shedding: when messages are late at more than this share of the servers that hold something ...
+/// Load shedding: when messages are late at more than SHED_FROM of the servers that hold something, clients
+/// are admitted less by SHED_STEP of them a second, in the order of their hashes, never below SHED_LEAST,
+/// and more by SHED_BACK a second once it is less than half SHED_FROM (AIMD).
 const SHED_FROM: f32 = 0.4;
-/// ... clients are admitted less by this share a second, in the order of their hashes ...
 const SHED_STEP: f32 = 0.3;
-/// ... never below this share of them ...
 const SHED_LEAST: f32 = 0.3;
-/// ... and more by this much a second once it is less than half that share (AIMD).
 const SHED_BACK: f32 = 0.06;
 /// Share of the set-up aim given to an attempt while further ones are allowed.
 const ATTEMPT_SHARE: f32 = 0.6;
-/// Retry budget: further attempts that a request earns for all, ...
+/// Retry budget: further attempts that a request earns for all, and how many may be saved up.
 const RETRY_SHARE: f32 = 0.3;
-/// ... and how many may be saved up for a sudden failure.
 const RETRY_SAVED: f32 = 4.0;
 /// Wait before a held request looks again for a server.
 const HOLD: Micros = SECOND / 20;
@@ -110,6 +115,7 @@
 const TIMER_HOLD: u64 = 2 << 32;
 const TIMER_MOVE: u64 = 3 << 32;
 const TIMER_ASK: u64 = 4 << 32;
+const TIMER_PROBE: u64 = 5 << 32;
 const SHED_SALT: u64 = 1;
 const NOBODY: u32 = u32::MAX;
 
@@ -138,15 +144,30 @@
     ejected_until: Micros,
     /// When its cap was last cut to nothing; it grows back from then.
     cut_at: Option<Micros>,
+    /// Load over capacity as last reported and when, what a connection adds to it, and own sends since.
+    load: f32,
+    load_at: Option<Micros>,
+    unit: f32,
+    since: u32,
 }
 
-#[derive(Clone, Copy, PartialEq)]
+struct Random(Rand64);
+
+impl Default for Random {
+    fn default() -> Self {
+        Random(Rand64::new(0))
+    }
+}
+
+#[derive(Clone, Copy, Default, PartialEq)]
 enum Phase {
+    #[default]
     Held,
     Out,
     Up,
 }
 
+#[derive(Default)]
 struct Pending {
     request: Request,
     deadline: Micros,
@@ -161,9 +182,10 @@
 }
 
 /// One proxy's decisions. It knows only what its own events said.
+#[derive(Default)]
 pub struct Balancer {
     settings: Settings,
-    rng: Rand64,
+    rng: Random,
     now: Micros,
     servers: Vec<Server>,
     index: BTreeMap<ServerId, usize>,
@@ -191,6 +213,8 @@
     retries: f32,
     watching: bool,
     ask_failures: u32,
+    mean_load: f32,
+    probes: usize,
 }
 
 impl Balancer {
@@ -200,30 +224,12 @@
         Balancer {
             message_aim: aims.min().unwrap_or(SECOND / 10),
             settings,
-            rng: Rand64::new(u128::from(seed)),
-            now: 0,
-            servers: Vec::new(),
-            index: BTreeMap::new(),
-            ready: Vec::new(),
+            rng: Random(Rand64::new(u128::from(seed))),
             ready_slots: vec![NOBODY; SLOTS],
             known_slots: vec![NOBODY; SLOTS],
-            sizes: 0.0,
-            held: 0,
-            in_use: 0,
-            pending: BTreeMap::new(),
-            seen: BTreeMap::new(),
-            seen_all: 0,
-            planned_at: 0,
-            planned_when: 0,
-            homes: Homes::new(),
-            homes_known: Homes::new(),
             admitted: 1.0,
-            late_notes: 0,
-            late_share: 0.0,
-            second: 0,
             retries: RETRY_SAVED,
-            watching: false,
-            ask_failures: 0,
+            ..Balancer::default()
         }
     }
 
@@ -240,7 +246,8 @@
             Event::Outcome { id, outcome, last, .. } => return self.ended(id, outcome, last, out),
             Event::Vanished(id) => self.vanished(id),
             Event::Timer(token) => self.timer(token, out),
-            Event::LoadNote(..) | Event::Probed { .. } | Event::Peer(..) => {}
+            Event::Probed { server, report, .. } => self.probed(server, &report),
+            Event::LoadNote(..) | Event::Peer(..) => {}
         }
         Ok(())
     }
@@ -258,7 +265,7 @@
             self.watching = false;
             let wait = ASK_BACKOFF << self.ask_failures.min(3);
             self.ask_failures += 1;
-            let wait = wait / 2 + self.rng.rand_range(0..wait);
+            let wait = wait / 2 + self.rng.0.rand_range(0..wait);
             out.push(Action::Timer(self.now + wait, TIMER_ASK));
             return;
         }
@@ -290,13 +297,16 @@
         for server in left {
             self.evacuate(server, out);
         }
+        if self.probes == 0 {
+            self.probe(out);
+        }
     }
 
     fn member(&mut self, m: Member, left: &mut Vec<ServerId>) {
         if m.state == MemberState::Gone && !self.index.contains_key(&m.server) {
             return;
         }
-        let phase = self.rng.rand_float() as f32;
+        let phase = self.rng.0.rand_float() as f32;
         let i = self.entry(m.server);
         if m.started != self.servers[i].started {
             // The same id with a new start is a cold process: its past says nothing.
@@ -483,7 +493,7 @@
     // ---- Health ------------------------------------------------------------------------------------
 
     fn failed(&mut self, i: usize, outcome: Outcome) {
-        let jitter = self.rng.rand_range(0..EJECT);
+        let jitter = self.rng.0.rand_range(0..EJECT);
         let s = &mut self.servers[i];
         if outcome == Outcome::Full {
             // Turned away: the cap was too high here, whatever the count says.
@@ -515,7 +525,7 @@
         self.servers[i].cut_at = Some(self.now);
         self.late_notes += u32::from(share >= 1.0);
         let moves = MOVE_SHARE * self.servers[i].held as f32 * share;
-        if share >= DELAY_MOVE && (self.rng.rand_float() as f32) < moves {
+        if share >= DELAY_MOVE && (self.rng.0.rand_float() as f32) < moves {
             let id = self.leaver(i, id);
             self.relocate(id, out);
         }
@@ -550,6 +560,41 @@
         self.admitted < 1.0 && fraction(own_key(q), SHED_SALT) >= self.admitted
     }
 
+    // ---- Load reports ------------------------------------------------------------------------------
+
+    /// Probes the next server in turn, where probes tell the load.
+    fn probe(&mut self, out: &mut Out) {
+        if !self.settings.may_probe || self.column(Column::Load).is_none() {
+            return;
+        }
+        let n = self.ready.len().max(1);
+        self.probes += 1;
+        out.extend(self.ready.get(self.probes % n).map(|&i| Action::Probe(self.servers[i].id)));
+        let wait = PROBE_EVERY / n as u64;
+        out.push(Action::Timer(self.now + wait / 2 + self.rng.0.rand_range(0..wait), TIMER_PROBE));
+    }
+
+    fn column(&self, kind: Column) -> Option<usize> {
+        self.settings.columns.iter().position(|&c| c == kind)
+    }
+
+    fn probed(&mut self, server: ServerId, report: &[f32]) {
+        let value = |kind| self.column(kind).and_then(|c| report.get(c).copied());
+        let (Some(&i), Some(load)) = (self.index.get(&server), value(Column::Load)) else { return };
+        let unit = load / value(Column::Active).unwrap_or(f32::INFINITY).max(1.0);
+        let s = &mut self.servers[i];
+        (s.load, s.load_at, s.unit, s.since) = (load, Some(self.now), unit, 0);
+        let loads = self.ready.iter().filter_map(|&i| self.load(&self.servers[i]));
+        self.mean_load = loads.sum::<f32>() / self.ready.len().max(1) as f32;
+    }
+
+    /// A server's load over its capacity by its last report and what all will have sent there since; none
+    /// where that is not known.
+    fn load(&self, s: &Server) -> Option<f32> {
+        let fresh = s.load_at.is_some_and(|at| self.now < at + REPORT_STALE);
+        fresh.then(|| s.load + s.unit * (s.since * self.settings.balancers) as f32)
+    }
+
     // ---- Placement ---------------------------------------------------------------------------------
 
     /// Chooses a server for a request; none if no server may take it.
@@ -561,24 +606,22 @@
                 return Some(i);
             }
         }
-        let homes = self.order(&self.homes, key, own);
-        if let Some(&i) = homes.iter().find(|&&i| self.usable(i, p) && self.under_cap(i, own)) {
-            return Some(i);
-        }
+        let usable = |this: &mut Self, list: Vec<usize>| -> Vec<usize> {
+            list.into_iter().filter(|&i| i < this.servers.len() && this.usable(i, p)).collect()
+        };
+        let homes = usable(self, self.order(&self.homes, key, own));
+        let jumps = (0..JUMPS).map(|jump| self.ready_slots[slot(key, jump)] as usize).collect();
+        let jumps = usable(self, jumps);
+        let fits = |i: &&usize| self.under_cap(**i, own);
+        // A zone's own servers first, by the same jumps, while they are known to have room.
+        let own_zone = |i: &&usize| self.servers[**i].zone == self.settings.zone;
+        let room = |i: &&usize| self.load(&self.servers[**i]).is_some_and(|load| load < NEAR_LOAD);
+        let near = homes.iter().chain(&jumps).filter(own_zone).filter(room).find(fits);
         // Jumping on from strained homes would make further servers pay for the group: a jam feeds
         // itself that way. So the group stays at home as long as a home may be used at all.
-        if self.late_share >= STAY_FROM {
-            if let Some(&i) = homes.iter().find(|&&i| self.usable(i, p)) {
-                return Some(i);
-            }
-        }
-        for jump in 0..JUMPS {
-            let i = self.ready_slots[slot(key, jump)] as usize;
-            if i < self.servers.len() && self.usable(i, p) && self.under_cap(i, own) {
-                return Some(i);
-            }
-        }
-        self.fallback(own, p)
+        let stay = homes.first().filter(|_| self.late_share >= STAY_FROM);
+        let found = near.or(homes.iter().find(fits)).or(stay).or(jumps.iter().find(fits)).copied();
+        found.or_else(|| self.fallback(own, p))
     }
 
     /// The homes of a group in the order in which this client tries them: by weighted rendezvous, so
@@ -630,7 +673,8 @@
     /// A whole cap admits as in the paper; of a cut one, the keys share what is left.
     fn under_cap(&self, i: usize, own: u64) -> bool {
         let s = &self.servers[i];
-        s.held as f32 + fraction(own, s.id.0) < self.cap(s)
+        let full = FULL_LOAD.max(OVER_MEAN * self.mean_load);
+        s.held as f32 + fraction(own, s.id.0) < self.cap(s) && self.load(s).is_none_or(|load| load < full)
     }
 
     /// The least loaded of a sample: first of those under their cap and not ejected, then of all that
@@ -640,7 +684,7 @@
         let mut best: Option<(bool, f32, usize)> = None;
         for k in 0..SAMPLE.min(self.ready.len()) {
             let all = self.ready.len() <= SAMPLE;
-            let at = if all { k } else { self.rng.rand_range(0..self.ready.len() as u64) as usize };
+            let at = if all { k } else { self.rng.0.rand_range(0..self.ready.len() as u64) as usize };
             let i = self.ready[at];
             if !self.lawful(i, p) {
                 continue;
@@ -667,16 +711,16 @@
         // Answered a tick before the client gives up, whatever is out or held then.
         let last = deadline.saturating_sub(self.settings.tick).max(self.now + 1);
         out.push(Action::Timer(last, TIMER_DEADLINE | u64::from(id.0)));
-        let p = Pending::new(request, deadline);
-        self.advance(p, out);
+        self.advance(Pending { request, deadline, ..Pending::default() }, out);
     }
 
     fn open(&mut self, request: Request, server: ServerId) {
         self.count(request.group);
         let i = self.entry(server);
         self.take(i);
-        let p = Pending::new(request, Micros::MAX);
-        self.pending.insert(p.request.id, Pending { server, phase: Phase::Up, answered: true, ..p });
+        let (id, deadline, phase) = (request.id, Micros::MAX, Phase::Up);
+        let p = Pending { request, deadline, phase, answered: true, server, ..Pending::default() };
+        self.pending.insert(id, p);
     }
 
     fn take(&mut self, i: usize) {
@@ -713,6 +757,7 @@
                 if again { self.retries - 1.0 } else { (self.retries + RETRY_SHARE).min(RETRY_SAVED) };
             let s = &mut self.servers[i];
             s.credit -= 1.0;
+            s.since += 1;
             (p.phase, p.server, p.sent_at) = (Phase::Out, s.id, self.now);
             p.tried.push(s.id);
             out.push(Action::Send { id: p.request.id, server: s.id, until });
@@ -808,6 +853,7 @@
             },
             TIMER_MOVE => self.relocate(id, out),
             TIMER_ASK => self.ask(out),
+            TIMER_PROBE => self.probe(out),
             _ => {}
         }
     }
@@ -837,29 +883,12 @@
     /// together.
     fn evacuate(&mut self, server: ServerId, out: &mut Out) {
         for p in self.pending.values().filter(|p| p.server == server && p.phase == Phase::Up) {
-            let at = self.now + self.rng.rand_range(0..DRAIN_SPAN);
+            let at = self.now + self.rng.0.rand_range(0..DRAIN_SPAN);
             out.push(Action::Timer(at, TIMER_MOVE | u64::from(p.request.id.0)));
         }
     }
 }
 
-impl Pending {
-    fn new(request: Request, deadline: Micros) -> Self {
-        let (phase, server, tried) = (Phase::Held, ServerId::default(), Vec::new());
-        Pending {
-            request,
-            deadline,
-            phase,
-            answered: false,
-            moving: false,
-            server,
-            sent_at: 0,
-            tried,
-            ran: None,
-        }
-    }
-}
-
 /// What tells a client from others of its group.
 fn own_key(q: &Request) -> u64 {
     if q.key != 0 {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -577,6 +577,7 @@
     for value in report.list("columns")? {
         columns.push(match value.as_str() {
             Some("x0") if has("report_x0").is_some() => Column::Load,
+            Some("active") => Column::Active,
             Some(_) => Column::Other,
             None => return report.bad("columns", "holds something that is not a word"),
         });
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -203,6 +203,90 @@
     assert!(all.len() <= 20);
 }
 
+// ---- Load reports ----
+
+fn with_probes() -> Settings {
+    Settings { may_probe: true, columns: vec![Column::Active, Column::Load], ..Settings::default() }
+}
+
+fn tell(proxy: &mut Proxy, server: u64, load: f32) {
+    proxy.feed(Event::Probed { server: ServerId(server), outcome: Outcome::Ok, report: vec![50.0, load] });
+}
+
+#[test]
+fn servers_are_probed_in_turn_where_that_tells_their_load() {
+    let probed = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Probe(server) => Some(*server),
+            _ => None,
+        })
+    };
+    let mut proxy = Proxy::new(with_probes(), 7);
+    let mut actions = proxy.list(ListKind::Full, Vec::new());
+    let (mut seen, begin) = (BTreeMap::new(), proxy.now);
+    for n in 0..30 {
+        let (at, token) = timers(&actions)[0];
+        proxy.now = at;
+        if n == 5 {
+            // The first list was empty: the turn goes on when servers come.
+            proxy.list(ListKind::Full, (1..=4).map(ready).collect());
+        }
+        actions = proxy.fire(token);
+        if let Some(server) = probed(&actions) {
+            *seen.entry(server).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(seen.len(), 4);
+    assert!(seen.values().all(|n| (5..=8).contains(n)), "{seen:?}");
+    assert!(proxy.now - begin < 30 * SECOND, "often enough to be of use");
+    for none in
+        [Settings { may_probe: false, ..with_probes() }, Settings { columns: vec![], ..with_probes() }]
+    {
+        assert!(Proxy::new(none, 7).list(ListKind::Full, vec![ready(1)]).is_empty());
+    }
+}
+
+/// The cap counts the own connections only: a server that others had filled kept its keys.
+#[test]
+fn a_server_that_reports_it_is_full_takes_no_more_keys() {
+    let mut proxy = Proxy::with_servers(with_probes(), 4);
+    let home = proxy.connect(request(1, 1, 7)).unwrap();
+    for server in 1..=4 {
+        tell(&mut proxy, server, if server == home.0 { 0.95 } else { 0.3 });
+    }
+    for id in 2..=5 {
+        assert_ne!(proxy.connect(request(id, u64::from(id), 7)), Some(home));
+    }
+    tell(&mut proxy, home.0, 0.3);
+    assert_eq!(proxy.connect(request(6, 6, 7)), Some(home), "it has room again");
+    tell(&mut proxy, home.0, 0.95);
+    proxy.now += 10 * SECOND;
+    assert_eq!(proxy.connect(request(7, 7, 7)), Some(home), "an old report says nothing");
+}
+
+/// Sends between two reports count, since a report that is late would let all go to one server.
+#[test]
+fn what_was_sent_since_a_report_counts() {
+    let mut proxy = Proxy::with_servers(Settings { balancers: 10, ..with_probes() }, 4);
+    (1..=4).for_each(|server| tell(&mut proxy, server, 0.5));
+    // Each adds 0.01 here, and as much at each of the ten: 0.8 is reached after three.
+    let to: Vec<_> = (1..=6).map(|id| proxy.connect(request(id, u64::from(id), 7)).unwrap()).collect();
+    assert!(to.iter().filter(|&&server| server == to[0]).count() <= 3, "{to:?}");
+}
+
+#[test]
+fn keys_stay_in_their_zone_while_its_servers_have_room() {
+    let mut proxy = Proxy::new(Settings { zone: 1, ..with_probes() }, 1);
+    proxy.list(ListKind::Full, (1..=6).map(|n| Member { zone: (n % 2) as u16, ..ready(n) }).collect());
+    for (near_load, near_least, near_most) in [(0.3, 12, 12), (0.75, 0, 8)] {
+        (1..=6).for_each(|n| tell(&mut proxy, n, if n % 2 == 1 { near_load } else { 0.2 }));
+        let place = |id: u32| proxy.connect(request(id, u64::from(id), u64::from(id))).unwrap().0 % 2;
+        let first = if near_load < 0.5 { 1 } else { 101 };
+        let near: u64 = (first..first + 12).map(place).sum();
+        assert!((near_least..=near_most).contains(&near), "{near} of 12 stayed at {near_load}");
+    }
+}
+
 // ---- Rule 1: exactly one final answer ----
 
 #[test]
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -158,6 +158,36 @@
     assert!(cold <= 3, "{cold} of 12 went to the cold backend");
 }
 
+/// Loads come by probes: each on a connection of its own, and what it says decides where clients go.
+#[test]
+fn a_backend_that_reports_it_is_full_is_passed_over() {
+    let fleet = Fleet::new(&["s-1", "s-2"]);
+    let probes =
+        fleet.config(fleet.discovery.addr()).replace("\"probes\": false", "\"probes\": true").replace(
+            "{\"columns\": [], \"via\": \"none\"}",
+            "{\"columns\": [\"active\", \"x0\"], \"via\": \"probe\"}",
+        );
+    let relay = Relay::start(&probes, None);
+    let (mut told, mut opened, mut clients) = (0, 0, Vec::new());
+    while opened < 6 {
+        let (at, mut peer) = fleet.accept_any();
+        if peer.line() == "STATS" {
+            told += 1;
+            peer.send(if at == "s-1" { "PONG active=50,x0=0.95" } else { "PONG active=50,x0=0.2" });
+            if told == 4 {
+                clients = (0..6).map(|_| relay.client()).collect();
+                let open = |(n, c): (usize, &mut Peer)| c.send(&format!("OPEN 0{n} {n}f c=chat,d=60000"));
+                clients.iter_mut().enumerate().for_each(open);
+            }
+        } else {
+            assert_eq!(at, "s-2");
+            peer.send("UP r");
+            opened += 1;
+        }
+    }
+    clients.iter_mut().for_each(|client| assert_eq!(client.line(), "UP r"));
+}
+
 /// A restarted relay brings its connections back to where they were, also where its list is stale.
 #[test]
 fn a_connection_that_was_open_goes_to_its_backend() {
