Move connections off full servers, and judge load and health by what reports say

At fault: src/logic.rs probed(), load(), ended(), delay(), pace(). Now a connection's cost is taken from the whole fleet; half of the sends before a report count on, since a report is about a second old; over 0.9 of capacity a server gives some away, while the mean is under 0.7; a dropped connection cuts the cap; while a server has room, only late messages count against it; shedding needs a loaded fleet.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,7 +2,6 @@
 //!
 //! The rule is RJ-CH, "Revisiting Consistent Hashing with Bounded Loads" (Chen, Coleman, Shrivastava):
 //! a key goes to the owner of slot h(key, 0), then h(key, 1), and so on, until a server is under its cap.
-//! Sections stand in the order in which a request meets them.
 
 use crate::api::{
     Action, Column, Effect, Event, Group, ListKind, Member, MemberState, Micros, Outcome, Request, RequestId,
@@ -50,22 +49,24 @@
 const DELAY_MOVE: f32 = 0.6;
 /// Share of the own connections moved off a strained server a second, times delay over aim.
 const MOVE_SHARE: f32 = 0.25;
-/// Each server is probed about this often for its load over its capacity.
+/// Each server is probed about this often for its load over its capacity, which counts until it is stale.
 const PROBE_EVERY: Micros = SECOND * 3 / 2;
-/// A report that is older says nothing.
 const REPORT_STALE: Micros = 5 * SECOND;
 /// A server takes keys of its own zone first up to NEAR_LOAD of its capacity, and any that find it by
 /// their jumps up to FULL_LOAD or OVER_MEAN times the mean of all, whichever is more.
 const NEAR_LOAD: f32 = 0.6;
 const FULL_LOAD: f32 = 0.8;
 const OVER_MEAN: f32 = 1.3;
+/// From MOVE_FROM on it gives some away, down to MOVE_TO, while the fleet's mean is under MOVE_ROOM.
+const MOVE_FROM: f32 = 0.9;
+const MOVE_TO: f32 = 0.75;
+const MOVE_ROOM: f32 = 0.7;
 /// Weight of a home in the own zone against one elsewhere: nearly always first, and no home more.
 const NEAR: f32 = 10.0;
 /// Share of late servers among those in use from which a group stays with its strained homes.
 const STAY_FROM: f32 = 0.15;
-/// Load shedding: when messages are late at more than SHED_FROM of the servers that hold something, clients
-/// are admitted less by SHED_STEP of them a second, in the order of their hashes, never below SHED_LEAST,
-/// and more by SHED_BACK a second once it is less than half SHED_FROM (AIMD).
+/// Load shedding (AIMD): with messages late at more than SHED_FROM of the servers in use, SHED_STEP fewer
+/// clients are admitted a second, by their hashes, down to SHED_LEAST; under half that, SHED_BACK more.
 const SHED_FROM: f32 = 0.4;
 const SHED_STEP: f32 = 0.3;
 const SHED_LEAST: f32 = 0.3;
@@ -81,8 +82,8 @@
 const RETRY_AFTER: Micros = SECOND * 2 / 5;
 /// Backoff of a failed call for the list, doubled up to eight times this, jittered.
 const ASK_BACKOFF: Micros = SECOND / 4;
-/// Time over which the connections of a draining server are moved away.
-const DRAIN_SPAN: Micros = SECOND;
+/// Time over which connections are moved off a server that drains or is full.
+const MOVE_SPAN: Micros = SECOND;
 
 // ---- Hashes: all balancers must agree on them, so they never change ----------------------------------
 
@@ -144,11 +145,11 @@
     ejected_until: Micros,
     /// When its cap was last cut to nothing; it grows back from then.
     cut_at: Option<Micros>,
-    /// Load over capacity as last reported and when, what a connection adds to it, and own sends since.
+    /// Load over capacity and connections as last reported, when, and own sends that are not yet in it.
     load: f32,
+    active: f32,
     load_at: Option<Micros>,
-    unit: f32,
-    since: u32,
+    since: f32,
 }
 
 struct Random(Rand64);
@@ -213,7 +214,9 @@
     retries: f32,
     watching: bool,
     ask_failures: u32,
+    /// Mean load of the servers, and the work of a connection there.
     mean_load: f32,
+    unit: f32,
     probes: usize,
 }
 
@@ -246,7 +249,7 @@
             Event::Outcome { id, outcome, last, .. } => return self.ended(id, outcome, last, out),
             Event::Vanished(id) => self.vanished(id),
             Event::Timer(token) => self.timer(token, out),
-            Event::Probed { server, report, .. } => self.probed(server, &report),
+            Event::Probed { server, report, .. } => self.probed(server, &report, out),
             Event::LoadNote(..) | Event::Peer(..) => {}
         }
         Ok(())
@@ -295,7 +298,7 @@
         }
         self.rebuild();
         for server in left {
-            self.evacuate(server, out);
+            self.evacuate(server, 1.0, out);
         }
         if self.probes == 0 {
             self.probe(out);
@@ -369,17 +372,15 @@
         self.replan();
     }
 
-    /// RJ-CH for the whole fleet, as far as one proxy can tell: the groups seen here, by their shares
-    /// here, are placed by the jumps of their keys on servers under the cap. One group may outgrow a
-    /// server, and many groups on one server would each cost it anew, while the counts of one proxy
-    /// show neither. First homes come before second ones, so they hardly depend on the estimates.
+    /// RJ-CH for the whole fleet, as far as one proxy can tell: the groups seen here, by their shares here,
+    /// are placed by the jumps of their keys on servers under the cap: one group may outgrow a server, and
+    /// each costs its servers anew. First homes come before second ones: they hardly depend on estimates.
     fn plan(&self, slots: &[u32]) -> Homes {
         let mut homes = Homes::new();
         let fleet = self.held as f32 * self.settings.balancers as f32;
         let cost = GROUP_COST / fleet.max(1.0);
         let groups = self.ready.len().max(self.seen.len()) as f32;
-        // A cold server counts for what it can do by now: many new ones at once would else become the
-        // homes of groups that they cannot take (incident id5986d).
+        // A cold server counts for what it can do by now, or it gets more homes than it can take (id5986d).
         let able: Vec<f32> = self.servers.iter().map(|s| s.size * self.warmth(s)).collect();
         let sizes: f32 = self.ready.iter().map(|&i| able[i]).sum();
         let cap = (1.0 + PLAN_EPSILON) * (1.0 + cost * groups) / sizes.max(f32::MIN_POSITIVE);
@@ -477,9 +478,8 @@
         (start + (1.0 - start) * age / (self.settings.warm_within as f32).max(1.0)).min(1.0)
     }
 
-    /// Whether a server may be sent something as far as its warm-up goes. All balancers together stay
-    /// within what a cold one can do, since each earns only its own share of the mean load and starts
-    /// at a random point of it.
+    /// Whether a server may be sent something as far as its warm-up goes: all balancers together stay within
+    /// what a cold one can do, each earning its share of the mean load from a random point on.
     fn credited(&mut self, i: usize) -> bool {
         let warmth = self.warmth(&self.servers[i]);
         let mean = self.mean(self.servers[i].size);
@@ -519,7 +519,9 @@
         if !self.pending.contains_key(&id) {
             return Err(Unknown::Request(id));
         }
-        if share < DELAY_SIGN {
+        // Some are slow without much to do: while there is known to be room, only late messages count.
+        let room = self.load(&self.servers[i]).is_some_and(|load| load < NEAR_LOAD);
+        if share < if room { 1.0 } else { DELAY_SIGN } {
             return Ok(());
         }
         self.servers[i].cut_at = Some(self.now);
@@ -532,10 +534,9 @@
         Ok(())
     }
 
-    /// Once a second: a fresh plan while servers warm up, and how many clients may be served when the
-    /// fleet as a whole cannot serve them all. A jam feeds itself (late messages, connections dropped,
-    /// set-ups anew): it ends only with less load. All proxies turn away the same clients, so those that
-    /// stay are served well.
+    /// Once a second: a fresh plan while servers warm up, and how many clients may be served when the fleet
+    /// cannot serve all. A jam feeds itself (late messages, drops, set-ups anew) and ends only with less
+    /// load. All proxies turn away the same clients, so those that stay are served well.
     fn pace(&mut self) {
         if self.now < self.second + SECOND {
             return;
@@ -548,7 +549,7 @@
         // Averaged, so that one short pause of many servers does not look like a jam.
         self.late_share = (self.late_share + self.late_notes as f32 / self.in_use.max(1) as f32) / 2.0;
         (self.late_notes, self.second) = (0, self.now);
-        if self.late_share > SHED_FROM {
+        if self.late_share > SHED_FROM && (self.unit == 0.0 || self.mean_load > MOVE_ROOM) {
             self.admitted = (self.admitted * (1.0 - SHED_STEP * self.late_share.min(1.0))).max(SHED_LEAST);
         } else if self.late_share < SHED_FROM / 2.0 {
             self.admitted = (self.admitted + SHED_BACK * seconds).min(1.0);
@@ -564,7 +565,7 @@
 
     /// Probes the next server in turn, where probes tell the load.
     fn probe(&mut self, out: &mut Out) {
-        if !self.settings.may_probe || self.column(Column::Load).is_none() {
+        if !self.settings.may_probe || !self.settings.columns.contains(&Column::Load) {
             return;
         }
         let n = self.ready.len().max(1);
@@ -574,25 +575,29 @@
         out.push(Action::Timer(self.now + wait / 2 + self.rng.0.rand_range(0..wait), TIMER_PROBE));
     }
 
-    fn column(&self, kind: Column) -> Option<usize> {
-        self.settings.columns.iter().position(|&c| c == kind)
-    }
-
-    fn probed(&mut self, server: ServerId, report: &[f32]) {
-        let value = |kind| self.column(kind).and_then(|c| report.get(c).copied());
+    fn probed(&mut self, server: ServerId, report: &[f32], out: &mut Out) {
+        let column = |kind| self.settings.columns.iter().position(|&c| c == kind);
+        let value = |kind| column(kind).and_then(|c| report.get(c).copied());
         let (Some(&i), Some(load)) = (self.index.get(&server), value(Column::Load)) else { return };
-        let unit = load / value(Column::Active).unwrap_or(f32::INFINITY).max(1.0);
         let s = &mut self.servers[i];
-        (s.load, s.load_at, s.unit, s.since) = (load, Some(self.now), unit, 0);
-        let loads = self.ready.iter().filter_map(|&i| self.load(&self.servers[i]));
-        self.mean_load = loads.sum::<f32>() / self.ready.len().max(1) as f32;
+        let news = load != s.load || s.load_at.is_none();
+        // A report was made some time ago: half of what was sent since the last one is not in it.
+        s.since = if news { s.since / 2.0 } else { s.since };
+        (s.load, s.active, s.load_at) = (load, value(Column::Active).unwrap_or(0.0), Some(self.now));
+        let (mut work, mut sizes, mut active) = (0.0, f32::MIN_POSITIVE, f32::MIN_POSITIVE);
+        for s in self.ready.iter().map(|&i| &self.servers[i]).filter(|s| s.load_at.is_some()) {
+            (work, sizes, active) = (work + s.load * s.size, sizes + s.size, active + s.active);
+        }
+        (self.unit, self.mean_load) = (work / active.max(1.0), work / sizes);
+        if news && load > MOVE_FROM && self.mean_load < MOVE_ROOM {
+            self.evacuate(server, (load - MOVE_TO) / load, out);
+        }
     }
 
-    /// A server's load over its capacity by its last report and what all will have sent there since; none
-    /// where that is not known.
+    /// A server's load over its capacity by its last report and own sends since; none where that is not known.
     fn load(&self, s: &Server) -> Option<f32> {
         let fresh = s.load_at.is_some_and(|at| self.now < at + REPORT_STALE);
-        fresh.then(|| s.load + s.unit * (s.since * self.settings.balancers) as f32)
+        fresh.then(|| s.load + s.since * self.unit / s.size / self.warmth(s))
     }
 
     // ---- Placement ---------------------------------------------------------------------------------
@@ -617,15 +622,13 @@
         let own_zone = |i: &&usize| self.servers[**i].zone == self.settings.zone;
         let room = |i: &&usize| self.load(&self.servers[**i]).is_some_and(|load| load < NEAR_LOAD);
         let near = homes.iter().chain(&jumps).filter(own_zone).filter(room).find(fits);
-        // Jumping on from strained homes would make further servers pay for the group: a jam feeds
-        // itself that way. So the group stays at home as long as a home may be used at all.
+        // Jumping on from strained homes would make further servers pay for the group: a jam feeds itself.
         let stay = homes.first().filter(|_| self.late_share >= STAY_FROM);
         let found = near.or(homes.iter().find(fits)).or(stay).or(jumps.iter().find(fits)).copied();
         found.or_else(|| self.fallback(own, p))
     }
 
-    /// The homes of a group in the order in which this client tries them: by weighted rendezvous, so
-    /// that a home more or less moves only its own clients.
+    /// A group's homes in this client's order: weighted rendezvous, so that one more moves only its own.
     fn order(&self, homes: &Homes, group: u64, own: u64) -> Vec<usize> {
         let Some(list) = homes.get(&group) else { return Vec::new() };
         let near = |i: usize| if self.servers[i].zone == self.settings.zone { NEAR } else { 1.0 };
@@ -641,8 +644,7 @@
         let mut order = self.order(&self.homes_known, key, own);
         order.push(self.known_slots[slot(key, 0)] as usize);
         order.into_iter().find(|&i| match self.servers.get(i) {
-            // Most of a burst of mid-flow connections is set up anew: a cold server takes its share
-            // of them like of any others (a restart of proxies once pushed one over).
+            // Most of a burst is set up anew: a cold server takes its share only (one was pushed over).
             Some(s) if s.ready => self.credited(i),
             Some(s) => s.told > 0 && self.now < s.told + self.settings.drain_grace,
             None => false,
@@ -654,8 +656,7 @@
         self.now >= self.servers[i].ejected_until && self.lawful(i, p)
     }
 
-    /// Whether a send to this server is allowed: by the list, the warm-up, and what has been tried and
-    /// may have run.
+    /// Whether a send there is allowed by the list, the warm-up, and what has been tried and may have run.
     fn lawful(&mut self, i: usize, p: &Pending) -> bool {
         let s = &self.servers[i];
         if !s.ready || p.tried.contains(&s.id) {
@@ -757,7 +758,7 @@
                 if again { self.retries - 1.0 } else { (self.retries + RETRY_SHARE).min(RETRY_SAVED) };
             let s = &mut self.servers[i];
             s.credit -= 1.0;
-            s.since += 1;
+            s.since += 1.0;
             (p.phase, p.server, p.sent_at) = (Phase::Out, s.id, self.now);
             p.tried.push(s.id);
             out.push(Action::Send { id: p.request.id, server: s.id, until });
@@ -808,7 +809,7 @@
         match outcome {
             Outcome::Ok => self.succeeded(i),
             Outcome::Cancelled | Outcome::Moot => {}
-            Outcome::Reset if p.phase == Phase::Up => {}
+            Outcome::Reset if p.phase == Phase::Up => self.servers[i].cut_at = Some(self.now),
             _ => self.failed(i, outcome),
         }
         if last || p.answered {
@@ -868,9 +869,8 @@
         out.push(Action::Move(id));
     }
 
-    /// Which connection leaves a strained server: one whose client is turned away now or whose group
-    /// has its homes elsewhere, since the last of a group to go takes the group's cost along; else the
-    /// one that was named.
+    /// Which connection leaves a strained server: one whose client is turned away now or whose group has its
+    /// homes elsewhere (the last of a group takes its cost along), else the one that was named.
     fn leaver(&self, i: usize, named: RequestId) -> RequestId {
         let stray =
             |q: &Request| self.homes.get(&q.group).is_some_and(|h| h.iter().all(|&(home, _)| home != i));
@@ -879,12 +879,13 @@
         candidates.find(|p| self.shed(&p.request) || stray(&p.request)).map_or(named, |p| p.request.id)
     }
 
-    /// Moves the connections of a server that will stop, spread over time so that they do not return
-    /// together.
-    fn evacuate(&mut self, server: ServerId, out: &mut Out) {
+    /// Moves this share of a server's connections, spread over time so that they do not return together.
+    fn evacuate(&mut self, server: ServerId, share: f32, out: &mut Out) {
         for p in self.pending.values().filter(|p| p.server == server && p.phase == Phase::Up) {
-            let at = self.now + self.rng.0.rand_range(0..DRAIN_SPAN);
-            out.push(Action::Timer(at, TIMER_MOVE | u64::from(p.request.id.0)));
+            let at = self.now + self.rng.0.rand_range(0..MOVE_SPAN);
+            if fraction(own_key(&p.request), at) < share {
+                out.push(Action::Timer(at, TIMER_MOVE | u64::from(p.request.id.0)));
+            }
         }
     }
 }
