--- a/src/logic.rs
+++ b/src/logic.rs
@@ -594,7 +594,7 @@
         }
     }
 
-    /// A server's load over its capacity by its last report and own sends since; none where that is not known.
+    /// A server's load over its capacity by its last report and own sends since; none where not known.
     fn load(&self, s: &Server) -> Option<f32> {
         let fresh = s.load_at.is_some_and(|at| self.now < at + REPORT_STALE);
         fresh.then(|| s.load + s.since * self.unit / s.size / self.warmth(s))
@@ -678,11 +678,11 @@
         s.held as f32 + fraction(own, s.id.0) < self.cap(s) && self.load(s).is_none_or(|load| load < full)
     }
 
-    /// The least loaded of a sample: first of those under their cap and not ejected, then of all that
+    /// The least loaded of a sample: those under their cap first, the ejected last, but of all that
     /// may be used (the panic threshold: when all seem bad, health says nothing).
     fn fallback(&mut self, own: u64, p: &Pending) -> Option<usize> {
         let mean = self.mean(1.0);
-        let mut best: Option<(bool, f32, usize)> = None;
+        let mut best: Option<((bool, bool), f32, usize)> = None;
         for k in 0..SAMPLE.min(self.ready.len()) {
             let all = self.ready.len() <= SAMPLE;
             let at = if all { k } else { self.rng.0.rand_range(0..self.ready.len() as u64) as usize };
@@ -690,7 +690,7 @@
             if !self.lawful(i, p) {
                 continue;
             }
-            let over = self.now < self.servers[i].ejected_until || !self.under_cap(i, own);
+            let over = (self.now < self.servers[i].ejected_until, !self.under_cap(i, own));
             let s = &self.servers[i];
             // A new server counts at the others' mean until it holds something.
             let fresh = s.held == 0 && s.started.is_some();
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -1,6 +1,6 @@
 //! Small peers for the tests of the built relay: backends, clients and discovery, one socket each.
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -78,22 +78,32 @@
 pub struct Backend {
     name: String,
     addr: SocketAddr,
-    listener: Mutex<Option<TcpListener>>,
+    listener: TcpListener,
 }
 
 impl Backend {
     fn try_accept(&self) -> Option<Peer> {
-        let listener = self.listener.lock().unwrap();
-        listener.as_ref().and_then(|l| l.accept().ok()).map(|(stream, _)| Peer::new(stream))
+        self.listener.accept().ok().map(|(stream, _)| Peer::new(stream))
     }
 
     pub fn accept(&self) -> Peer {
         until("a connection to a backend", || self.try_accept())
     }
+}
+
+/// A port at which connections are refused. It is held without listening: one that is only let go of is
+/// soon taken by another test, which the relay would then talk to.
+pub struct Refusing(Socket);
 
-    /// From now on connections are refused.
-    pub fn stop(&self) {
-        *self.listener.lock().unwrap() = None;
+impl Refusing {
+    pub fn new() -> Refusing {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        Refusing(socket)
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.0.local_addr().unwrap().as_socket().unwrap()
     }
 }
 
@@ -136,11 +146,16 @@
         let backend = |name: &&str| {
             let l = listener();
             let addr = l.local_addr().unwrap();
-            Backend { name: name.to_string(), addr, listener: Mutex::new(Some(l)) }
+            Backend { name: name.to_string(), addr, listener: l }
         };
         Fleet { backends: names.iter().map(backend).collect(), discovery: Discovery::new() }
     }
 
+    /// The relay that is started next will reach this backend at another address.
+    pub fn moves(&mut self, name: &str, addr: SocketAddr) {
+        self.backends.iter_mut().filter(|b| b.name == name).for_each(|b| b.addr = addr);
+    }
+
     pub fn backend(&self, name: &str) -> &Backend {
         self.backends.iter().find(|b| b.name == name).unwrap()
     }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -92,9 +92,9 @@
 /// A backend that refuses connections never ran the request: it goes elsewhere.
 #[test]
 fn a_refused_dial_goes_on_to_the_next_backend() {
-    let fleet = Fleet::new(&["s-1", "s-2"]);
+    let (mut fleet, refusing) = (Fleet::new(&["s-1", "s-2"]), Refusing::new());
+    fleet.moves("s-1", refusing.addr());
     let relay = fleet.relay();
-    fleet.backend("s-1").stop();
     for n in 0..8 {
         let mut client = relay.client();
         client.send(&format!("OPEN 0{n} {n}f c=chat,d=60000"));
@@ -323,9 +323,9 @@
     fleet.pair(&relay, "02");
     // Several in a row, and one to a place where nothing answers.
     relay.reload(&fleet.config(fleet.discovery.addr()));
-    let nowhere = Discovery::new().addr();
-    relay.reload(&fleet.config(nowhere));
-    relay.wait_for_log(&format!("now at {nowhere}"));
+    let nowhere = Refusing::new();
+    relay.reload(&fleet.config(nowhere.addr()));
+    relay.wait_for_log(&format!("now at {}", nowhere.addr()));
     fleet.pair(&relay, "03");
     relay.reload(&fleet.config(third.addr()));
     third.watched("GET /v1/endpoints?watch=1 HTTP").tell(3, true, &[fleet.entry("s-2", "active")]);
