Answer staff at a second address with figures, and take over a held listening socket

`admit` sets the callers' descriptors aside and halves the guests' room where two processes can overlap.

--- a/src/config.rs
+++ b/src/config.rs
@@ -68,6 +68,10 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The listening socket of the clients that the platform holds: the descriptor that was inherited.
+    pub accept_fd: Option<u16>,
+    /// The second address, for staff and scrapers; none on platforms that have none.
+    pub admin: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// Seed of its random numbers.
@@ -111,6 +115,7 @@
         let same = [
             ("name", self.name == new.name),
             ("listen", self.listen == new.listen),
+            ("admin", self.admin == new.admin),
             ("limits", self.limits == new.limits),
             ("settings", self.settings == new.settings && self.names == new.names),
         ];
@@ -155,9 +160,20 @@
                 Err(_) => return bad("seed", "is not a hexadecimal number of at most 16 digits"),
             },
         };
+        let admin = match (env("BALANCER_ADMIN"), top.get("admin")) {
+            (None, None) => None,
+            (admin, _) => Some(address(&top, "admin", admin)?),
+        };
+        let accept_fd = match env("BALANCER_ACCEPT_FD").map(|fd| fd.parse()) {
+            None => None,
+            Some(Ok(fd)) => Some(fd),
+            Some(Err(_)) => return bad("BALANCER_ACCEPT_FD", "is not the number of a descriptor"),
+        };
         Ok(Config {
             name,
             listen: address(&top, "listen", env("BALANCER_LISTEN"))?,
+            accept_fd,
+            admin,
             discovery: address(&top, "discovery", env("BALANCER_DISCOVERY"))?,
             seed,
             limits: Limits {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -212,6 +212,12 @@
         self.lock().entries.get(&id).is_some_and(|e| !e.answered)
     }
 
+    /// How many listed servers are avoided now.
+    pub fn avoided(&self) -> usize {
+        let now = self.now();
+        self.lock().balancer.avoided(now)
+    }
+
     /// Forgets a request that has had its final verdict.
     pub fn forget(&self, id: RequestId) {
         self.lock().entries.remove(&id);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod decide;
 pub mod logic;
 pub mod net;
+pub mod slots;
 pub mod wire;
 
 pub use logic::Balancer;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,13 +7,12 @@
     Action, Column, Effect, Event, Group, ListKind, Member, MemberState, Micros, Outcome, Request, RequestId,
     ServerId, Settings, Unknown, Weights, SECOND,
 };
+use crate::slots::{fraction, lay, slot, NOBODY, SLOTS};
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BTreeSet};
 
 // ---- Tunables -------------------------------------------------------------------------------------
 
-/// Slots of the array (m): the points of a thousand servers seldom collide.
-const SLOTS: usize = 1 << 15;
 /// Points of a server of usual size on the array: they even out the arcs (virtual bins of the paper).
 const POINTS: f32 = 48.0;
 /// Headroom over the mean (ε) of the own counts: they are small, and groups are meant to sit together.
@@ -85,31 +84,6 @@
 /// Time over which connections are moved off a server that drains or is full.
 const MOVE_SPAN: Micros = SECOND;
 
-// ---- Hashes: all balancers must agree on them, so they never change ----------------------------------
-
-/// Mixes a word (SplitMix64 finaliser).
-pub fn mix(x: u64) -> u64 {
-    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-/// h(key, attempt): the attempt scatters what overflows.
-pub fn hash(key: u64, attempt: u32) -> u64 {
-    mix(mix(key) ^ u64::from(attempt))
-}
-
-/// The slot of h(key, attempt).
-fn slot(key: u64, attempt: u32) -> usize {
-    hash(key, attempt) as usize % SLOTS
-}
-
-/// A fraction in [0, 1) from two words: where a key stands among those that share something.
-fn fraction(a: u64, b: u64) -> f32 {
-    (mix(mix(a) ^ b) >> 40) as f32 / (1u64 << 24) as f32
-}
-
 // ---- State -----------------------------------------------------------------------------------------
 
 const TIMER_DEADLINE: u64 = 1 << 32;
@@ -118,7 +92,6 @@
 const TIMER_ASK: u64 = 4 << 32;
 const TIMER_PROBE: u64 = 5 << 32;
 const SHED_SALT: u64 = 1;
-const NOBODY: u32 = u32::MAX;
 
 type Out = Vec<Action>;
 /// Each group's servers in the order of its jumps, with the share of all connections meant for each.
@@ -367,8 +340,10 @@
             // Live sizes change all the time: homes must not move with them.
             Weights::None | Weights::Live => POINTS as u32,
         };
-        lay(&mut self.ready_slots, &self.servers, |s| s.ready, points);
-        lay(&mut self.known_slots, &self.servers, |s| !s.gone, points);
+        let all = || self.servers.iter().enumerate().map(|(i, s)| (i as u32, s));
+        let of = |(i, s): (u32, &Server)| (i, s.id, points(s));
+        lay(&mut self.ready_slots, &all().filter(|(_, s)| s.ready).map(of).collect::<Vec<_>>());
+        lay(&mut self.known_slots, &all().filter(|(_, s)| !s.gone).map(of).collect::<Vec<_>>());
         self.replan();
     }
 
@@ -702,6 +677,11 @@
         best.map(|(_, _, i)| i)
     }
 
+    /// How many listed servers get nothing new now, as the list, hands or their health say.
+    pub fn avoided(&self, now: Micros) -> usize {
+        self.servers.iter().filter(|s| !s.gone && (!s.ready || now < s.ejected_until)).count()
+    }
+
     // ---- Attempts and deadlines --------------------------------------------------------------------
 
     fn arrived(&mut self, request: Request, out: &mut Out) {
@@ -898,25 +878,3 @@
         u64::from(q.id.0) | 1 << 63
     }
 }
-
-/// Gives each slot to the nearest chosen server clockwise. A slot that two points share goes to the
-/// server that hashes lower, so that the order of the list does not matter.
-fn lay(slots: &mut [u32], all: &[Server], chosen: fn(&Server) -> bool, points: impl Fn(&Server) -> u32) {
-    slots.fill(NOBODY);
-    for (i, s) in all.iter().enumerate().filter(|(_, s)| chosen(s)) {
-        for point in 0..points(s) {
-            // Inverted: a key that equals a server's id must not jump along that server's own points.
-            let slot = &mut slots[slot(!s.id.0, point)];
-            if *slot == NOBODY || mix(all[*slot as usize].id.0) > mix(s.id.0) {
-                *slot = i as u32;
-            }
-        }
-    }
-    let Some(mut owner) = slots.iter().copied().find(|&o| o != NOBODY) else { return };
-    for slot in slots.iter_mut().rev() {
-        if *slot == NOBODY {
-            *slot = owner;
-        }
-        owner = *slot;
-    }
-}
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,12 +5,13 @@
 use jaspermoor::api::{ListKind, Member};
 use jaspermoor::config::Config;
 use jaspermoor::decide::{run_timers, Decisions, Orders};
+use jaspermoor::net::admin::Admin;
 use jaspermoor::net::client::Relay;
 use jaspermoor::net::discovery::{Directory, Source, Watcher};
+use jaspermoor::net::listen::Door;
 use jaspermoor::net::{log, probe, spawn};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::net::TcpListener;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -92,6 +93,14 @@
     // Before all else: a signal that comes during the start must neither end the program nor be missed.
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let config = Config::load(&env)?;
+    let door = match config.accept_fd {
+        Some(fd) => {
+            Door::inherit(fd).map_err(|e| format!("BALANCER_ACCEPT_FD: cannot listen on {fd}: {e}"))?
+        }
+        None => Door::open(config.listen)
+            .map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?,
+    };
+    let (address, door) = (door.addr()?, Arc::new(door));
     let source = Source::new(config.discovery);
     let (watch, watch_orders) = bounded(4);
     let (probe, probe_orders) = bounded(64);
@@ -102,9 +111,6 @@
     }
     let cached: Vec<Member> = config.known.iter().map(|(_, member)| member.clone()).collect();
     let decisions = Decisions::new(config.settings.clone(), config.seed, cached, Orders { watch, probe });
-    let listener = TcpListener::bind(config.listen)
-        .map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?;
-    let address = listener.local_addr()?;
     let relay = Relay::new(&config, decisions.clone(), directory.clone())?;
 
     let timers = decisions.clone();
@@ -124,15 +130,21 @@
     spawn("probe", move || probe::run(&probe_orders, &shared.directory, &shared.decisions, &shared.names))?;
     let shared = relay.clone();
     spawn("forward", move || shared.forwarder.run())?;
-    let shared = relay.clone();
-    spawn("accept", move || shared.accept(&listener))?;
+    if let Some(addr) = config.admin {
+        let admin =
+            Admin::open(addr, relay.clone()).map_err(|e| format!("admin: cannot listen on {addr}: {e}"))?;
+        log(&format!("{}: answers staff on {}", config.name, admin.addr()?));
+        spawn("admin", move || admin.run())?;
+    }
+    let (shared, entry) = (relay.clone(), door.clone());
+    spawn("accept", move || shared.accept(&entry))?;
     log(&format!("{}: serves on {address}", config.name));
     // A thread of its own: signals are still taken while the relay stops.
     let (stop, stopped) = bounded::<()>(1);
     let handle = signals.handle();
     spawn("drain", move || {
         if stopped.recv().is_ok() {
-            relay.drain();
+            relay.drain(&door);
             handle.close();
         }
     })?;
--- a/src/net/admit.rs
+++ b/src/net/admit.rs
@@ -2,6 +2,7 @@
 //! nothing never take the room of those that do.
 
 use crate::config::Limits;
+use crate::net::admin::CALLERS;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -10,7 +11,7 @@
 
 /// Descriptors for all that is no client's: standard streams, listener, signals, discovery, a probe,
 /// the configuration while it is read.
-const RESERVE: usize = 24;
+const RESERVE: usize = 16;
 /// Memory that a connection may need that is served: two stacks as far as they are used, two buffers.
 const PER_REQUEST: usize = 48 * 1024;
 /// The same for one that has not asked yet: one of each.
@@ -56,10 +57,17 @@
 impl Admission {
     /// The room within these limits. Clients with requests hold at most a third of the descriptors, and
     /// each needs a second one for its backend; what is left is for those that have not asked yet.
-    pub fn new(limits: &Limits) -> Arc<Admission> {
+    ///
+    /// Where the platform holds the listening socket, two processes share all of it during an upgrade. Of
+    /// the clients with requests there are no more than before; the rest is halved for good.
+    pub fn new(limits: &Limits, admin: bool, held: bool) -> Arc<Admission> {
         let (sockets, memory) = (limits.sockets as usize, limits.memory_mb as usize * 1024 * 1024);
-        let requests_most = sockets.div_ceil(3).min(memory / 2 / PER_REQUEST).max(1);
-        let guests = sockets.saturating_sub(RESERVE + 2 * requests_most).min(memory / 4 / PER_GUEST);
+        let processes = if held { 2 } else { 1 };
+        let reserve = RESERVE + if admin { CALLERS + 1 } else { 0 };
+        let left = sockets.saturating_sub(processes * (reserve + GUESTS_LEAST));
+        let requests_most = sockets.div_ceil(3).min(left / 2).min(memory / 2 / PER_REQUEST).max(1);
+        let guests = (sockets / processes).saturating_sub(reserve + 2 * requests_most / processes);
+        let guests = guests.min(memory / processes / 4 / PER_GUEST);
         Arc::new(Admission {
             guests_most: guests.max(GUESTS_LEAST),
             requests_most,
@@ -102,6 +110,11 @@
         Guest { admission: self.clone(), number, stream }
     }
 
+    /// How many connections have not asked yet.
+    pub fn guests(&self) -> usize {
+        self.lock().waiting.len()
+    }
+
     /// How many requests and connections are under way.
     pub fn requests(&self) -> usize {
         self.lock().open.len()
@@ -173,7 +186,7 @@
     use std::net::TcpListener;
 
     fn admission(sockets: u64, memory_mb: u64) -> Arc<Admission> {
-        Admission::new(&Limits { cores: 1.0, memory_mb, sockets })
+        Admission::new(&Limits { cores: 1.0, memory_mb, sockets }, false, false)
     }
 
     #[test]
@@ -188,6 +201,22 @@
         }
     }
 
+    /// During an upgrade two processes share the limits; callers at the second address need their part.
+    #[test]
+    fn two_processes_and_their_callers_stay_within_the_limits() {
+        for (sockets, memory_mb) in [(256, 32), (384, 48), (1024, 192)] {
+            let limits = Limits { cores: 1.0, memory_mb, sockets };
+            for (held, processes) in [(false, 1), (true, 2)] {
+                let (requests, guests) = Admission::new(&limits, true, held).most();
+                let all = 2 * requests + processes * (guests + RESERVE + CALLERS + 1);
+                assert!(all <= sockets as usize, "{sockets} sockets, held {held}: {requests}, {guests}");
+                let memory = requests * PER_REQUEST + processes * guests * PER_GUEST;
+                assert!(memory <= memory_mb as usize * 1024 * 1024 * 3 / 4);
+                assert!(requests >= sockets as usize * 3 / 10);
+            }
+        }
+    }
+
     /// Connections that said nothing once filled the relay, and clients with requests were refused.
     #[test]
     fn the_silent_make_room_and_those_that_asked_stay_longer() {
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -7,6 +7,7 @@
 use socket2::SockRef;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -94,6 +95,7 @@
             Outcome::ConnectFailed
         });
     }
+    relay.metrics.tries.fetch_add(1, Relaxed);
     let mut buffer = LineBuffer::default();
     loop {
         let wait = left();
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -9,10 +9,13 @@
 use crate::net::forward::Forwarder;
 use crate::net::greet::{first_line, part, say};
 use crate::net::line::Open;
+use crate::net::listen::Door;
+use crate::net::metrics::{Metrics, Tally};
 use crate::net::note::Notes;
 use crate::net::{log, spawn};
 use std::collections::BTreeMap;
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -43,6 +46,9 @@
     pub admission: Arc<Admission>,
     /// The connections that are up.
     pub forwarder: Forwarder,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
+    open: AtomicBool,
     sessions: Mutex<BTreeMap<u64, Weak<Session>>>,
 }
 
@@ -58,6 +64,8 @@
         directory: Arc<Directory>,
     ) -> std::io::Result<Arc<Self>> {
         let longest = config.names.deadlines.iter().max().copied().unwrap_or(0);
+        let metrics = Arc::new(Metrics::default());
+        metrics.show(&config.names.classes);
         Ok(Arc::new(Relay {
             decisions,
             directory,
@@ -66,58 +74,72 @@
             dial_timeout: Duration::from_micros(config.settings.dial_timeout),
             max_retry_after: config.settings.max_retry_after,
             longest_deadline: Duration::from_micros(longest),
-            admission: Admission::new(&config.limits),
+            admission: Admission::new(&config.limits, config.admin.is_some(), config.accept_fd.is_some()),
             forwarder: Forwarder::new()?,
+            metrics,
+            open: AtomicBool::new(false),
             sessions: Mutex::default(),
         }))
     }
 
-    /// Takes in connections for good.
-    pub fn accept(self: &Arc<Self>, listener: &TcpListener) -> ! {
+    /// Whether this process takes clients.
+    pub fn takes_clients(&self) -> bool {
+        self.open.load(Relaxed)
+    }
+
+    /// Takes in connections until the door is closed.
+    pub fn accept(self: &Arc<Self>, door: &Door) {
+        self.open.store(true, Relaxed);
         loop {
             // What cannot be taken in now waits in the listener's queue.
             if !self.admission.room() {
-                sleep(Duration::from_millis(1));
+                if door.pause(Duration::from_millis(1)) {
+                    break;
+                }
                 continue;
             }
-            match listener.accept() {
-                Ok((client, _)) => {
-                    let (relay, guest) = (self.clone(), self.admission.guest(client));
-                    if let Err(e) = spawn("session", move || serve(&relay, guest)) {
-                        log(&format!("accept: no thread: {e}"));
-                    }
-                }
-                Err(e) => {
-                    log(&format!("accept: {e}"));
-                    sleep(Duration::from_millis(5));
-                }
+            let Some(client) = door.next() else { break };
+            let (relay, guest) = (self.clone(), self.admission.guest(client));
+            if let Err(e) = spawn("session", move || serve(&relay, guest)) {
+                log(&format!("accept: no thread: {e}"));
             }
         }
+        self.open.store(false, Relaxed);
     }
 
     fn live(&self) -> Vec<Arc<Session>> {
         lock(&self.sessions).values().filter_map(Weak::upgrade).collect()
     }
 
-    /// Serves on while connections come, moves the standing ones in a paced way, and returns once
-    /// none is left or the platform is about to kill.
-    pub fn drain(&self) {
+    /// Moves the standing connections in a paced way and returns once none is left, or when the platform is
+    /// about to kill. Where the platform holds the listening socket, new clients are left to the process
+    /// that takes over; elsewhere they are served as long as they come.
+    pub fn drain(&self, door: &Door) {
         let start = Instant::now();
+        if door.held {
+            door.close();
+        }
+        let still_coming = if door.held { Duration::ZERO } else { STILL_COMING };
         let kill = self.longest_deadline.min(KILL_DEADLINE) + KILL_AFTER;
         let step = Duration::from_millis(25);
         // All told to move by then: time enough for the ends and for answers that are still owed.
-        let moved_by = kill.mul_f32(0.6).max(STILL_COMING + step);
+        let moved_by = kill.mul_f32(0.6).max(still_coming + step);
         while start.elapsed() + Duration::from_millis(200) < kill {
             sleep(step);
             let now = start.elapsed();
             let standing: Vec<_> = self.live().into_iter().filter(|s| s.stands()).collect();
-            if now < STILL_COMING {
+            if now < still_coming {
                 continue;
             }
             let steps = (moved_by.saturating_sub(now).as_secs_f32() / step.as_secs_f32()).max(1.0);
             let share = (standing.len() as f32 / steps).ceil() as usize;
             standing.iter().take(share).for_each(|s| s.relocate());
-            if now > 2 * STILL_COMING && self.admission.requests() == 0 {
+            // Those that have yet to ask are waited for where nobody else would hear them.
+            let last = match door.held {
+                true => !self.takes_clients() && self.admission.guests() == 0,
+                false => now > 2 * STILL_COMING,
+            };
+            if last && self.admission.requests() == 0 {
                 return;
             }
         }
@@ -245,12 +267,28 @@
     backend: String,
     attempts: u16,
     began: Instant,
+    /// Its part in the figures; none before its class is known.
+    tally: Option<Tally>,
 }
 
 impl Account {
+    /// Counts it as brought up.
+    pub fn passed(&self) {
+        self.tally.iter().for_each(Tally::passed);
+    }
+
+    /// Counts it by its final answer, if it was given one.
+    pub fn answered(&self, answer: &str) {
+        match &self.tally {
+            Some(tally) if answer.starts_with("BUSY") => tally.dropped(),
+            Some(tally) if !answer.is_empty() => tally.failed(),
+            _ => {}
+        }
+    }
+
     /// Writes the connection's one line.
     pub fn log(&self, reason: &str) {
-        let Account { name, class, backend, attempts, began } = self;
+        let Account { name, class, backend, attempts, began, .. } = self;
         let ms = began.elapsed().as_millis();
         log(&format!(
             "end id={name} class={class} backend={backend} attempts={attempts} ms={ms} reason={reason}"
@@ -260,7 +298,7 @@
 
 fn serve(relay: &Arc<Relay>, guest: Guest) {
     let (name, class, backend) = (String::new(), String::new(), String::new());
-    let mut account = Account { name, class, backend, attempts: 0, began: Instant::now() };
+    let mut account = Account { name, class, backend, attempts: 0, began: Instant::now(), tally: None };
     let (open, rest) = match first_line(&guest, &relay.names) {
         Ok(asked) => asked,
         // The health checks of the front come and go; they are no connections.
@@ -269,6 +307,7 @@
     };
     account.name = open.name.clone();
     account.class = relay.names.classes[open.request.class].clone();
+    account.tally = Some(relay.metrics.begin(&account.class));
     let (answer, reason) = match guest.request(&open.name) {
         Ok(room) => {
             let (relay, client, state) = (relay.clone(), guest.stream.clone(), Mutex::default());
@@ -283,6 +322,8 @@
         Err(Denied::IdInUse) => ("ERR id-in-use".to_string(), "id-in-use"),
     };
     account.log(reason);
+    account.answered(&answer);
+    drop(account);
     say(&guest.stream, &answer);
     part(&guest.stream);
 }
@@ -371,6 +412,7 @@
     use crate::net::line::{opening, Opening};
     use crossbeam_channel::bounded;
     use std::io::Read;
+    use std::net::TcpListener;
 
     struct Setup {
         listener: TcpListener,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -145,6 +145,11 @@
         self.lock().get(&server).map(|(endpoint, _)| endpoint.clone())
     }
 
+    /// How many backends the list has.
+    pub fn known(&self) -> usize {
+        self.lock().len()
+    }
+
     /// Whether something new may go there.
     pub fn takes_new(&self, server: ServerId) -> bool {
         self.lock().get(&server).is_some_and(|&(_, state)| state == MemberState::Ready)
--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -128,6 +128,7 @@
     pub fn answer(&self, session: &Session, account: Account, answer: &str, reason: &'static str) {
         self.with(session.number(), |conn| {
             account.log(reason);
+            account.answered(answer);
             if !answer.is_empty() {
                 conn.last = format!("{answer}\r\n").into_bytes();
             }
@@ -140,6 +141,7 @@
         self.with(session.number(), |conn| {
             let _ = up.0.set_nonblocking(true);
             (conn.backend, conn.down) = (Some((up.0, id, server)), up.1);
+            account.passed();
             (conn.account, conn.phase) = (Some(account), Phase::Up);
             conn.flush_down();
             conn.flush_up();
--- /dev/null
+++ b/src/net/metrics.rs
@@ -0,0 +1,167 @@
+//! The figures of this process. They are counted where things happen, outside the decisions' lock, and
+//! rendered in one place, in the text form that scrapers read.
+
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// How the connections of one class were answered.
+#[derive(Default)]
+struct Class {
+    name: String,
+    passed: AtomicU64,
+    dropped: AtomicU64,
+    bad_gateway: AtomicU64,
+}
+
+/// All figures that are counted. They start at 0 with the process.
+#[derive(Default)]
+pub struct Metrics {
+    classes: Mutex<Vec<Arc<Class>>>,
+    in_progress: AtomicU64,
+    /// Attempts written whole to backends.
+    pub tries: AtomicU64,
+    /// Configurations taken at SIGHUP.
+    pub loads: AtomicU64,
+    /// Configurations turned down at SIGHUP.
+    pub load_errors: AtomicU64,
+}
+
+/// What is not counted but looked up when the figures are asked for.
+pub struct Fleet {
+    /// Backends on the list.
+    pub known: usize,
+    /// Those of them that the relay avoids now, by hand or by choice.
+    pub skipped: usize,
+}
+
+impl Metrics {
+    fn lock(&self) -> MutexGuard<'_, Vec<Arc<Class>>> {
+        self.classes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Shows these classes from now on. One that has vanished from the settings keeps its figures.
+    pub fn show(&self, names: &[String]) {
+        let mut classes = self.lock();
+        for name in names {
+            if !classes.iter().any(|c| c.name == *name) {
+                classes.push(Arc::new(Class { name: name.clone(), ..Class::default() }));
+            }
+        }
+    }
+
+    /// Counts a connection of this class as in progress until its tally is dropped.
+    pub fn begin(self: &Arc<Self>, class: &str) -> Tally {
+        self.in_progress.fetch_add(1, Relaxed);
+        let class = self.lock().iter().find(|c| c.name == class).cloned();
+        Tally { metrics: self.clone(), class: class.unwrap_or_default() }
+    }
+
+    /// The figures as text.
+    pub fn render(&self, fleet: &Fleet) -> String {
+        let mut text = String::new();
+        let classes = self.lock().clone();
+        type Figure = fn(&Class) -> &AtomicU64;
+        let by_class: [(&str, Figure); 3] = [
+            ("passed_total", |c| &c.passed),
+            ("dropped_total", |c| &c.dropped),
+            ("bad_gateway_total", |c| &c.bad_gateway),
+        ];
+        // Writing to a text cannot fail.
+        for (name, figure) in by_class {
+            let _ = writeln!(text, "# TYPE edge_balancer_{name} counter");
+            for class in &classes {
+                let (label, n) = (escaped(&class.name), figure(class).load(Relaxed));
+                let _ = writeln!(text, "edge_balancer_{name}{{category=\"{label}\"}} {n}");
+            }
+        }
+        let single = [
+            ("upstream_tries_total", "counter", self.tries.load(Relaxed)),
+            ("loads_total", "counter", self.loads.load(Relaxed)),
+            ("load_errors_total", "counter", self.load_errors.load(Relaxed)),
+            ("in_progress", "gauge", self.in_progress.load(Relaxed)),
+            ("known_backends", "gauge", fleet.known as u64),
+            ("skipped_backends", "gauge", fleet.skipped as u64),
+        ];
+        for (name, kind, n) in single {
+            let _ = writeln!(text, "# TYPE edge_balancer_{name} {kind}\nedge_balancer_{name} {n}");
+        }
+        text
+    }
+}
+
+/// A label's value, as the text form wants it.
+fn escaped(label: &str) -> String {
+    label.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
+
+/// One connection's part in the figures; it is in progress until this is dropped.
+pub struct Tally {
+    metrics: Arc<Metrics>,
+    class: Arc<Class>,
+}
+
+impl Tally {
+    /// Its backend has taken it.
+    pub fn passed(&self) {
+        self.class.passed.fetch_add(1, Relaxed);
+    }
+
+    /// It was refused.
+    pub fn dropped(&self) {
+        self.class.dropped.fetch_add(1, Relaxed);
+    }
+
+    /// It has failed.
+    pub fn failed(&self) {
+        self.class.bad_gateway.fetch_add(1, Relaxed);
+    }
+}
+
+impl Drop for Tally {
+    fn drop(&mut self) {
+        self.metrics.in_progress.fetch_sub(1, Relaxed);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn names(list: &[&str]) -> Vec<String> {
+        list.iter().map(|n| n.to_string()).collect()
+    }
+
+    #[test]
+    fn figures_start_at_zero_and_outlive_their_class() {
+        let metrics = Arc::new(Metrics::default());
+        metrics.show(&names(&["chat", "a\"b\\c"]));
+        let fleet = Fleet { known: 9, skipped: 2 };
+        let text = metrics.render(&fleet);
+        for line in [
+            "edge_balancer_passed_total{category=\"chat\"} 0",
+            "edge_balancer_bad_gateway_total{category=\"a\\\"b\\\\c\"} 0",
+            "edge_balancer_upstream_tries_total 0",
+            "edge_balancer_in_progress 0",
+            "edge_balancer_known_backends 9",
+            "edge_balancer_skipped_backends 2",
+            "edge_balancer_load_errors_total 0",
+        ] {
+            assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
+        }
+        let (one, two) = (metrics.begin("chat"), metrics.begin("chat"));
+        one.passed();
+        two.dropped();
+        metrics.show(&names(&["new"]));
+        drop(one);
+        let text = metrics.render(&fleet);
+        for line in [
+            "edge_balancer_passed_total{category=\"chat\"} 1",
+            "edge_balancer_dropped_total{category=\"chat\"} 1",
+            "edge_balancer_dropped_total{category=\"new\"} 0",
+            "edge_balancer_in_progress 1",
+        ] {
+            assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The relay on sockets. It chooses no server, retries nothing by itself and judges no load: what to
 //! do comes from [`crate::decide`].
 
+pub mod admin;
 pub mod admit;
 pub mod backend;
 pub mod client;
@@ -8,6 +9,8 @@
 pub mod forward;
 pub mod greet;
 pub mod line;
+pub mod listen;
+pub mod metrics;
 pub mod note;
 pub mod probe;
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use jaspermoor::api::*;
-use jaspermoor::logic::{hash, mix};
+use jaspermoor::slots::{hash, mix};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The servers of `keys` clients without a group, each asked of a proxy that holds nothing else.
