Take backends out and back by hand, binding every process of a relay at once

Cause: there were no such calls, and logic.rs knew only what lists say.

Lines at fault: Balancer::member took `ready` from the list alone; backend.rs checked the list alone right before the first byte (Directory::takes_new).

The log names the entries of a change of the list. The tests fail without the change: the module sends to the server, and the second address answers 404.

--- a/src/api.rs
+++ b/src/api.rs
@@ -258,6 +258,8 @@
         /// The entries.
         members: Vec<Member>,
     },
+    /// Staff have taken a server out (true) or called it back; holds whatever lists say.
+    ByHand(ServerId, bool),
     /// A client's request; it is owed exactly one final answer.
     Request(Request),
     /// A connection that was open through this balancer when it started.
--- a/src/config.rs
+++ b/src/config.rs
@@ -8,6 +8,7 @@
 use simd_json::OwnedValue as Value;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// A configuration that cannot be used: one sentence that names the key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,6 +73,8 @@
     pub accept_fd: Option<u16>,
     /// The second address, for staff and scrapers; none on platforms that have none.
     pub admin: Option<SocketAddr>,
+    /// The directory for files that all processes of this relay share.
+    pub shared: Option<PathBuf>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// Seed of its random numbers.
@@ -174,6 +177,7 @@
             listen: address(&top, "listen", env("BALANCER_LISTEN"))?,
             accept_fd,
             admin,
+            shared: env("TMPDIR").filter(|dir| !dir.is_empty()).map(PathBuf::from),
             discovery: address(&top, "discovery", env("BALANCER_DISCOVERY"))?,
             seed,
             limits: Limits {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -244,6 +244,11 @@
         self.feed(self.lock(), Event::Members { kind, members });
     }
 
+    /// Staff have taken a server out, or called it back.
+    pub fn by_hand(&self, server: ServerId, out_of_use: bool) {
+        self.feed(self.lock(), Event::ByHand(server, out_of_use));
+    }
+
     /// Fires the timers that are due and sleeps until the next one, or until an earlier one is set.
     pub fn tick(&self) {
         loop {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,7 @@
     Action, Column, Effect, Event, Group, ListKind, Member, MemberState, Micros, Outcome, Request, RequestId,
     ServerId, Settings, Unknown, Weights, SECOND,
 };
-use crate::slots::{fraction, lay, slot, NOBODY, SLOTS};
+use crate::slots::{fraction, lay, own_key, slot, NOBODY, SLOTS};
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -81,6 +81,8 @@
 const RETRY_AFTER: Micros = SECOND * 2 / 5;
 /// Backoff of a failed call for the list, doubled up to eight times this, jittered.
 const ASK_BACKOFF: Micros = SECOND / 4;
+/// A server called back by hand is used again within this.
+const BACK_WITHIN: Micros = 3 * SECOND;
 /// Time over which connections are moved off a server that drains or is full.
 const MOVE_SPAN: Micros = SECOND;
 
@@ -103,11 +105,16 @@
     zone: u16,
     cell: u16,
     size: f32,
+    /// Whether the list has it as ready; `ready` is that and not taken out by hand.
+    listed: bool,
     ready: bool,
     gone: bool,
     /// When this proxy was told that it is no longer ready.
     told: Micros,
     started: Option<Micros>,
+    /// When it was called back by hand, and when it is to be used again at the latest.
+    back: Option<Micros>,
+    due: Option<Micros>,
     /// Sends that a cold server has earned.
     credit: f32,
     credit_at: Micros,
@@ -164,6 +171,8 @@
     servers: Vec<Server>,
     index: BTreeMap<ServerId, usize>,
     ready: Vec<usize>,
+    /// Servers taken out by hand.
+    by_hand: BTreeSet<ServerId>,
     ready_slots: Vec<u32>,
     known_slots: Vec<u32>,
     /// Sum of the sizes of the ready servers.
@@ -215,9 +224,10 @@
         self.now = now;
         match event {
             Event::Members { kind, members } => self.members(kind, members, out),
+            Event::ByHand(server, out_of_use) => self.by_hand(server, out_of_use, out),
             Event::Request(request) => self.arrived(self.within(request), out),
             Event::Open(request, server) => self.open(self.within(request), server),
-            Event::First { id, .. } => return self.first(id),
+            Event::First { id, .. } => return self.first(id, out),
             Event::DelayNote(id, server, took) => return self.delay(id, server, took, out),
             Event::Outcome { id, outcome, last, .. } => return self.ended(id, outcome, last, out),
             Event::Vanished(id) => self.vanished(id),
@@ -266,13 +276,9 @@
                 }
             }
         }
-        for m in members {
-            self.member(m, &mut left);
-        }
+        members.into_iter().for_each(|m| self.member(m, &mut left));
         self.rebuild();
-        for server in left {
-            self.evacuate(server, 1.0, out);
-        }
+        left.into_iter().for_each(|server| self.evacuate(server, 1.0, out));
         if self.probes == 0 {
             self.probe(out);
         }
@@ -286,15 +292,15 @@
         let i = self.entry(m.server);
         if m.started != self.servers[i].started {
             // The same id with a new start is a cold process: its past says nothing.
-            let Server { id, held, told, ready, .. } = self.servers[i];
-            self.servers[i] = Server { id, held, told, ready, ..Server::default() };
-            (self.servers[i].credit, self.servers[i].credit_at) = (phase, self.now);
+            self.forget(i, phase);
         }
-        if m.state != MemberState::Ready {
+        let listed = m.state == MemberState::Ready;
+        let ready = listed && !self.by_hand.contains(&m.server);
+        if !ready {
             self.leave(i, left);
         }
         let s = &mut self.servers[i];
-        (s.ready, s.gone) = (m.state == MemberState::Ready, m.state == MemberState::Gone);
+        (s.listed, s.ready, s.gone) = (listed, ready, m.state == MemberState::Gone);
         (s.zone, s.cell, s.started) = (m.zone, m.cell, m.started);
         s.size = if m.size.is_finite() && m.size > 0.0 { m.size } else { 1.0 };
     }
@@ -317,10 +323,35 @@
         }
     }
 
+    /// Keeps of a server what it is, and nothing of how it was.
+    fn forget(&mut self, i: usize, credit: f32) {
+        let Server { id, zone, cell, size, listed, ready, gone, held, told, started, due, .. } =
+            self.servers[i];
+        let new = Server { credit, credit_at: self.now, due, ..Server::default() };
+        self.servers[i] = Server { id, zone, cell, size, listed, ready, gone, held, told, started, ..new };
+    }
+
+    /// Staff take a server out, or call it back. They restart it meanwhile: its past says nothing then, and
+    /// it counts as cold from the call on. Each balancer uses it soon, but not all of them at once.
+    fn by_hand(&mut self, server: ServerId, out_of_use: bool, out: &mut Out) {
+        let changed = if out_of_use { self.by_hand.insert(server) } else { self.by_hand.remove(&server) };
+        let Some(&i) = self.index.get(&server).filter(|_| changed) else { return };
+        let mut left = Vec::new();
+        if out_of_use {
+            self.leave(i, &mut left);
+        } else {
+            self.forget(i, 0.0);
+            let due = self.now + self.rng.0.rand_range(0..BACK_WITHIN);
+            let s = &mut self.servers[i];
+            (s.ready, s.back, s.due) = (s.listed && !s.gone, Some(self.now), Some(due));
+        }
+        self.rebuild();
+        left.into_iter().for_each(|server| self.evacuate(server, 1.0, out));
+    }
+
     /// Subscribes to the list.
     fn ask(&mut self, out: &mut Out) {
-        if !self.watching {
-            self.watching = true;
+        if !std::mem::replace(&mut self.watching, true) {
             out.push(Action::Watch(true));
         }
     }
@@ -447,7 +478,7 @@
 
     /// The share of its capacity that a server surely has.
     fn warmth(&self, s: &Server) -> f32 {
-        let Some(started) = s.started else { return 1.0 };
+        let Some(started) = s.started.max(s.back) else { return 1.0 };
         let age = self.now.saturating_sub(started) as f32;
         let start = self.settings.start_capacity;
         (start + (1.0 - start) * age / (self.settings.warm_within as f32).max(1.0)).min(1.0)
@@ -581,10 +612,10 @@
     fn place(&mut self, p: &Pending) -> Option<usize> {
         let own = own_key(&p.request);
         let key = if p.request.group != 0 { p.request.group } else { own };
-        if p.request.mid_flow && p.tried.is_empty() {
-            if let Some(i) = self.holder(key, own) {
-                return Some(i);
-            }
+        let mid_flow = p.request.mid_flow && p.tried.is_empty();
+        let first = mid_flow.then(|| self.holder(key, own)).flatten().or_else(|| self.due(p));
+        if first.is_some() {
+            return first;
         }
         let usable = |this: &mut Self, list: Vec<usize>| -> Vec<usize> {
             list.into_iter().filter(|&i| i < this.servers.len() && this.usable(i, p)).collect()
@@ -603,6 +634,14 @@
         found.or_else(|| self.fallback(own, p))
     }
 
+    /// A server called back by hand that is to be used again by now; it has earned that whatever its credit.
+    fn due(&mut self, p: &Pending) -> Option<usize> {
+        let due = |s: &Server| s.held == 0 && s.due.is_some_and(|at| at <= self.now);
+        let i = self.ready.iter().copied().find(|&i| due(&self.servers[i]))?;
+        self.servers[i].credit = 1.0;
+        Some(i).filter(|&i| self.usable(i, p))
+    }
+
     /// A group's homes in this client's order: weighted rendezvous, so that one more moves only its own.
     fn order(&self, homes: &Homes, group: u64, own: u64) -> Vec<usize> {
         let Some(list) = homes.get(&group) else { return Vec::new() };
@@ -634,16 +673,14 @@
     /// Whether a send there is allowed by the list, the warm-up, and what has been tried and may have run.
     fn lawful(&mut self, i: usize, p: &Pending) -> bool {
         let s = &self.servers[i];
-        if !s.ready || p.tried.contains(&s.id) {
-            return false;
-        }
+        let new = s.ready && !p.tried.contains(&s.id);
         let same = match (p.ran, self.settings.classes[p.request.class].effect) {
             (None, _) | (_, Effect::Safe | Effect::Keyed { group: Group::All, .. }) => true,
             (Some((_, zone, _)), Effect::Keyed { group: Group::Zone, .. }) => s.zone == zone,
             (Some((_, _, cell)), Effect::Keyed { group: Group::Cell, .. }) => s.cell == cell,
             (Some(_), Effect::Unsafe) => false,
         };
-        same && self.credited(i)
+        new && same && self.credited(i)
     }
 
     /// A whole cap admits as in the paper; of a cut one, the keys share what is left.
@@ -737,6 +774,7 @@
             self.retries =
                 if again { self.retries - 1.0 } else { (self.retries + RETRY_SHARE).min(RETRY_SAVED) };
             let s = &mut self.servers[i];
+            s.due = None;
             s.credit -= 1.0;
             s.since += 1.0;
             (p.phase, p.server, p.sent_at) = (Phase::Out, s.id, self.now);
@@ -766,13 +804,17 @@
         out.push(if harmless { Action::Refuse(id, wait) } else { Action::Fail(id) });
     }
 
-    fn first(&mut self, id: RequestId) -> Result<(), Unknown> {
+    fn first(&mut self, id: RequestId, out: &mut Out) -> Result<(), Unknown> {
         let p = self.pending.get_mut(&id).ok_or(Unknown::Request(id))?;
         if p.phase == Phase::Out && !p.answered {
             (p.phase, p.answered) = (Phase::Up, true);
         }
-        if let Some(&i) = self.index.get(&p.server) {
-            self.succeeded(i);
+        let server = p.server;
+        let i = self.entry(server);
+        self.succeeded(i);
+        if self.by_hand.contains(&server) {
+            // It came up after the others there were told to move.
+            out.push(Action::Timer(self.now, TIMER_MOVE | u64::from(id.0)));
         }
         Ok(())
     }
@@ -842,10 +884,9 @@
     // ---- Moves -------------------------------------------------------------------------------------
 
     fn relocate(&mut self, id: RequestId, out: &mut Out) {
-        match self.pending.get_mut(&id) {
-            Some(p) if p.phase == Phase::Up && !p.moving => p.moving = true,
-            _ => return,
-        }
+        let standing = |p: &&mut Pending| p.phase == Phase::Up && !p.moving;
+        let Some(p) = self.pending.get_mut(&id).filter(standing) else { return };
+        p.moving = true;
         out.push(Action::Move(id));
     }
 
@@ -869,12 +910,3 @@
         }
     }
 }
-
-/// What tells a client from others of its group.
-fn own_key(q: &Request) -> u64 {
-    if q.key != 0 {
-        q.key
-    } else {
-        u64::from(q.id.0) | 1 << 63
-    }
-}
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 use jaspermoor::config::Config;
 use jaspermoor::decide::{run_timers, Decisions, Orders};
 use jaspermoor::net::admin::Admin;
+use jaspermoor::net::bans::Bans;
 use jaspermoor::net::client::Relay;
 use jaspermoor::net::discovery::{Directory, Source, Watcher};
 use jaspermoor::net::listen::Door;
@@ -131,8 +132,8 @@
     let shared = relay.clone();
     spawn("forward", move || shared.forwarder.run())?;
     if let Some(addr) = config.admin {
-        let admin =
-            Admin::open(addr, relay.clone()).map_err(|e| format!("admin: cannot listen on {addr}: {e}"))?;
+        let admin = Admin::open(addr, relay.clone(), Bans::new(config.shared.clone()))
+            .map_err(|e| format!("admin: cannot listen on {addr}: {e}"))?;
         log(&format!("{}: answers staff on {}", config.name, admin.addr()?));
         spawn("admin", move || admin.run())?;
     }
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -3,9 +3,12 @@
 //! One thread waits for all callers. A caller that hangs costs it a place and no time: places are few, and
 //! when all are taken the caller that has had one for longest gives it up.
 
+use crate::net::bans::Bans;
 use crate::net::client::Relay;
+use crate::net::discovery::server_id;
 use crate::net::metrics::Fleet;
 use crate::net::{log, timed_out};
+use percent_encoding::percent_decode_str;
 use rustix::event::{poll, PollFd, PollFlags};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -30,6 +33,8 @@
     Ready,
     /// The figures.
     Counters,
+    /// To take the backend of that id out of use (true), or to call it back.
+    Backend(String, bool),
 }
 
 /// An answer: its status, and what it says.
@@ -56,7 +61,10 @@
     let (method, call) = match path {
         "/control/ready" => ("GET", Call::Ready),
         "/control/counters" => ("GET", Call::Counters),
-        _ => return Some(Err(answer(404, "no such call"))),
+        _ => match by_hand(path) {
+            Some(call) => ("POST", call),
+            None => return Some(Err(answer(404, "no such call"))),
+        },
     };
     Some(match request.method {
         Some(m) if m == method => Ok(call),
@@ -64,6 +72,17 @@
     })
 }
 
+/// What a path asks about a backend.
+fn by_hand(path: &str) -> Option<Call> {
+    let (id, verb) = path.strip_prefix("/control/backends/")?.split_once('/')?;
+    let id = percent_decode_str(id).decode_utf8().ok().filter(|id| !id.is_empty())?;
+    match verb {
+        "offline" => Some(Call::Backend(id.into_owned(), true)),
+        "online" => Some(Call::Backend(id.into_owned(), false)),
+        _ => None,
+    }
+}
+
 /// The whole answer as it goes out.
 fn written((status, text): &Answer) -> Vec<u8> {
     let reason = match status {
@@ -141,14 +160,52 @@
 pub struct Admin {
     listener: TcpListener,
     relay: Arc<Relay>,
+    bans: Bans,
 }
 
 impl Admin {
-    /// Listens at this address.
-    pub fn open(addr: SocketAddr, relay: Arc<Relay>) -> io::Result<Admin> {
+    /// Listens at this address, with the bans that are in force already.
+    pub fn open(addr: SocketAddr, relay: Arc<Relay>, bans: Bans) -> io::Result<Admin> {
         let listener = TcpListener::bind(addr)?;
         listener.set_nonblocking(true)?;
-        Ok(Admin { listener, relay })
+        let mut admin = Admin { listener, relay, bans };
+        admin.follow();
+        Ok(admin)
+    }
+
+    /// Takes over what another process of this relay was told.
+    fn follow(&mut self) {
+        for (id, out_of_use) in self.bans.news() {
+            self.apply(&id, out_of_use);
+        }
+    }
+
+    /// Tells the network first: it checks right before a first byte goes out.
+    fn apply(&self, id: &str, out_of_use: bool) {
+        log(&format!("admin: backend {id} is {} by hand", if out_of_use { "out" } else { "back" }));
+        self.relay.directory.by_hand(server_id(id), out_of_use);
+        self.relay.decisions.by_hand(server_id(id), out_of_use);
+    }
+
+    /// Takes a backend out, or calls it back. Two calls for the same are one.
+    fn by_hand(&mut self, id: &str, out_of_use: bool) -> Answer {
+        if !self.bans.holds(id) && self.relay.directory.endpoint(server_id(id)).is_none() {
+            return answer(404, "no backend has this id");
+        }
+        if self.bans.holds(id) != out_of_use {
+            // A ban binds this process even if the others cannot be told of it.
+            if out_of_use {
+                self.apply(id, true);
+            }
+            if let Err(e) = self.bans.set(id, out_of_use) {
+                log(&format!("admin: backend {id}: cannot be noted for other processes: {e}"));
+                return answer(500, "cannot be noted for other processes of this relay");
+            }
+            if !out_of_use {
+                self.apply(id, false);
+            }
+        }
+        answer(200, if out_of_use { "out" } else { "back" })
     }
 
     /// Where it listens.
@@ -157,9 +214,14 @@
     }
 
     /// Answers callers for good.
-    pub fn run(self) -> ! {
+    pub fn run(mut self) -> ! {
         let mut callers: Vec<Caller> = Vec::new();
+        let mut looked = Instant::now();
         loop {
+            if looked.elapsed() >= LOOK {
+                looked = Instant::now();
+                self.follow();
+            }
             let mut fds = vec![PollFd::new(&self.listener, PollFlags::IN)];
             fds.extend(callers.iter().map(|caller| {
                 let blocked = caller.rest.as_ref().is_some_and(|rest| !rest.is_empty());
@@ -206,10 +268,11 @@
         }
     }
 
-    fn serve(&self, call: &Call) -> Answer {
+    fn serve(&mut self, call: &Call) -> Answer {
         match call {
             Call::Ready if self.relay.takes_clients() => answer(200, "ready"),
             Call::Ready => answer(503, "takes no clients"),
+            Call::Backend(id, out_of_use) => self.by_hand(id, *out_of_use),
             Call::Counters => {
                 let fleet =
                     Fleet { known: self.relay.directory.known(), skipped: self.relay.decisions.avoided() };
@@ -231,6 +294,12 @@
         let cases: &[(&str, Result<Call, u16>)] = &[
             ("GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n", Ok(Call::Ready)),
             ("GET /control/counters?all=1 HTTP/1.1\r\n\r\n", Ok(Call::Counters)),
+            ("POST /control/backends/s-1/offline HTTP/1.1\r\n\r\n", Ok(Call::Backend("s-1".into(), true))),
+            ("POST /control/backends/s%2F1/online HTTP/1.1\r\n\r\n", Ok(Call::Backend("s/1".into(), false))),
+            ("GET /control/backends/s-1/offline HTTP/1.1\r\n\r\n", Err(405)),
+            ("POST /control/backends/s-1/away HTTP/1.1\r\n\r\n", Err(404)),
+            ("POST /control/backends//online HTTP/1.1\r\n\r\n", Err(404)),
+            ("POST /control/backends/%ff/online HTTP/1.1\r\n\r\n", Err(404)),
             ("POST /control/ready HTTP/1.1\r\n\r\n", Err(405)),
             ("GET /control HTTP/1.1\r\n\r\n", Err(404)),
             ("GET /control/ready/ HTTP/1.1\r\n\r\n", Err(404)),
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,7 +7,7 @@
 use crossbeam_channel::Receiver;
 use simd_json::prelude::*;
 use simd_json::OwnedValue as Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -21,6 +21,8 @@
 const MAX_HEAD: usize = 16 * 1024;
 /// The longest line of a watch.
 const MAX_OBJECT: usize = 4 << 20;
+/// Entries of a change that the log names.
+const NAMED: usize = 16;
 /// The deepest nesting of JSON that is read: a deeper one could overflow a thread's stack.
 const MAX_DEPTH: usize = 32;
 
@@ -117,6 +119,8 @@
 #[derive(Default)]
 pub struct Directory {
     servers: Mutex<BTreeMap<ServerId, (Endpoint, MemberState)>>,
+    /// Those that staff have taken out, listed or not.
+    by_hand: Mutex<BTreeSet<ServerId>>,
     changed: Condvar,
 }
 
@@ -125,6 +129,19 @@
         self.servers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn bans(&self) -> MutexGuard<'_, BTreeSet<ServerId>> {
+        self.by_hand.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Staff have taken a backend out, or called it back.
+    pub fn by_hand(&self, server: ServerId, out_of_use: bool) {
+        if out_of_use {
+            self.bans().insert(server);
+        } else {
+            self.bans().remove(&server);
+        }
+    }
+
     /// Takes over a list. What is gone is forgotten: machines that are replaced have new ids.
     pub fn update(&self, full: bool, servers: &[(Endpoint, Member)]) {
         let mut known = self.lock();
@@ -152,7 +169,8 @@
 
     /// Whether something new may go there.
     pub fn takes_new(&self, server: ServerId) -> bool {
-        self.lock().get(&server).is_some_and(|&(_, state)| state == MemberState::Ready)
+        let ready = self.lock().get(&server).is_some_and(|&(_, state)| state == MemberState::Ready);
+        ready && !self.bans().contains(&server)
     }
 
     /// Waits until a backend has been named; the list that a relay starts with may be stale.
@@ -319,7 +337,10 @@
         for problem in &listing.problems {
             log(&format!("discovery: an entry was left out: {problem}"));
         }
-        log(&format!("discovery: version {}, {} entries", listing.version, listing.servers.len()));
+        let (version, entries) = (listing.version, listing.servers.len());
+        let said = |(endpoint, member): &(Endpoint, Member)| format!("{} {:?}", endpoint.name, member.state);
+        let named: Vec<String> = listing.servers.iter().take(NAMED).map(said).collect();
+        log(&format!("discovery: version {version}, {entries} entries: {}", named.join(", ")));
         self.version = listing.version;
         // The network first: it checks against this list once more, right before a first byte goes out.
         self.directory.update(listing.full, &listing.servers);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod admin;
 pub mod admit;
 pub mod backend;
+pub mod bans;
 pub mod client;
 pub mod discovery;
 pub mod forward;
--- a/src/net/probe.rs
+++ b/src/net/probe.rs
@@ -23,7 +23,9 @@
 
 fn probe(server: ServerId, directory: &Directory, names: &Names) -> (Outcome, Vec<f32>) {
     let failed = |outcome| (outcome, Vec::new());
-    let Some(endpoint) = directory.endpoint(server) else { return failed(Outcome::Moot) };
+    // It may have been told to leave since the probe was asked for.
+    let endpoint = directory.endpoint(server).filter(|_| directory.takes_new(server));
+    let Some(endpoint) = endpoint else { return failed(Outcome::Moot) };
     let Ok(mut stream) = TcpStream::connect_timeout(&endpoint.addr, LIMIT) else {
         return failed(Outcome::ConnectFailed);
     };
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -1,6 +1,6 @@
 //! The slot array of RJ-CH and its hashes. All balancers must agree on them, so they never change.
 
-use crate::api::ServerId;
+use crate::api::{Request, ServerId};
 
 /// Slots of the array (m): the points of a thousand servers seldom collide.
 pub const SLOTS: usize = 1 << 15;
@@ -30,6 +30,14 @@
     (mix(mix(a) ^ b) >> 40) as f32 / (1u64 << 24) as f32
 }
 
+/// What tells a client from others of its group.
+pub fn own_key(q: &Request) -> u64 {
+    match q.key {
+        0 => u64::from(q.id.0) | 1 << 63,
+        key => key,
+    }
+}
+
 /// Gives each slot to the nearest server clockwise; a server is its index, its id and how many points it
 /// has. A slot that two points share goes to the server that hashes lower, so that the order of the list
 /// does not matter.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -835,3 +835,71 @@
         assert!(answer.contains(&Action::Refuse(RequestId(1), advised)), "{bound}: {answer:?}");
     }
 }
+
+// ---- Backends by hand ----
+
+#[test]
+fn a_server_taken_out_by_hand_gets_nothing_whatever_the_lists_say() {
+    let mut proxy = Proxy::with_servers(Settings::default(), 2);
+    let first = proxy.connect(request(1, 1, 0)).unwrap();
+    let other = ServerId(3 - first.0);
+    let told = proxy.feed(Event::ByHand(first, true));
+    // What stands there is moved, as for a drain; a second call changes nothing.
+    let (at, token) = timers(&told)[0];
+    assert!(at < proxy.now + SECOND && moved(&proxy.fire(token)) == [RequestId(1)]);
+    assert!(proxy.feed(Event::ByHand(first, true)).is_empty());
+    let lists = [
+        (ListKind::Delta, vec![ready(first.0)]),
+        (ListKind::Full, vec![ready(1), ready(2)]),
+        (ListKind::Full, vec![ready(other.0)]),
+        (ListKind::Delta, vec![Member { started: Some(proxy.now), ..ready(first.0) }]),
+    ];
+    for (n, (kind, members)) in lists.into_iter().enumerate() {
+        proxy.list(kind, members);
+        for id in 0..8 {
+            let id = 10 * (n as u32 + 1) + id;
+            assert_eq!(proxy.connect(request(id, u64::from(id), 0)), Some(other), "after list {n}");
+        }
+    }
+    assert_eq!(proxy.balancer.avoided(proxy.now), 1);
+    // One that is not on the list is out from the moment it is.
+    proxy.feed(Event::ByHand(ServerId(9), true));
+    proxy.list(ListKind::Delta, vec![ready(9)]);
+    assert_eq!(proxy.balancer.avoided(proxy.now), 2);
+}
+
+#[test]
+fn a_connection_that_comes_up_after_the_call_is_moved_too() {
+    let mut proxy = Proxy::with_servers(Settings::default(), 1);
+    let server = sent(&proxy.request(request(1, 1, 0))).unwrap();
+    assert!(timers(&proxy.feed(Event::ByHand(server, true))).is_empty());
+    let up = proxy.feed(Event::First { id: RequestId(1), server, took: MS });
+    assert_eq!(moved(&proxy.fire(timers(&up)[0].1)), [RequestId(1)]);
+}
+
+/// It was restarted meanwhile: an ejection from before once kept it unused, and its cold start is not told.
+#[test]
+fn a_server_called_back_is_used_soon_without_a_past_and_as_a_cold_one() {
+    let mut proxy = Proxy::with_servers(Settings::default(), 4);
+    let held: Vec<_> = (0..40).map(|id| proxy.connect(request(id, u64::from(id), 0)).unwrap()).collect();
+    let out = ServerId(2);
+    let refusing = (100..).find(|&id| sent(&proxy.request(request(id, u64::from(id), 0))) == Some(out));
+    proxy.end(refusing.unwrap(), out, Outcome::ConnectFailed, false);
+    assert_eq!(proxy.balancer.avoided(proxy.now), 1);
+    proxy.feed(Event::ByHand(out, true));
+    for id in (0..40).filter(|&id| held[id as usize] == out) {
+        proxy.end(id, out, Outcome::Cancelled, true);
+    }
+    proxy.feed(Event::ByHand(out, false));
+    assert_eq!(proxy.balancer.avoided(proxy.now), 0);
+    let (mut first, mut used) = (None, 0);
+    for n in 0..60 {
+        proxy.now += SECOND / 10;
+        if proxy.connect(request(1_000 + n, u64::from(n), 0)) == Some(out) {
+            first.get_or_insert(n);
+            used += 1;
+        }
+    }
+    assert!(first.is_some_and(|n| n <= 31), "used after {first:?} tenths of a second");
+    assert!(used <= 6, "{used} of 60 went to a cold server within 6 s");
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -124,3 +124,61 @@
     drop(pairs);
     std::fs::remove_dir_all(shared).unwrap();
 }
+
+/// A call to either process of an upgrade binds both, and the ban lasts until the call back.
+#[test]
+fn a_backend_taken_out_by_hand_stays_out_across_an_upgrade() {
+    let (fleet, shared) = (Fleet::new(&["s-1", "s-2"]), shared("bans"));
+    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    let config = fleet.config(fleet.discovery.addr());
+    let mut old = Relay::start_shared(&config, &held, &shared);
+    let mut watch = fleet.watched();
+    let (mut client, backend) = fleet.pair(&old, "01");
+    assert_eq!(old.call("POST", "/control/backends/s-9/offline").0, 404);
+    for _ in 0..2 {
+        assert_eq!(old.call("POST", "/control/backends/s-1/offline").0, 200);
+    }
+    old.wait_for_figure("skipped_backends", 1);
+    // Whatever the list says.
+    watch.tell(2, true, &[fleet.entry("s-2", "active")]);
+    old.wait_for_figure("known_backends", 1);
+    watch.tell(3, true, &[fleet.entry("s-1", "active"), fleet.entry("s-2", "active")]);
+    old.wait_for_figure("known_backends", 2);
+    let new = Relay::start_shared(&config, &held, &shared);
+    assert_eq!(new.figure("skipped_backends"), Some(1));
+    old.signal("TERM");
+    until("the old process", || (old.call("GET", "/control/ready").0 == 503).then_some(()));
+    for n in 2..10 {
+        let mut client = old.client();
+        client.send(&format!("OPEN 0{n} {n}f c=chat,d=60000"));
+        let mut backend = fleet.backend("s-2").accept();
+        backend.line();
+        backend.send("UP r");
+        assert_eq!(client.line(), "UP r");
+    }
+    // The connection from before was moved, by the stop or off the backend that is out.
+    assert_eq!(client.line(), "MOVE");
+    drop((client, backend));
+    assert!(old.exit().success());
+    assert_eq!(new.call("POST", "/control/backends/s-1/online").0, 200);
+    new.wait_for_figure("skipped_backends", 0);
+    assert_eq!(new.call("POST", "/control/backends/s-9/online").0, 404);
+    std::fs::remove_dir_all(shared).unwrap();
+}
+
+/// While both processes run, what one of them is told binds the other.
+#[test]
+fn a_call_to_one_process_binds_the_other() {
+    let (fleet, shared) = (Fleet::new(&["s-1", "s-2"]), shared("both"));
+    let held = TcpListener::bind("127.0.0.1:0").unwrap();
+    let config = fleet.config(fleet.discovery.addr());
+    let (old, new) =
+        (Relay::start_shared(&config, &held, &shared), Relay::start_shared(&config, &held, &shared));
+    for (told, other) in [(&old, &new), (&new, &old)] {
+        assert_eq!(told.call("POST", "/control/backends/s-2/offline").0, 200);
+        other.wait_for_figure("skipped_backends", 1);
+        assert_eq!(other.call("POST", "/control/backends/s-2/online").0, 200);
+        told.wait_for_figure("skipped_backends", 0);
+    }
+    std::fs::remove_dir_all(shared).unwrap();
+}
