Take over new settings at SIGHUP as one, or turn the file down whole

Lines at fault: main.rs reload() took `discovery` alone; Config::fixed_changes called settings a matter of a restart.

Tests: tables of broken files and of shifting lists in config.rs, the module's copy of a class's terms, and a reload of the running relay; they fail without the change (unknown-class, loads_total 0).

--- a/src/api.rs
+++ b/src/api.rs
@@ -47,7 +47,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Class {
     /// Set-up within this earns its full worth.
     pub aim: Micros,
@@ -258,6 +258,9 @@
         /// The entries.
         members: Vec<Member>,
     },
+    /// New settings hold from now on; requests under way keep their class. Zone, kind of list, mode and
+    /// columns are those of the start.
+    Settings(Settings),
     /// Staff have taken a server out (true) or called it back; holds whatever lists say.
     ByHand(ServerId, bool),
     /// A client's request; it is owed exactly one final answer.
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,7 @@
 //! The one place where the environment and the configuration file are read, checked and given
 //! defaults. What is wrong is said with the full path of its key.
 
-use crate::api::{Member, Micros, Settings};
+use crate::api::{Class, Member, Micros, Settings};
 use crate::net::discovery::{self, Endpoint};
 use crate::wire;
 use simd_json::prelude::*;
@@ -37,28 +37,76 @@
     pub sockets: u64,
 }
 
-/// The names that the protocol uses for what the decisions know by index.
+/// The names that the protocol uses for what the decisions know by index, fixed while a process runs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Names {
-    /// Classes of requests.
-    pub classes: Vec<String>,
-    /// How long a client of each class waits.
-    pub deadlines: Vec<Micros>,
     /// Zones.
     pub zones: Vec<String>,
     /// Columns of a load report.
     pub columns: Vec<String>,
 }
 
-impl Names {
-    /// The index of a class.
-    pub fn class(&self, name: &str) -> Option<usize> {
-        self.classes.iter().position(|c| c == name)
+/// A class of requests as clients know it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ClassName {
+    name: String,
+    deadline: Micros,
+    /// Whether the settings in force have it.
+    open: bool,
+}
+
+/// The classes of requests, by the index that the decisions know. A class keeps its index for good, also
+/// when it has vanished from the settings: connections under way have it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Classes(Vec<ClassName>);
+
+impl Classes {
+    /// Classes with these names and deadlines, in order.
+    pub fn new(list: impl IntoIterator<Item = (String, Micros)>) -> Classes {
+        Classes(list.into_iter().map(|(name, deadline)| ClassName { name, deadline, open: true }).collect())
+    }
+
+    /// The index of a class that clients may ask for.
+    pub fn find(&self, name: &str) -> Option<usize> {
+        self.0.iter().position(|c| c.open && c.name == name)
     }
 
     /// How long a client of a class waits that does not say.
     pub fn deadline(&self, class: usize) -> Micros {
-        self.deadlines.get(class).copied().unwrap_or(0)
+        self.0.get(class).map_or(0, |c| c.deadline)
+    }
+
+    /// The longest that any client waits.
+    pub fn longest(&self) -> Micros {
+        self.0.iter().filter(|c| c.open).map(|c| c.deadline).max().unwrap_or(0)
+    }
+
+    /// The name of a class.
+    pub fn name(&self, class: usize) -> &str {
+        self.0.get(class).map_or("", |c| &c.name)
+    }
+
+    /// These classes with those of new settings, whose terms come in the same order: they are put into
+    /// `table`, which has the terms of these by index.
+    fn follow(&self, new: &Classes, terms: &[Class], table: &mut Vec<Class>) -> Classes {
+        let mut all = self.clone();
+        all.0.iter_mut().for_each(|c| c.open = false);
+        for (class, terms) in new.0.iter().zip(terms) {
+            let known = all.0.iter().position(|c| c.name == class.name);
+            match known {
+                Some(i) => (all.0[i], table[i]) = (class.clone(), *terms),
+                None => {
+                    all.0.push(class.clone());
+                    table.push(*terms);
+                }
+            }
+        }
+        all
+    }
+
+    /// The names that clients may ask for.
+    pub fn names(&self) -> Vec<String> {
+        self.0.iter().filter(|c| c.open).map(|c| c.name.clone()).collect()
     }
 }
 
@@ -91,6 +139,10 @@
     pub settings: Settings,
     /// The names that go with them.
     pub names: Names,
+    /// The classes that go with them.
+    pub classes: Classes,
+    /// The file as it was read, without the list: a later one must have the same keys.
+    shape: Value,
 }
 
 /// The environment: the value of a variable, if it is set.
@@ -108,27 +160,41 @@
     }
 
     /// Reads the file once more, while the program runs. What the file now says of discovery has to win
-    /// over the variable, which is as old as the process.
-    pub fn reload(env: Env) -> Result<Config, ConfigError> {
-        Config::load(&|key| if key == "BALANCER_DISCOVERY" { None } else { env(key) })
-    }
-
-    /// The keys whose new values need a restart.
-    pub fn fixed_changes(&self, new: &Config) -> Vec<&'static str> {
+    /// over the variable, which is as old as the process. A file without a key that this one has is broken.
+    ///
+    /// What can change while the program runs is taken over: classes keep their indexes, and those that
+    /// have vanished are shut. The rest stays as it is; the second value names its keys.
+    pub fn reload(&self, env: Env) -> Result<(Config, Vec<&'static str>), ConfigError> {
+        let mut new = Config::load(&|key| if key == "BALANCER_DISCOVERY" { None } else { env(key) })?;
+        if let Some(key) = lacks(&self.shape, &new.shape, "") {
+            return bad(&key, "is missing");
+        }
+        let (old, now) = (&self.settings, &mut new.settings);
         let same = [
             ("name", self.name == new.name),
             ("listen", self.listen == new.listen),
             ("admin", self.admin == new.admin),
             ("limits", self.limits == new.limits),
-            ("settings", self.settings == new.settings && self.names == new.names),
+            ("settings.zones", self.names.zones == new.names.zones),
+            ("settings.report.columns", self.names.columns == new.names.columns),
+            ("settings.az", old.zone == now.zone),
+            ("settings.membership_mode", old.list_on_request == now.list_on_request),
+            ("settings.family_info.mode", old.passes_through == now.passes_through),
         ];
-        same.iter().filter(|(_, same)| !same).map(|&(key, _)| key).collect()
+        let fixed = same.iter().filter(|(_, same)| !same).map(|&(key, _)| key).collect();
+        (now.zone, now.list_on_request) = (old.zone, old.list_on_request);
+        (now.passes_through, now.columns) = (old.passes_through, old.columns.clone());
+        let classes = std::mem::replace(&mut now.classes, old.classes.clone());
+        new.classes = self.classes.follow(&new.classes, &classes, &mut now.classes);
+        (new.name, new.listen, new.admin) = (self.name.clone(), self.listen, self.admin);
+        (new.limits, new.names) = (self.limits, self.names.clone());
+        Ok((new, fixed))
     }
 
     /// Reads the text of a configuration.
     pub fn parse(mut text: Vec<u8>, env: Env) -> Result<Config, ConfigError> {
         discovery::shallow(&text).map_err(|e| ConfigError(format!("BALANCER_CONFIG: {e}")))?;
-        let top = match simd_json::to_owned_value(&mut text) {
+        let mut top = match simd_json::to_owned_value(&mut text) {
             Ok(top) if top.is_object() => top,
             Ok(_) => return bad("BALANCER_CONFIG", "is not a JSON object"),
             Err(e) => return bad("BALANCER_CONFIG", format!("is not valid JSON: {e}")),
@@ -139,9 +205,14 @@
             Err(e) if e.key == "profile_data" => return bad("settings", e.what),
             Err(e) => return bad(&format!("settings.{}", e.key), e.what),
         };
+        let class_names = words(settings_value, "settings.grades", Some("name"))?;
+        for (i, name) in class_names.iter().enumerate() {
+            if class_names[..i].contains(name) {
+                return bad(&format!("settings.grades[{i}].name"), format!("'{name}' is there twice"));
+            }
+        }
+        let classes = Classes::new(class_names.into_iter().zip(settings.classes.iter().map(|c| c.deadline)));
         let names = Names {
-            classes: words(settings_value, "settings.grades", Some("name"))?,
-            deadlines: settings.classes.iter().map(|c| c.deadline).collect(),
             zones: words(settings_value, "settings.zones", None)?,
             columns: match settings_value.get("report") {
                 Some(report) => words(report, "settings.report.columns", None)?,
@@ -190,10 +261,44 @@
             known_problems,
             settings,
             names,
+            classes,
+            shape: {
+                // Backends come and go.
+                top.insert("known", Value::null()).ok();
+                top
+            },
         })
     }
 }
 
+/// The path of the first key that an object has and a later one has not. Of lists, each object must have
+/// the keys that all the earlier ones have.
+fn lacks(old: &Value, new: &Value, path: &str) -> Option<String> {
+    if let (Some(old), Some(new)) = (old.as_object(), new.as_object()) {
+        let mut keys: Vec<_> = old.iter().filter(|(key, _)| *key != OPTIONAL).collect();
+        keys.sort_by_key(|(key, _)| *key);
+        return keys.into_iter().find_map(|(key, value)| {
+            let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+            match new.get(key) {
+                Some(now) => lacks(value, now, &path),
+                None => Some(path),
+            }
+        });
+    }
+    let (old, new) = (old.as_array()?, new.as_array()?);
+    let first = old.first()?.as_object()?;
+    let mut common: Vec<_> = first.keys().filter(|key| *key != OPTIONAL).collect();
+    common.retain(|key| old.iter().all(|v| v.get(key.as_str()).is_some()));
+    common.sort();
+    new.iter().enumerate().find_map(|(i, value)| {
+        let missing = common.iter().find(|key| value.get(key.as_str()).is_none())?;
+        Some(format!("{path}[{i}].{missing}"))
+    })
+}
+
+/// A key of a class that may be absent.
+const OPTIONAL: &str = "aim_stretch";
+
 /// The texts of a list that stands under the last part of a path; of its objects, the text under `inner`.
 fn words(from: &Value, path: &str, inner: Option<&str>) -> Result<Vec<String>, ConfigError> {
     let key = path.rsplit('.').next().unwrap_or(path);
@@ -244,3 +349,93 @@
         },
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GRADE: &str = r#"{"deadline": 900.0, "goal_time": 80.0, "group": "all", "idempotency": "unsafe", "late_worth": 0.0, "name": "new", "streamed": true, "window": 5000.0, "worth": 5.0}"#;
+
+    fn text() -> String {
+        format!(
+            r#"{{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","limits":{{"cores":1.0}},"settings":{}}}"#,
+            include_str!("../tests/data/settings.json")
+        )
+    }
+
+    /// A configuration whose file is then replaced by that text.
+    fn reloaded(old: &Config, text: &str) -> Result<(Config, Vec<&'static str>), ConfigError> {
+        static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+        let n = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("jaspermoor-reload-{}-{n}", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        let result = old.reload(&|key| (key == "BALANCER_CONFIG").then(|| path.display().to_string()));
+        std::fs::remove_file(&path).unwrap();
+        result
+    }
+
+    fn parsed(text: &str) -> Config {
+        Config::parse(text.as_bytes().to_vec(), &|_| None).unwrap()
+    }
+
+    #[test]
+    fn a_broken_file_is_refused_whole() {
+        let (text, mut cases) = (text(), vec![(String::new(), "BALANCER_CONFIG: ")]);
+        cases.push((text[..text.len() / 2].to_string(), "BALANCER_CONFIG: is not valid JSON"));
+        // (what is replaced, by what, what must be named)
+        for (from, to, named) in [
+            ("\"deadline\": 1200.0", "\"deadline\": 0", "settings.grades[0].deadline"),
+            ("\"deadline\": 3200.0", "\"deadline\": -5.0", "settings.grades[1].deadline"),
+            ("\"max_attempts\": 6", "\"max_attempts\": 0", "settings.limits.max_attempts"),
+            ("\"max_attempts\": 6", "\"max_attempts\": -1", "settings.limits.max_attempts"),
+            ("\"worth\": 3.0", "\"other\": 3.0", "settings.grades[1].worth: is missing"),
+            ("\"late_worth\": 0.0, \"name\": \"one\"", "\"name\": \"one\"", "settings.grades[0].late_worth"),
+            ("\"worth_by\"", "\"worth_of\"", "settings.worth_by: is missing"),
+            ("\"max_open\"", "\"most_open\"", "settings.limits.max_open: is missing"),
+            ("\"limits\":{\"cores\":1.0}", "\"limits\":{}", "limits.cores: is missing"),
+            ("\"seed\"", "\"seeds\"", "seed: is missing"),
+            ("\"name\": \"two\"", "\"name\": \"one\"", "settings.grades[1].name: 'one' is there twice"),
+        ] {
+            assert!(text.contains(from), "{from}");
+            cases.push((text.replace(from, to), named));
+        }
+        let old = parsed(&text);
+        for (text, named) in cases {
+            let said = reloaded(&old, &text).unwrap_err().0;
+            assert!(said.starts_with(named), "{said} in place of {named}");
+        }
+        assert!(reloaded(&old, &text).unwrap().1.is_empty());
+    }
+
+    /// The file's list of classes shifts; what a class's index means does not.
+    #[test]
+    fn classes_keep_their_index_when_the_list_shifts() {
+        let text = text();
+        let first = parsed(&text);
+        // "one" vanishes, and a new class comes first.
+        let (from, to) =
+            (text.find("{\"deadline\": 1200.0").unwrap(), text.find("{\"deadline\": 3200.0").unwrap());
+        let shifted = format!("{}{GRADE},\n  {}", &text[..from], &text[to..]);
+        let shifted = shifted.replace("\"max_attempts\": 6", "\"max_attempts\": 2");
+        let (second, _) = reloaded(&first, &shifted).unwrap();
+        let found = ["one", "two", "new"].map(|name| second.classes.find(name));
+        assert_eq!(found, [None, Some(1), Some(2)]);
+        assert_eq!(second.classes.name(0), "one");
+        assert_eq!(second.settings.max_attempts, 2);
+        let deadlines: Vec<_> = second.settings.classes.iter().map(|c| c.deadline).collect();
+        assert_eq!(deadlines, [1_200_000, 3_200_000, 900_000]);
+        assert_eq!(second.classes.longest(), 3_200_000);
+        // Back to the first file: "one" has its old index, "new" is shut.
+        let (third, _) = reloaded(&second, &text).unwrap();
+        assert_eq!(["one", "two", "new"].map(|name| third.classes.find(name)), [Some(0), Some(1), None]);
+    }
+
+    #[test]
+    fn what_is_fixed_stays_as_it_was_and_is_named() {
+        let old = parsed(&text());
+        let new = text().replace("\"zones\": [\"x\", \"y\"]", "\"zones\": [\"y\", \"x\", \"z\"]");
+        let (new, fixed) = reloaded(&old, &new.replace("\"cores\":1.0", "\"cores\":0.5")).unwrap();
+        assert_eq!(fixed, ["limits", "settings.zones"]);
+        assert_eq!((new.names, new.limits), (old.names, old.limits));
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -244,6 +244,11 @@
         self.feed(self.lock(), Event::Members { kind, members });
     }
 
+    /// New settings hold from now on.
+    pub fn settings(&self, settings: Settings) {
+        self.feed(self.lock(), Event::Settings(settings));
+    }
+
     /// Staff have taken a server out, or called it back.
     pub fn by_hand(&self, server: ServerId, out_of_use: bool) {
         self.feed(self.lock(), Event::ByHand(server, out_of_use));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,8 +4,8 @@
 //! a key goes to the owner of slot h(key, 0), then h(key, 1), and so on, until a server is under its cap.
 
 use crate::api::{
-    Action, Column, Effect, Event, Group, ListKind, Member, MemberState, Micros, Outcome, Request, RequestId,
-    ServerId, Settings, Unknown, Weights, SECOND,
+    Action, Class, Column, Effect, Event, Group, ListKind, Member, MemberState, Micros, Outcome, Request,
+    RequestId, ServerId, Settings, Unknown, Weights, SECOND,
 };
 use crate::slots::{fraction, lay, own_key, slot, NOBODY, SLOTS};
 use oorandom::Rand64;
@@ -151,6 +151,7 @@
 #[derive(Default)]
 struct Pending {
     request: Request,
+    class: Class,
     deadline: Micros,
     phase: Phase,
     answered: bool,
@@ -188,7 +189,6 @@
     planned_when: Micros,
     homes: Homes,
     homes_known: Homes,
-    message_aim: Micros,
     admitted: f32,
     late_notes: u32,
     late_share: f32,
@@ -205,9 +205,7 @@
 impl Balancer {
     /// A balancer that knows nothing yet but its settings.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let aims = settings.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > 0);
         Balancer {
-            message_aim: aims.min().unwrap_or(SECOND / 10),
             settings,
             rng: Random(Rand64::new(u128::from(seed))),
             ready_slots: vec![NOBODY; SLOTS],
@@ -224,9 +222,10 @@
         self.now = now;
         match event {
             Event::Members { kind, members } => self.members(kind, members, out),
+            Event::Settings(settings) => self.settings = settings,
             Event::ByHand(server, out_of_use) => self.by_hand(server, out_of_use, out),
-            Event::Request(request) => self.arrived(self.within(request), out),
-            Event::Open(request, server) => self.open(self.within(request), server),
+            Event::Request(request) => self.arrived(request, out),
+            Event::Open(request, server) => self.open(request, server),
             Event::First { id, .. } => return self.first(id, out),
             Event::DelayNote(id, server, took) => return self.delay(id, server, took, out),
             Event::Outcome { id, outcome, last, .. } => return self.ended(id, outcome, last, out),
@@ -238,9 +237,10 @@
         Ok(())
     }
 
-    /// A request with a class that the settings know.
-    fn within(&self, request: Request) -> Request {
-        Request { class: request.class.min(self.settings.classes.len() - 1), ..request }
+    /// The terms of a request's class as they are now; it keeps them.
+    fn class(&self, request: &Request) -> Class {
+        let classes = &self.settings.classes;
+        classes.get(request.class).or(classes.last()).copied().unwrap_or_default()
     }
 
     // ---- Members -----------------------------------------------------------------------------------
@@ -520,7 +520,8 @@
 
     /// Messages take long at a server: it takes less, and gives some of what it has to others.
     fn delay(&mut self, id: RequestId, server: ServerId, took: Micros, out: &mut Out) -> Result<(), Unknown> {
-        let share = took as f32 / self.message_aim as f32;
+        let aims = self.settings.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > 0);
+        let share = took as f32 / aims.min().unwrap_or(SECOND / 10) as f32;
         let i = *self.index.get(&server).ok_or(Unknown::Server(server))?;
         if !self.pending.contains_key(&id) {
             return Err(Unknown::Request(id));
@@ -674,7 +675,7 @@
     fn lawful(&mut self, i: usize, p: &Pending) -> bool {
         let s = &self.servers[i];
         let new = s.ready && !p.tried.contains(&s.id);
-        let same = match (p.ran, self.settings.classes[p.request.class].effect) {
+        let same = match (p.ran, p.class.effect) {
             (None, _) | (_, Effect::Safe | Effect::Keyed { group: Group::All, .. }) => true,
             (Some((_, zone, _)), Effect::Keyed { group: Group::Zone, .. }) => s.zone == zone,
             (Some((_, _, cell)), Effect::Keyed { group: Group::Cell, .. }) => s.cell == cell,
@@ -729,15 +730,16 @@
         // Answered a tick before the client gives up, whatever is out or held then.
         let last = deadline.saturating_sub(self.settings.tick).max(self.now + 1);
         out.push(Action::Timer(last, TIMER_DEADLINE | u64::from(id.0)));
-        self.advance(Pending { request, deadline, ..Pending::default() }, out);
+        let class = self.class(&request);
+        self.advance(Pending { request, class, deadline, ..Pending::default() }, out);
     }
 
     fn open(&mut self, request: Request, server: ServerId) {
         self.count(request.group);
         let i = self.entry(server);
         self.take(i);
-        let (id, deadline, phase) = (request.id, Micros::MAX, Phase::Up);
-        let p = Pending { request, deadline, phase, answered: true, server, ..Pending::default() };
+        let (id, deadline, phase, class) = (request.id, Micros::MAX, Phase::Up, self.class(&request));
+        let p = Pending { request, class, deadline, phase, answered: true, server, ..Pending::default() };
         self.pending.insert(id, p);
     }
 
@@ -750,7 +752,7 @@
     /// Sends a held request on, keeps holding it, or ends it.
     fn advance(&mut self, mut p: Pending, out: &mut Out) {
         self.pace();
-        let class = &self.settings.classes[p.request.class];
+        let class = p.class;
         // Without a budget, attempts given up and made anew are what jams the servers (incident i056f18):
         // once it is spent, an attempt has all the time there is and is the last.
         let again = !p.tried.is_empty();
@@ -795,7 +797,7 @@
         }
         p.answered = true;
         let maybe_ran = p.ran.is_some() || p.phase == Phase::Out;
-        let harmless = match self.settings.classes[p.request.class].effect {
+        let harmless = match p.class.effect {
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             Effect::Keyed { .. } | Effect::Unsafe => !maybe_ran,
         };
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::process::ExitCode;
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 
 /// Relay for long-lived connections.
@@ -85,7 +86,7 @@
         config.listen,
         config.discovery,
         config.known.len(),
-        config.names.classes.len()
+        config.classes.names().len()
     );
     Ok(())
 }
@@ -93,7 +94,7 @@
 fn serve() -> Result<(), Failure> {
     // Before all else: a signal that comes during the start must neither end the program nor be missed.
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
-    let config = Config::load(&env)?;
+    let mut config = Config::load(&env)?;
     let door = match config.accept_fd {
         Some(fd) => {
             Door::inherit(fd).map_err(|e| format!("BALANCER_ACCEPT_FD: cannot listen on {fd}: {e}"))?
@@ -140,6 +141,7 @@
     let (shared, entry) = (relay.clone(), door.clone());
     spawn("accept", move || shared.accept(&entry))?;
     log(&format!("{}: serves on {address}", config.name));
+    let shared = relay.clone();
     // A thread of its own: signals are still taken while the relay stops.
     let (stop, stopped) = bounded::<()>(1);
     let handle = signals.handle();
@@ -151,7 +153,7 @@
     })?;
     for signal in signals.forever() {
         if signal == SIGHUP {
-            reload(&config, &source, &decisions);
+            reload(&mut config, &source, &shared);
         } else if stop.try_send(()).is_ok() {
             log(&format!("{}: signal {signal}, moving the standing connections", config.name));
         }
@@ -160,20 +162,27 @@
     Ok(())
 }
 
-/// Reads the configuration once more and follows discovery to where it is now. A configuration that
-/// cannot be used changes nothing.
-fn reload(config: &Config, source: &Source, decisions: &Decisions) {
-    let new = match Config::reload(&env) {
+/// Reads the configuration once more, takes over its settings and follows discovery to where it is now. A
+/// configuration that cannot be used changes nothing.
+fn reload(config: &mut Config, source: &Source, relay: &Relay) {
+    let (new, fixed) = match config.reload(&env) {
         Ok(new) => new,
-        Err(e) => return log(&format!("{}: reload refused: {e}", config.name)),
+        Err(e) => {
+            relay.metrics.load_errors.fetch_add(1, Relaxed);
+            return log(&format!("{}: reload refused: {e}", config.name));
+        }
     };
-    for key in config.fixed_changes(&new) {
+    for key in fixed {
         log(&format!("{}: reload: {key}: a new value needs a restart", config.name));
     }
-    let moved = source.relocate(new.discovery);
+    relay.adopt_settings(&new);
+    *config = new;
+    let moved = source.relocate(config.discovery);
     if moved {
-        decisions.members(ListKind::Moved, Vec::new());
+        relay.decisions.members(ListKind::Moved, Vec::new());
     }
+    relay.metrics.loads.fetch_add(1, Relaxed);
+    let (name, at, classes) = (&config.name, config.discovery, config.classes.names().join(" "));
     let news = if moved { "now" } else { "still" };
-    log(&format!("{}: reload: discovery is {news} at {}", config.name, new.discovery));
+    log(&format!("{name}: reload: discovery is {news} at {at}, classes {classes}"));
 }
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -62,7 +62,7 @@
         true => relay.directory.await_endpoint(a.server, left()),
     };
     let Some(endpoint) = endpoint else { return failed(Outcome::Moot) };
-    let dial = if a.adopted { ADOPT_DIAL } else { relay.dial_timeout }.min(left());
+    let dial = if a.adopted { ADOPT_DIAL } else { relay.terms().dial_timeout }.min(left());
     if dial.is_zero() {
         return failed(Outcome::Moot);
     }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,7 +1,7 @@
 //! The side of the clients: accepting, a request's answer, its connection, and its end.
 
 use crate::api::{Micros, Outcome, RequestId};
-use crate::config::{Config, Names};
+use crate::config::{Classes, Config, Names};
 use crate::decide::{Decisions, Flow, Verdict};
 use crate::net::admit::{Admission, Denied, Guest, Place};
 use crate::net::backend::{self, Attempt};
@@ -26,22 +26,37 @@
 const KILL_DEADLINE: Duration = Duration::from_secs(3);
 const KILL_AFTER: Duration = Duration::from_millis(700);
 
+/// What the network takes from the settings, all of it at once.
+pub struct Terms {
+    /// The classes of requests.
+    pub classes: Classes,
+    /// The longest dial.
+    pub dial_timeout: Duration,
+    /// The longest wait that a refused client obeys.
+    max_retry_after: Micros,
+}
+
+impl Terms {
+    fn of(config: &Config) -> Terms {
+        Terms {
+            classes: config.classes.clone(),
+            dial_timeout: Duration::from_micros(config.settings.dial_timeout),
+            max_retry_after: config.settings.max_retry_after,
+        }
+    }
+}
+
 /// What all connections share.
 pub struct Relay {
     /// The decisions.
     pub decisions: Arc<Decisions>,
     /// The backends' addresses.
     pub directory: Arc<Directory>,
-    /// Names of classes, zones and columns.
+    /// Names of zones and columns.
     pub names: Names,
+    terms: Mutex<Arc<Terms>>,
     /// What backends told lately.
     pub notes: Notes,
-    /// The longest dial.
-    pub dial_timeout: Duration,
-    /// The longest wait that a refused client obeys.
-    max_retry_after: Micros,
-    /// How long the clients wait at most.
-    longest_deadline: Duration,
     /// Who may come in.
     pub admission: Arc<Admission>,
     /// The connections that are up.
@@ -63,17 +78,14 @@
         decisions: Arc<Decisions>,
         directory: Arc<Directory>,
     ) -> std::io::Result<Arc<Self>> {
-        let longest = config.names.deadlines.iter().max().copied().unwrap_or(0);
         let metrics = Arc::new(Metrics::default());
-        metrics.show(&config.names.classes);
+        metrics.show(&config.classes.names());
         Ok(Arc::new(Relay {
             decisions,
             directory,
             names: config.names.clone(),
+            terms: Mutex::new(Arc::new(Terms::of(config))),
             notes: Notes::default(),
-            dial_timeout: Duration::from_micros(config.settings.dial_timeout),
-            max_retry_after: config.settings.max_retry_after,
-            longest_deadline: Duration::from_micros(longest),
             admission: Admission::new(&config.limits, config.admin.is_some(), config.accept_fd.is_some()),
             forwarder: Forwarder::new()?,
             metrics,
@@ -82,6 +94,19 @@
         }))
     }
 
+    /// What the settings in force say.
+    pub fn terms(&self) -> Arc<Terms> {
+        lock(&self.terms).clone()
+    }
+
+    /// New settings hold from now on. The decisions first: a class must mean something to them before a
+    /// client can ask for it.
+    pub fn adopt_settings(&self, config: &Config) {
+        self.metrics.show(&config.classes.names());
+        self.decisions.settings(config.settings.clone());
+        *lock(&self.terms) = Arc::new(Terms::of(config));
+    }
+
     /// Whether this process takes clients.
     pub fn takes_clients(&self) -> bool {
         self.open.load(Relaxed)
@@ -120,7 +145,8 @@
             door.close();
         }
         let still_coming = if door.held { Duration::ZERO } else { STILL_COMING };
-        let kill = self.longest_deadline.min(KILL_DEADLINE) + KILL_AFTER;
+        let longest = Duration::from_micros(self.terms().classes.longest());
+        let kill = longest.min(KILL_DEADLINE) + KILL_AFTER;
         let step = Duration::from_millis(25);
         // All told to move by then: time enough for the ends and for answers that are still owed.
         let moved_by = kill.mul_f32(0.6).max(still_coming + step);
@@ -299,14 +325,14 @@
 fn serve(relay: &Arc<Relay>, guest: Guest) {
     let (name, class, backend) = (String::new(), String::new(), String::new());
     let mut account = Account { name, class, backend, attempts: 0, began: Instant::now(), tally: None };
-    let (open, rest) = match first_line(&guest, &relay.names) {
+    let (open, rest) = match first_line(&guest, relay) {
         Ok(asked) => asked,
         // The health checks of the front come and go; they are no connections.
         Err("") => return,
         Err(reason) => return account.log(reason),
     };
     account.name = open.name.clone();
-    account.class = relay.names.classes[open.request.class].clone();
+    account.class = relay.terms().classes.name(open.request.class).to_string();
     account.tally = Some(relay.metrics.begin(&account.class));
     let (answer, reason) = match guest.request(&open.name) {
         Ok(room) => {
@@ -318,7 +344,7 @@
             return place(&session, &open, account);
         }
         // Nothing was sent, so a refusal promises nothing false.
-        Err(Denied::Full) => (refusal(relay.max_retry_after / 2), "no-descriptors"),
+        Err(Denied::Full) => (refusal(relay.terms().max_retry_after / 2), "no-descriptors"),
         Err(Denied::IdInUse) => ("ERR id-in-use".to_string(), "id-in-use"),
     };
     account.log(reason);
@@ -374,7 +400,7 @@
                     Err((outcome, report)) => relay.decisions.report(id, outcome, report),
                 }
             }
-            Verdict::Refuse(wait) => break (refusal(wait.min(relay.max_retry_after)), "refused"),
+            Verdict::Refuse(wait) => break (refusal(wait.min(relay.terms().max_retry_after)), "refused"),
             Verdict::Fail => break ("FAILED".to_string(), "failed"),
             Verdict::Gone => break (String::new(), "client-gave-up"),
         }
@@ -440,7 +466,7 @@
         let relay = Relay::new(&config, decisions, directory).unwrap();
         let guest = relay.admission.guest(TcpStream::connect(addr).unwrap());
         let (_front, _) = listener.accept().unwrap();
-        let Ok(Opening::Open(open)) = opening(b"OPEN 1 7f c=one,d=60000", &relay.names) else { panic!() };
+        let Ok(Opening::Open(open)) = opening(b"OPEN 1 7f c=one,d=60000", &config.classes) else { panic!() };
         let (client, place) = (guest.stream.clone(), guest.request("1").unwrap());
         let session = Arc::new(Session { relay: relay.clone(), client, state: Mutex::default(), place });
         Setup { listener, relay, session, open, _front }
--- a/src/net/greet.rs
+++ b/src/net/greet.rs
@@ -1,8 +1,8 @@
 //! The first words of a connection, and its last ones: up to the line that asks for something, and an
 //! answer that reaches the client although it may still be sending.
 
-use crate::config::Names;
 use crate::net::admit::Guest;
+use crate::net::client::Relay;
 use crate::net::line::{opening, trim, LineBuffer, Open, Opening};
 use crate::net::timed_out;
 use std::io::{ErrorKind, Read, Write};
@@ -25,7 +25,7 @@
 
 /// Reads up to the line that asks for a connection. An error is the reason for the log; none where
 /// the connection only asked whether the relay is there, or said nothing.
-pub fn first_line(guest: &Guest, names: &Names) -> Result<(Open, LineBuffer), &'static str> {
+pub fn first_line(guest: &Guest, relay: &Relay) -> Result<(Open, LineBuffer), &'static str> {
     let client = &*guest.stream;
     let set = client.set_nodelay(true).and_then(|()| client.set_write_timeout(Some(ANSWER)));
     set.map_err(|_| "socket-error")?;
@@ -33,7 +33,7 @@
     let mut until = Instant::now() + HEARD;
     loop {
         let refused = match buffer.line() {
-            Ok(Some(line)) => match opening(trim(buffer.at(line)), names) {
+            Ok(Some(line)) => match opening(trim(buffer.at(line)), &relay.terms().classes) {
                 // A client waits for its answer: what sends on at once is no client's, and no backend
                 // could make sense of it.
                 Ok(Opening::Open(_)) if !buffer.rest().is_empty() => Err("sent-on"),
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -1,7 +1,7 @@
 //! The line protocol: a buffer that grows as it needs and is compacted in place, and the parsers.
 
 use crate::api::{Micros, Request};
-use crate::config::Names;
+use crate::config::{Classes, Names};
 use crate::decide::LONGEST;
 use std::io::{self, Read};
 use std::ops::Range;
@@ -146,7 +146,7 @@
 }
 
 /// Reads a connection's first line (without its end); what is wrong with it is one word.
-pub fn opening(line: &[u8], names: &Names) -> Result<Opening, &'static str> {
+pub fn opening(line: &[u8], classes: &Classes) -> Result<Opening, &'static str> {
     let line = std::str::from_utf8(line).map_err(|_| "not-utf8")?;
     if line.chars().any(char::is_control) {
         return Err("control-character");
@@ -184,7 +184,7 @@
         }
         keys.push(key);
         match key {
-            "c" => class = Some(names.class(value).ok_or("unknown-class")?),
+            "c" => class = Some(classes.find(value).ok_or("unknown-class")?),
             "d" => {
                 let ms = decimal(value).filter(|ms| *ms <= LONGEST_WAIT).ok_or("bad-wait")?;
                 q.left = crate::wire::micros(ms).ok_or("bad-wait")?.min(LONGEST);
@@ -205,7 +205,7 @@
     }
     q.class = class.ok_or("no-class")?;
     if open.wait.is_none() {
-        q.left = names.deadline(q.class);
+        q.left = classes.deadline(q.class);
     }
     Ok(Opening::Open(open))
 }
@@ -274,12 +274,11 @@
 
     fn names() -> Names {
         let texts = |list: &[&str]| list.iter().map(|t| t.to_string()).collect();
-        Names {
-            classes: texts(&["chat", "call"]),
-            deadlines: vec![2_000_000, 3_000_000],
-            zones: texts(&["a"]),
-            columns: texts(&["active", "x0"]),
-        }
+        Names { zones: texts(&["a"]), columns: texts(&["active", "x0"]) }
+    }
+
+    fn classes() -> Classes {
+        Classes::new([("chat".to_string(), 2_000_000), ("call".to_string(), 3_000_000)])
     }
 
     #[test]
@@ -325,13 +324,13 @@
             (b"\xff\xfe", Err("not-utf8")),
         ];
         for (line, expected) in cases {
-            let read = opening(line, &names()).map(|o| match o {
+            let read = opening(line, &classes()).map(|o| match o {
                 Opening::Open(open) => open.request,
                 Opening::Ping => panic!("a ping"),
             });
             assert_eq!(&read, expected, "{}", String::from_utf8_lossy(line));
         }
-        assert_eq!(opening(b"PING", &names()), Ok(Opening::Ping));
+        assert_eq!(opening(b"PING", &classes()), Ok(Opening::Ping));
     }
 
     #[test]
@@ -343,7 +342,7 @@
             ("OPEN 9b 7f c=chat", "OPEN 9b 7f c=chat\r\n"),
         ];
         for (line, forwarded) in cases {
-            let Ok(Opening::Open(open)) = opening(line.as_bytes(), &names()) else { panic!("{line}") };
+            let Ok(Opening::Open(open)) = opening(line.as_bytes(), &classes()) else { panic!("{line}") };
             assert_eq!(open.forward(Some(1_499_999)), forwarded);
             assert_eq!(open.forward(None), format!("{line}\r\n"));
         }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -903,3 +903,18 @@
     assert!(first.is_some_and(|n| n <= 31), "used after {first:?} tenths of a second");
     assert!(used <= 6, "{used} of 60 went to a cold server within 6 s");
 }
+
+// ---- New settings ----
+
+#[test]
+fn a_request_keeps_its_class_when_the_settings_change_and_makes_no_more_attempts_than_they_allow() {
+    let unsafe_now = Settings { max_attempts: 2, ..with_effect(Effect::Unsafe) };
+    let mut proxy = Proxy::with_servers(Settings::default(), 4);
+    let mut server = sent(&proxy.request(request(1, 1, 0))).unwrap();
+    proxy.feed(Event::Settings(unsafe_now));
+    // It may have run, which its class allows to be repeated.
+    server = sent(&proxy.end(1, server, Outcome::Error, false)).unwrap();
+    assert!(refused(&proxy.end(1, server, Outcome::Error, false)));
+    let server = sent(&proxy.request(request(2, 1, 0))).unwrap();
+    assert!(failed(&proxy.end(2, server, Outcome::Error, false)));
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -182,3 +182,48 @@
     }
     std::fs::remove_dir_all(shared).unwrap();
 }
+
+/// New settings at SIGHUP: a class comes, another vanishes, fewer attempts are allowed; a connection under
+/// way keeps its class, and a broken file changes nothing.
+#[test]
+fn new_settings_hold_after_a_reload_and_broken_ones_change_nothing() {
+    let fleet = Fleet::new(&["s-1", "s-2"]);
+    let config = with_admin(&fleet);
+    let relay = Relay::start(&config, None);
+    let standing = fleet.pair(&relay, "01");
+    let open = |id: &str, class: &str| {
+        let mut client = relay.client();
+        client.send(&format!("OPEN {id} 7f c={class},d=60000"));
+        client
+    };
+    assert_eq!(open("02", "next").line(), "ERR unknown-class");
+    let changed =
+        config.replace("\"chat\"", "\"next\"").replace("\"max_attempts\": 6", "\"max_attempts\": 1");
+    relay.reload(&changed);
+    relay.wait_for_figure("loads_total", 1);
+    assert_eq!(relay.figure("passed_total{category=\"next\"}"), Some(0));
+    assert_eq!(relay.figure("passed_total{category=\"chat\"}"), Some(1));
+    let mut client = open("03", "next");
+    // One attempt is all there is now.
+    fleet.accept_any().1.answer("BUSY");
+    assert!(client.line().starts_with("BUSY"));
+    assert_eq!(open("04", "chat").line(), "ERR unknown-class");
+    for (n, broken) in
+        ["", &changed[..changed.len() - 9], &changed.replace("1200.0", "0.0")].iter().enumerate()
+    {
+        relay.reload(broken);
+        relay.wait_for_figure("load_errors_total", n as u64 + 1);
+    }
+    assert_eq!(relay.figure("loads_total"), Some(1));
+    let _client = open("05", "next");
+    let (_, mut backend) = fleet.accept_any();
+    backend.line();
+    backend.send("UP r");
+    relay.wait_for_figure("passed_total{category=\"next\"}", 1);
+    // The connection from before was never touched.
+    let (mut client, mut backend) = standing;
+    client.send("M 1 abc");
+    assert_eq!(backend.line(), "M 1 abc");
+    client.end();
+    relay.wait_for_log("id=01 class=chat");
+}
