--- a/src/config.rs
+++ b/src/config.rs
@@ -71,6 +71,11 @@
         self.0.iter().position(|c| c.open && c.name == name)
     }
 
+    /// The index of a class, also of one that has vanished.
+    pub fn index(&self, name: &str) -> Option<usize> {
+        self.0.iter().position(|c| c.name == name)
+    }
+
     /// How long a client of a class waits that does not say.
     pub fn deadline(&self, class: usize) -> Micros {
         self.0.get(class).map_or(0, |c| c.deadline)
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -225,7 +225,7 @@
             Event::Settings(settings) => self.settings = settings,
             Event::ByHand(server, out_of_use) => self.by_hand(server, out_of_use, out),
             Event::Request(request) => self.arrived(request, out),
-            Event::Open(request, server) => self.open(request, server),
+            Event::Open(request, server) => self.open(request, server, out),
             Event::First { id, .. } => return self.first(id, out),
             Event::DelayNote(id, server, took) => return self.delay(id, server, took, out),
             Event::Outcome { id, outcome, last, .. } => return self.ended(id, outcome, last, out),
@@ -336,9 +336,9 @@
     fn by_hand(&mut self, server: ServerId, out_of_use: bool, out: &mut Out) {
         let changed = if out_of_use { self.by_hand.insert(server) } else { self.by_hand.remove(&server) };
         let Some(&i) = self.index.get(&server).filter(|_| changed) else { return };
-        let mut left = Vec::new();
         if out_of_use {
-            self.leave(i, &mut left);
+            self.leave(i, &mut Vec::new());
+            self.evacuate(server, 1.0, out);
         } else {
             self.forget(i, 0.0);
             let due = self.now + self.rng.0.rand_range(0..BACK_WITHIN);
@@ -346,7 +346,6 @@
             (s.ready, s.back, s.due) = (s.listed && !s.gone, Some(self.now), Some(due));
         }
         self.rebuild();
-        left.into_iter().for_each(|server| self.evacuate(server, 1.0, out));
     }
 
     /// Subscribes to the list.
@@ -427,8 +426,7 @@
     }
 
     fn replan(&mut self) {
-        self.planned_at = self.seen_all;
-        self.planned_when = self.now;
+        (self.planned_at, self.planned_when) = (self.seen_all, self.now);
         self.homes = self.plan(&self.ready_slots);
         self.homes_known = match self.servers.iter().any(|s| !s.ready && !s.gone) {
             true => self.plan(&self.known_slots),
@@ -593,7 +591,8 @@
         (s.load, s.active, s.load_at) = (load, value(Column::Active).unwrap_or(0.0), Some(self.now));
         let (mut work, mut sizes, mut active) = (0.0, f32::MIN_POSITIVE, f32::MIN_POSITIVE);
         for s in self.ready.iter().map(|&i| &self.servers[i]).filter(|s| s.load_at.is_some()) {
-            (work, sizes, active) = (work + s.load * s.size, sizes + s.size, active + s.active);
+            let able = s.size * self.warmth(s);
+            (work, sizes, active) = (work + s.load * able, sizes + able, active + s.active);
         }
         (self.unit, self.mean_load) = (work / active.max(1.0), work / sizes);
         if news && load > MOVE_FROM && self.mean_load < MOVE_ROOM {
@@ -734,10 +733,20 @@
         self.advance(Pending { request, class, deadline, ..Pending::default() }, out);
     }
 
-    fn open(&mut self, request: Request, server: ServerId) {
+    /// One that stands where the others have been told to move is told so as well.
+    fn stands(&mut self, i: usize, id: RequestId, out: &mut Out) {
+        let s = &self.servers[i];
+        if !self.settings.passes_through && !s.ready && !s.gone {
+            let at = self.now + self.rng.0.rand_range(0..MOVE_SPAN);
+            out.push(Action::Timer(at, TIMER_MOVE | u64::from(id.0)));
+        }
+    }
+
+    fn open(&mut self, request: Request, server: ServerId, out: &mut Out) {
         self.count(request.group);
         let i = self.entry(server);
         self.take(i);
+        self.stands(i, request.id, out);
         let (id, deadline, phase, class) = (request.id, Micros::MAX, Phase::Up, self.class(&request));
         let p = Pending { request, class, deadline, phase, answered: true, server, ..Pending::default() };
         self.pending.insert(id, p);
@@ -814,10 +823,7 @@
         let server = p.server;
         let i = self.entry(server);
         self.succeeded(i);
-        if self.by_hand.contains(&server) {
-            // It came up after the others there were told to move.
-            out.push(Action::Timer(self.now, TIMER_MOVE | u64::from(id.0)));
-        }
+        self.stands(i, id, out);
         Ok(())
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 use jaspermoor::net::client::Relay;
 use jaspermoor::net::discovery::{Directory, Source, Watcher};
 use jaspermoor::net::listen::Door;
+use jaspermoor::net::takeover::Heir;
 use jaspermoor::net::{log, probe, spawn};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -138,16 +139,25 @@
         log(&format!("{}: answers staff on {}", config.name, admin.addr()?));
         spawn("admin", move || admin.run())?;
     }
+    if let (true, Some(dir)) = (door.held, &config.shared) {
+        match Heir::open(dir) {
+            Ok(heir) => {
+                let shared = relay.clone();
+                spawn("takeover", move || heir.run(&shared))?;
+            }
+            Err(e) => log(&format!("takeover: connections of an older process cannot be taken over: {e}")),
+        }
+    }
     let (shared, entry) = (relay.clone(), door.clone());
     spawn("accept", move || shared.accept(&entry))?;
     log(&format!("{}: serves on {address}", config.name));
     let shared = relay.clone();
     // A thread of its own: signals are still taken while the relay stops.
     let (stop, stopped) = bounded::<()>(1);
-    let handle = signals.handle();
+    let (handle, dir) = (signals.handle(), config.shared.clone());
     spawn("drain", move || {
         if stopped.recv().is_ok() {
-            relay.drain(&door);
+            relay.drain(&door, dir.as_deref());
             handle.close();
         }
     })?;
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,6 +1,6 @@
 //! The side of the clients: accepting, a request's answer, its connection, and its end.
 
-use crate::api::{Micros, Outcome, RequestId};
+use crate::api::{Micros, Outcome, Request, RequestId};
 use crate::config::{Classes, Config, Names};
 use crate::decide::{Decisions, Flow, Verdict};
 use crate::net::admit::{Admission, Denied, Guest, Place};
@@ -12,9 +12,11 @@
 use crate::net::listen::Door;
 use crate::net::metrics::{Metrics, Tally};
 use crate::net::note::Notes;
-use crate::net::{log, spawn};
+use crate::net::takeover::{Parcel, Successor};
+use crate::net::{log, spawn, timed_out};
 use std::collections::BTreeMap;
 use std::net::{Shutdown, TcpStream};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::thread::sleep;
@@ -139,11 +141,12 @@
     /// Moves the standing connections in a paced way and returns once none is left, or when the platform is
     /// about to kill. Where the platform holds the listening socket, new clients are left to the process
     /// that takes over; elsewhere they are served as long as they come.
-    pub fn drain(&self, door: &Door) {
+    pub fn drain(&self, door: &Door, shared: Option<&Path>) {
         let start = Instant::now();
         if door.held {
             door.close();
         }
+        let mut successor = shared.filter(|_| door.held).and_then(Successor::find);
         let still_coming = if door.held { Duration::ZERO } else { STILL_COMING };
         let longest = Duration::from_micros(self.terms().classes.longest());
         let kill = longest.min(KILL_DEADLINE) + KILL_AFTER;
@@ -153,7 +156,19 @@
         while start.elapsed() + Duration::from_millis(200) < kill {
             sleep(step);
             let now = start.elapsed();
-            let standing: Vec<_> = self.live().into_iter().filter(|s| s.stands()).collect();
+            let mut standing: Vec<_> = self.live().into_iter().filter(|s| s.stands()).collect();
+            if let Some(to) = &successor {
+                match standing.iter().try_for_each(|s| self.forwarder.hand_over(s.number(), to)) {
+                    // What could not be given away right now is tried again, up to half the time.
+                    Ok(()) if now < kill / 2 => standing.clear(),
+                    Ok(()) => {}
+                    Err(e) if timed_out(&e) => standing.clear(),
+                    Err(e) => {
+                        log(&format!("takeover: the successor is gone: {e}"));
+                        successor = None;
+                    }
+                }
+            }
             if now < still_coming {
                 continue;
             }
@@ -191,6 +206,8 @@
     pub relay: Arc<Relay>,
     /// The client's socket.
     pub client: Arc<TcpStream>,
+    /// The keys of the client and of its group.
+    pub keys: (u64, u64),
     state: Mutex<State>,
     /// Given back last, when the sockets are closed.
     place: Place,
@@ -232,6 +249,23 @@
         true
     }
 
+    /// Gives a connection that is up away to another process: from here on nothing of this one touches its
+    /// sockets, which both share. False if it is about to be moved.
+    pub fn give_away(&self) -> bool {
+        let mut state = lock(&self.state);
+        let stands = state.up && !state.moving;
+        if stands {
+            (state.up, state.backend) = (false, None);
+        }
+        stands
+    }
+
+    /// Takes a connection back that could not be given away.
+    pub fn keep(&self, backend: &Arc<TcpStream>) {
+        let mut state = lock(&self.state);
+        (state.up, state.backend) = (true, Some(backend.clone()));
+    }
+
     /// Lets go of the socket of an attempt.
     pub fn release(&self) {
         lock(&self.state).backend = None;
@@ -288,11 +322,16 @@
 
 /// What the log says of a connection that has ended.
 pub struct Account {
-    name: String,
-    class: String,
-    backend: String,
-    attempts: u16,
-    began: Instant,
+    /// The connection's own id.
+    pub name: String,
+    /// Its class.
+    pub class: String,
+    /// Its backend.
+    pub backend: String,
+    /// How many attempts were made.
+    pub attempts: u16,
+    /// When it began.
+    pub began: Instant,
     /// Its part in the figures; none before its class is known.
     tally: Option<Tally>,
 }
@@ -337,7 +376,8 @@
     let (answer, reason) = match guest.request(&open.name) {
         Ok(room) => {
             let (relay, client, state) = (relay.clone(), guest.stream.clone(), Mutex::default());
-            let session = Arc::new(Session { relay, client, state, place: room });
+            let keys = (open.request.key, open.request.group);
+            let session = Arc::new(Session { relay, client, keys, state, place: room });
             drop(guest);
             lock(&session.relay.sessions).insert(session.number(), Arc::downgrade(&session));
             session.relay.forwarder.watch(&session, rest);
@@ -354,6 +394,45 @@
     part(&guest.stream);
 }
 
+/// Takes a connection over that has come up in another process of this relay.
+pub fn adopt_standing(relay: &Arc<Relay>, parcel: Parcel, client: TcpStream, backend: TcpStream) {
+    let guest = relay.admission.guest(client);
+    let (client, backend) = (guest.stream.clone(), Arc::new(backend));
+    let classes = &relay.terms().classes;
+    let account = Account {
+        name: parcel.name.clone(),
+        class: parcel.class.clone(),
+        backend: parcel.backend.clone(),
+        attempts: parcel.attempts,
+        began: Instant::now().checked_sub(Duration::from_millis(parcel.age_ms)).unwrap_or_else(Instant::now),
+        tally: Some(relay.metrics.begin(&parcel.class)),
+    };
+    let place = match guest.request(&parcel.name) {
+        Ok(place) => place,
+        Err(_) => {
+            // Between two lines only where the client has all that came from its backend.
+            say(&client, "MOVE");
+            return account.log("no-descriptors");
+        }
+    };
+    drop(guest);
+    let state = State { backend: Some(backend.clone()), up: true, ..State::default() };
+    let keys = (parcel.key, parcel.group);
+    let session = Session { relay: relay.clone(), client, keys, state: Mutex::new(state), place };
+    let session = Arc::new(session);
+    lock(&relay.sessions).insert(session.number(), Arc::downgrade(&session));
+    let request = Request {
+        // One that has vanished here goes on under any: the decisions look at nothing but its aims.
+        class: classes.index(&parcel.class).unwrap_or(0),
+        key: parcel.key,
+        group: parcel.group,
+        ..Request::default()
+    };
+    let server = super::discovery::server_id(&parcel.backend);
+    let id = relay.decisions.adopt(request, server, session.clone());
+    relay.forwarder.take_over(&session, account, (backend, id, server), parcel);
+}
+
 /// The words of a refusal, with the time after which to come again.
 fn refusal(wait: Micros) -> String {
     if wait == 0 {
@@ -468,7 +547,13 @@
         let (_front, _) = listener.accept().unwrap();
         let Ok(Opening::Open(open)) = opening(b"OPEN 1 7f c=one,d=60000", &config.classes) else { panic!() };
         let (client, place) = (guest.stream.clone(), guest.request("1").unwrap());
-        let session = Arc::new(Session { relay: relay.clone(), client, state: Mutex::default(), place });
+        let session = Arc::new(Session {
+            relay: relay.clone(),
+            client,
+            keys: (0x7f, 0),
+            state: Mutex::default(),
+            place,
+        });
         Setup { listener, relay, session, open, _front }
     }
 
--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -9,6 +9,7 @@
 use crate::net::client::{Account, Relay, Session};
 use crate::net::greet::LINGER;
 use crate::net::line::{told, trim, LineBuffer, Told, MAX_LINE};
+use crate::net::takeover::{self, Parcel, Successor};
 use crate::net::{log, timed_out};
 use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::fd::OwnedFd;
@@ -29,6 +30,9 @@
 /// that one that sends at full speed does not take the processor from the others.
 const PIECE: usize = 8192;
 
+/// A backend's socket, and the connection and server as the decisions know them.
+pub type Backend = (Arc<TcpStream>, RequestId, ServerId);
+
 /// How a connection that was up has ended.
 struct End {
     outcome: Outcome,
@@ -55,7 +59,7 @@
     session: Arc<Session>,
     phase: Phase,
     account: Option<Account>,
-    backend: Option<(Arc<TcpStream>, RequestId, ServerId)>,
+    backend: Option<Backend>,
     /// From the client to the backend, and the other way.
     up: LineBuffer,
     down: LineBuffer,
@@ -148,6 +152,27 @@
         });
     }
 
+    /// Gives a standing connection to the process that takes over, unless it is about to end here. An error
+    /// is one of the link; the connection is kept then.
+    pub fn hand_over(&self, number: u64, to: &Successor) -> io::Result<()> {
+        let mut result = Ok(());
+        self.with(number, |conn| result = conn.hand_over(to));
+        result
+    }
+
+    /// Goes on with a connection that stood in another process.
+    pub fn take_over(&self, session: &Arc<Session>, account: Account, backend: Backend, parcel: Parcel) {
+        self.watch(session, LineBuffer::holding(parcel.up));
+        self.with(session.number(), |conn| {
+            let now = session.relay.decisions.now();
+            conn.asked = parcel.asked_ms.map(|ms| now.saturating_sub(ms * 1_000));
+            (conn.backend, conn.down) = (Some(backend), LineBuffer::holding(parcel.down));
+            (conn.account, conn.phase, conn.seen) = (Some(account), Phase::Up, parcel.seen);
+            conn.flush_down();
+            conn.flush_up();
+        });
+    }
+
     /// Serves all connections for good.
     pub fn run(&self) -> ! {
         let mut events = epoll::EventVec::with_capacity(64);
@@ -243,6 +268,44 @@
         [client, backend]
     }
 
+    /// The connection as another process needs it, with both sockets; here it is done then. It goes on
+    /// without a word to either side: nothing may be shut down here after that.
+    fn hand_over(&mut self, to: &Successor) -> io::Result<()> {
+        let (Phase::Up, None, None) = (self.phase, self.client_ended, &self.farewell) else { return Ok(()) };
+        let (Some((backend, id, _)), Some(account)) = (self.backend.clone(), &self.account) else {
+            return Ok(());
+        };
+        let bytes = self.up.rest().len() + self.down.rest().len();
+        if bytes > takeover::MAX_BYTES || !self.session.give_away() {
+            return Ok(());
+        }
+        let now = self.session.relay.decisions.now();
+        let parcel = Parcel {
+            name: account.name.clone(),
+            class: account.class.clone(),
+            backend: account.backend.clone(),
+            key: self.session.keys.0,
+            group: self.session.keys.1,
+            attempts: account.attempts,
+            age_ms: account.began.elapsed().as_millis() as u64,
+            asked_ms: self.asked.map(|at| now.saturating_sub(at) / 1_000),
+            seen: self.seen,
+            up: self.up.rest().to_vec(),
+            down: self.down.rest().to_vec(),
+        };
+        if let Err(e) = to.send(&parcel, &self.session.client, &backend) {
+            self.session.keep(&backend);
+            return Err(e);
+        }
+        account.log("handed-over");
+        self.account = None;
+        // The sockets stay with this value until they are no longer waited for (see `settle`): they live on
+        // in the other process, and would go on waking this one.
+        self.phase = Phase::Done;
+        self.session.relay.decisions.end(id, Outcome::Cancelled, Vec::new());
+        Ok(())
+    }
+
     fn client_ready(&mut self, flags: EventFlags) {
         if flags.contains(EventFlags::OUT) && self.down_blocked.is_some() {
             self.flush_down();
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -29,6 +29,11 @@
 pub struct TooLong;
 
 impl LineBuffer {
+    /// A buffer in which this has come.
+    pub fn holding(bytes: Vec<u8>) -> LineBuffer {
+        LineBuffer { start: 0, end: bytes.len(), bytes }
+    }
+
     /// What has come and is not used up.
     pub fn rest(&self) -> &[u8] {
         &self.bytes[self.start..self.end]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 pub mod note;
 pub mod probe;
+pub mod takeover;
 
 use std::io::{self, Write};
 use std::thread;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -918,3 +918,15 @@
     let server = sent(&proxy.request(request(2, 1, 0))).unwrap();
     assert!(failed(&proxy.end(2, server, Outcome::Error, false)));
 }
+
+/// A process that takes over learns of connections whose backend is leaving: nobody else will move them.
+#[test]
+fn a_connection_taken_over_on_a_leaving_server_is_moved() {
+    let mut proxy = Proxy::with_servers(Settings::default(), 2);
+    proxy.list(ListKind::Delta, vec![in_state(1, MemberState::Draining)]);
+    let on_leaving = proxy.feed(Event::Open(request(1, 1, 0), ServerId(1)));
+    assert_eq!(moved(&proxy.fire(timers(&on_leaving)[0].1)), [RequestId(1)]);
+    assert!(timers(&proxy.feed(Event::Open(request(2, 2, 0), ServerId(2)))).is_empty());
+    // The list of a start may be old: what it does not name may be there.
+    assert!(timers(&proxy.feed(Event::Open(request(3, 3, 0), ServerId(3)))).is_empty());
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -47,6 +47,13 @@
         line.strip_suffix("\r\n").unwrap_or_else(|| panic!("not a whole line: {line:?}")).to_string()
     }
 
+    /// Reads a line that may be no text, its end included.
+    pub fn bytes(&mut self) -> Vec<u8> {
+        let mut line = Vec::new();
+        self.reader.read_until(b'\n', &mut line).unwrap();
+        line
+    }
+
     /// Reads one line, answers it and ends the connection.
     pub fn answer(mut self, line: &str) {
         self.line();
