Prefer servers known to have room over strained homes, and fill cold ones by reports

A trace of loads and holdings showed one healthy server of five at load 0.12 to 0.49 with 3 of 69 connections while the others were at 0.83 to 1.05, and cold servers with 1 to 5 connections where 20 to 40 would fit; a process that had just started gave them nothing. Lines at fault: Balancer::place stays with strained homes once 0.15 of the servers in use are late, which is a single one of five; Balancer::credited earns by the own connections, of which a new process has none.

Now a server that reports room goes before the strained homes, and a cold one fills at least at 0.8 of what reports say it can hold, over the warm-up.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,6 +37,8 @@
 const SEEN_PRIOR: f32 = 8.0;
 /// Slow start: pace at which a cold server fills, as a multiple of the mean load over the warm-up.
 const SLOW_START: f32 = 1.5;
+/// ... and at least of what it can hold by reports: a process that has just started holds nothing yet.
+const SLOW_FILL: f32 = 0.8;
 /// Time in which a cap that was cut grows back to its whole (additive increase).
 const RECOVER: Micros = 12 * SECOND;
 /// Outlier ejection after so many failures in a row.
@@ -178,9 +180,8 @@
     known_slots: Vec<u32>,
     /// Sum of the sizes of the ready servers.
     sizes: f32,
-    /// Own attempts and connections (n), and the servers that have any.
+    /// Own attempts and connections (n).
     held: u32,
-    in_use: u32,
     pending: BTreeMap<RequestId, Pending>,
     /// Arrivals by group.
     seen: BTreeMap<u64, u32>,
@@ -251,8 +252,7 @@
             self.watching = false;
             let wait = ASK_BACKOFF << self.ask_failures.min(3);
             self.ask_failures += 1;
-            let wait = wait / 2 + self.rng.0.rand_range(0..wait);
-            out.push(Action::Timer(self.now + wait, TIMER_ASK));
+            out.push(Action::Timer(self.now + wait / 2 + self.rng.0.rand_range(0..wait), TIMER_ASK));
             return;
         }
         if kind == ListKind::Moved {
@@ -382,8 +382,7 @@
     /// each costs its servers anew. First homes come before second ones: they hardly depend on estimates.
     fn plan(&self, slots: &[u32]) -> Homes {
         let mut homes = Homes::new();
-        let fleet = self.held as f32 * self.settings.balancers as f32;
-        let cost = GROUP_COST / fleet.max(1.0);
+        let cost = GROUP_COST / (self.held as f32 * self.settings.balancers as f32).max(1.0);
         let groups = self.ready.len().max(self.seen.len()) as f32;
         // A cold server counts for what it can do by now, or it gets more homes than it can take (id5986d).
         let able: Vec<f32> = self.servers.iter().map(|s| s.size * self.warmth(s)).collect();
@@ -485,10 +484,11 @@
     /// Whether a server may be sent something as far as its warm-up goes: all balancers together stay within
     /// what a cold one can do, each earning its share of the mean load from a random point on.
     fn credited(&mut self, i: usize) -> bool {
-        let warmth = self.warmth(&self.servers[i]);
-        let mean = self.mean(self.servers[i].size);
+        let (warmth, size) = (self.warmth(&self.servers[i]), self.servers[i].size);
+        let all = if self.unit > 0.0 { size / self.unit / self.settings.balancers as f32 } else { 0.0 };
+        let pace = (SLOW_FILL * all).max(SLOW_START * self.mean(size)) * warmth;
+        let pace = pace / (self.settings.warm_within as f32).max(1.0);
         let s = &mut self.servers[i];
-        let pace = SLOW_START * mean * warmth / (self.settings.warm_within as f32).max(1.0);
         s.credit = (s.credit + self.now.saturating_sub(s.credit_at) as f32 * pace).min(1.0);
         s.credit_at = self.now;
         warmth >= 1.0 || s.credit >= 1.0
@@ -552,7 +552,8 @@
         }
         let seconds = ((self.now - self.second) as f32 / SECOND as f32).min(30.0);
         // Averaged, so that one short pause of many servers does not look like a jam.
-        self.late_share = (self.late_share + self.late_notes as f32 / self.in_use.max(1) as f32) / 2.0;
+        let in_use = self.servers.iter().filter(|s| s.held > 0).count().max(1);
+        self.late_share = (self.late_share + self.late_notes as f32 / in_use as f32) / 2.0;
         (self.late_notes, self.second) = (0, self.now);
         if self.late_share > SHED_FROM && (self.unit == 0.0 || self.mean_load > MOVE_ROOM) {
             self.admitted = (self.admitted * (1.0 - SHED_STEP * self.late_share.min(1.0))).max(SHED_LEAST);
@@ -628,9 +629,10 @@
         let own_zone = |i: &&usize| self.servers[**i].zone == self.settings.zone;
         let room = |i: &&usize| self.load(&self.servers[**i]).is_some_and(|load| load < NEAR_LOAD);
         let near = homes.iter().chain(&jumps).filter(own_zone).filter(room).find(fits);
+        let far = jumps.iter().filter(room).find(fits);
         // Jumping on from strained homes would make further servers pay for the group: a jam feeds itself.
         let stay = homes.first().filter(|_| self.late_share >= STAY_FROM);
-        let found = near.or(homes.iter().find(fits)).or(stay).or(jumps.iter().find(fits)).copied();
+        let found = near.or(homes.iter().find(fits)).or(far).or(stay).or(jumps.iter().find(fits)).copied();
         found.or_else(|| self.fallback(own, p))
     }
 
@@ -693,7 +695,6 @@
     /// The least loaded of a sample: those under their cap first, the ejected last, but of all that
     /// may be used (the panic threshold: when all seem bad, health says nothing).
     fn fallback(&mut self, own: u64, p: &Pending) -> Option<usize> {
-        let mean = self.mean(1.0);
         let mut best: Option<((bool, bool), f32, usize)> = None;
         for k in 0..SAMPLE.min(self.ready.len()) {
             let all = self.ready.len() <= SAMPLE;
@@ -706,7 +707,7 @@
             let s = &self.servers[i];
             // A new server counts at the others' mean until it holds something.
             let fresh = s.held == 0 && s.started.is_some();
-            let load = if fresh { mean } else { s.held as f32 / s.size } / self.scale(s).max(0.05);
+            let load = if fresh { self.mean(1.0) } else { s.held as f32 / s.size } / self.scale(s).max(0.05);
             if best.is_none_or(|(worse, more, _)| (over, load) < (worse, more)) {
                 best = Some((over, load, i));
             }
@@ -755,7 +756,6 @@
     fn take(&mut self, i: usize) {
         self.servers[i].held += 1;
         self.held += 1;
-        self.in_use += u32::from(self.servers[i].held == 1);
     }
 
     /// Sends a held request on, keeps holding it, or ends it.
@@ -835,7 +835,6 @@
         let i = self.entry(p.server);
         self.servers[i].held -= 1;
         self.held -= 1;
-        self.in_use -= u32::from(self.servers[i].held == 0);
         match outcome {
             Outcome::Ok => self.succeeded(i),
             Outcome::Cancelled | Outcome::Moot => {}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -930,3 +930,43 @@
     // The list of a start may be old: what it does not name may be there.
     assert!(timers(&proxy.feed(Event::Open(request(3, 3, 0), ServerId(3)))).is_empty());
 }
+
+/// Jams on one or two of five servers once kept a group there although another was known to be idle.
+#[test]
+fn a_group_leaves_its_strained_homes_for_a_server_that_is_known_to_have_room() {
+    // None of them is in the proxy's own zone, where servers with room come first anyway.
+    let mut proxy = Proxy::with_servers(Settings { zone: 1, ..with_probes() }, 3);
+    let home = proxy.connect(request(1, 1, 9)).unwrap();
+    for server in 1..=3 {
+        tell(&mut proxy, server, if ServerId(server) == home { 0.8 } else { 0.62 });
+    }
+    for second in 1..=4 {
+        proxy.now += SECOND;
+        proxy.feed(Event::DelayNote(RequestId(1), home, SECOND));
+        proxy.request(Request { left: 1, ..request(100 + second, 2, 9) });
+    }
+    assert_eq!(sent(&proxy.request(request(200, 3, 9))), Some(home), "all are strained: it stays");
+    let idle = (1..=3).find(|&n| ServerId(n) != home).unwrap();
+    tell(&mut proxy, idle, 0.1);
+    assert_eq!(sent(&proxy.request(request(201, 4, 9))), Some(ServerId(idle)));
+}
+
+/// A process that takes over an upgrade holds nothing: cold servers once earned nothing from it for good.
+#[test]
+fn a_cold_server_fills_by_what_reports_say_although_little_is_held() {
+    let mut proxy = Proxy::with_servers(with_probes(), 2);
+    let cold = Member { started: Some(proxy.now), ..ready(3) };
+    proxy.list(ListKind::Delta, vec![cold]);
+    let mut to_cold = 0;
+    for id in 0..200 {
+        proxy.now += SECOND / 10;
+        if id % 10 == 0 {
+            // Fifty connections fill half a server.
+            (1..=2).for_each(|n| tell(&mut proxy, n, 0.5));
+        }
+        let server = sent(&proxy.request(request(id, u64::from(id), 0))).unwrap();
+        to_cold += u32::from(server == ServerId(3));
+        proxy.end(id, server, Outcome::Ok, true);
+    }
+    assert!((20..=60).contains(&to_cold), "{to_cold} of 200 in 20 s, for all of 80 that it may take");
+}
