Fill cold servers by what they hold without the groups' share of the reported work

The work of a connection was estimated at 0.17 to 0.21 on servers with one to four connections, 0.10 on full ones: each connection there brings its group's cost along, so what a server can hold came out at a third. Line at fault: Balancer::probed divides the work by connections alone. Now the groups' share is taken off for the pace (0.6 of what a server holds over the warm-up; by the rule's figures that is 0.3 to 0.55 of what may be sent, for lives of 28 to 53 s).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,8 +7,7 @@
     Action, Class, Column, Effect, Event, Group, ListKind, Member, MemberState, Micros, Outcome, Request,
     RequestId, ServerId, Settings, Unknown, Weights, SECOND,
 };
-use crate::slots::{fraction, lay, own_key, slot, NOBODY, SLOTS};
-use oorandom::Rand64;
+use crate::slots::{fraction, lay, own_key, slot, Random, NOBODY, SLOTS};
 use std::collections::{BTreeMap, BTreeSet};
 
 // ---- Tunables -------------------------------------------------------------------------------------
@@ -38,7 +37,7 @@
 /// Slow start: pace at which a cold server fills, as a multiple of the mean load over the warm-up.
 const SLOW_START: f32 = 1.5;
 /// ... and at least of what it can hold by reports: a process that has just started holds nothing yet.
-const SLOW_FILL: f32 = 0.8;
+const SLOW_FILL: f32 = 0.6;
 /// Time in which a cap that was cut grows back to its whole (additive increase).
 const RECOVER: Micros = 12 * SECOND;
 /// Outlier ejection after so many failures in a row.
@@ -134,14 +133,6 @@
     since: f32,
 }
 
-struct Random(Rand64);
-
-impl Default for Random {
-    fn default() -> Self {
-        Random(Rand64::new(0))
-    }
-}
-
 #[derive(Clone, Copy, Default, PartialEq)]
 enum Phase {
     #[default]
@@ -197,9 +188,10 @@
     retries: f32,
     watching: bool,
     ask_failures: u32,
-    /// Mean load of the servers, and the work of a connection there.
+    /// Mean load of the servers, and the work of a connection there, with and without its group's.
     mean_load: f32,
     unit: f32,
+    alone: f32,
     probes: usize,
 }
 
@@ -208,7 +200,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         Balancer {
             settings,
-            rng: Random(Rand64::new(u128::from(seed))),
+            rng: Random(oorandom::Rand64::new(u128::from(seed))),
             ready_slots: vec![NOBODY; SLOTS],
             known_slots: vec![NOBODY; SLOTS],
             admitted: 1.0,
@@ -240,8 +232,7 @@
 
     /// The terms of a request's class as they are now; it keeps them.
     fn class(&self, request: &Request) -> Class {
-        let classes = &self.settings.classes;
-        classes.get(request.class).or(classes.last()).copied().unwrap_or_default()
+        self.settings.classes.get(request.class).or(self.settings.classes.last()).copied().unwrap_or_default()
     }
 
     // ---- Members -----------------------------------------------------------------------------------
@@ -485,7 +476,7 @@
     /// what a cold one can do, each earning its share of the mean load from a random point on.
     fn credited(&mut self, i: usize) -> bool {
         let (warmth, size) = (self.warmth(&self.servers[i]), self.servers[i].size);
-        let all = if self.unit > 0.0 { size / self.unit / self.settings.balancers as f32 } else { 0.0 };
+        let all = if self.alone > 0.0 { size / self.alone / self.settings.balancers as f32 } else { 0.0 };
         let pace = (SLOW_FILL * all).max(SLOW_START * self.mean(size)) * warmth;
         let pace = pace / (self.settings.warm_within as f32).max(1.0);
         let s = &mut self.servers[i];
@@ -590,12 +581,14 @@
         // A report was made some time ago: half of what was sent since the last one is not in it.
         s.since = if news { s.since / 2.0 } else { s.since };
         (s.load, s.active, s.load_at) = (load, value(Column::Active).unwrap_or(0.0), Some(self.now));
-        let (mut work, mut sizes, mut active) = (0.0, f32::MIN_POSITIVE, f32::MIN_POSITIVE);
+        let (mut work, mut sizes, mut active, mut loads) = (0.0, f32::MIN_POSITIVE, f32::MIN_POSITIVE, 0.0);
         for s in self.ready.iter().map(|&i| &self.servers[i]).filter(|s| s.load_at.is_some()) {
             let able = s.size * self.warmth(s);
             (work, sizes, active) = (work + s.load * able, sizes + able, active + s.active);
+            loads += s.active + GROUP_COST * s.active.min(self.seen.len() as f32);
         }
-        (self.unit, self.mean_load) = (work / active.max(1.0), work / sizes);
+        (self.unit, self.alone, self.mean_load) =
+            (work / active.max(1.0), work / loads.max(1.0), work / sizes);
         if news && load > MOVE_FROM && self.mean_load < MOVE_ROOM {
             self.evacuate(server, (load - MOVE_TO) / load, out);
         }
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -1,6 +1,8 @@
-//! The slot array of RJ-CH and its hashes. All balancers must agree on them, so they never change.
+//! The slot array of RJ-CH and its hashes: all balancers must agree on them, so they never change.
+//! Random numbers, on which none need agree.
 
 use crate::api::{Request, ServerId};
+use oorandom::Rand64;
 
 /// Slots of the array (m): the points of a thousand servers seldom collide.
 pub const SLOTS: usize = 1 << 15;
@@ -61,3 +63,12 @@
         owner = *slot;
     }
 }
+
+/// Random numbers of one balancer.
+pub struct Random(pub Rand64);
+
+impl Default for Random {
+    fn default() -> Self {
+        Random(Rand64::new(0))
+    }
+}
