Use a failing server with room before full ones, and count warm-up from the told start

A trace of failures showed a server at load 0.2 to 0.3, with room for some 80 connections, that answers about half of the set-ups with ERR: three in a row shut it out for 4 to 32 s, again and again, while from the second call out on (13 s) the two others stood at 1.0 to 1.5 and answered no message in time. Ruled out: sends to what is out (none), late calls (0 of 12), the cold server (it filled at its pace). Lines at fault: Balancer::fallback took any full server before an ejected one. Now one whose last report tells of room is not put behind them; a connect failure forgets the report, as then it may be gone. And a server called back counted as cold from the call although the list had told its start 3 s before (by_hand).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -322,8 +322,8 @@
         self.servers[i] = Server { id, zone, cell, size, listed, ready, gone, held, told, started, ..new };
     }
 
-    /// Staff take a server out, or call it back. They restart it meanwhile: its past says nothing then, and
-    /// it counts as cold from the call on. Each balancer uses it soon, but not all of them at once.
+    /// Staff take a server out, or call it back. They restart it meanwhile, so its past says nothing: it is
+    /// cold from the start that the list tells, or from now. Each balancer uses it soon, not all at once.
     fn by_hand(&mut self, server: ServerId, out_of_use: bool, out: &mut Out) {
         let changed = if out_of_use { self.by_hand.insert(server) } else { self.by_hand.remove(&server) };
         let Some(&i) = self.index.get(&server).filter(|_| changed) else { return };
@@ -334,7 +334,8 @@
             self.forget(i, 0.0);
             let due = self.now + self.rng.0.rand_range(0..BACK_WITHIN);
             let s = &mut self.servers[i];
-            (s.ready, s.back, s.due) = (s.listed && !s.gone, Some(self.now), Some(due));
+            (s.ready, s.due) = (s.listed && !s.gone, Some(due));
+            s.back = Some(self.now).filter(|_| s.started <= Some(s.told));
         }
         self.rebuild();
     }
@@ -496,6 +497,8 @@
             return;
         }
         s.strikes += 1;
+        // What it reported before says nothing any more.
+        s.load_at = s.load_at.filter(|_| outcome != Outcome::ConnectFailed);
         if s.strikes >= STRIKES || outcome == Outcome::ConnectFailed {
             s.ejected_until = self.now + (EJECT << s.ejections.min(3)) - EJECT / 2 + jitter;
             s.ejections += 1;
@@ -696,8 +699,10 @@
             if !self.lawful(i, p) {
                 continue;
             }
-            let over = (self.now < self.servers[i].ejected_until, !self.under_cap(i, own));
             let s = &self.servers[i];
+            // One that fails some is better than one without room, unless it is out of reach since its report.
+            let room = s.load_at.is_some() && s.load < NEAR_LOAD;
+            let over = (self.now < s.ejected_until && !room, !self.under_cap(i, own));
             // A new server counts at the others' mean until it holds something.
             let fresh = s.held == 0 && s.started.is_some();
             let load = if fresh { self.mean(1.0) } else { s.held as f32 / s.size } / self.scale(s).max(0.05);
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -1,5 +1,4 @@
-//! The slot array of RJ-CH and its hashes: all balancers must agree on them, so they never change.
-//! Random numbers, on which none need agree.
+//! The slot array of RJ-CH and its hashes, which never change as all balancers must agree, and random numbers.
 
 use crate::api::{Request, ServerId};
 use oorandom::Rand64;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -970,3 +970,37 @@
     }
     assert!((20..=60).contains(&to_cold), "{to_cold} of 200 in 20 s, for all of 80 that it may take");
 }
+
+/// A server that answers some set-ups with errors was shut out for seconds while the others jammed.
+#[test]
+fn a_failing_server_with_room_goes_before_full_ones_unless_it_is_out_of_reach() {
+    for (outcome, expected) in [(Outcome::Error, 1), (Outcome::ConnectFailed, 2)] {
+        let mut proxy = Proxy::with_servers(Settings { zone: 1, max_attempts: 9, ..with_probes() }, 2);
+        tell(&mut proxy, 1, 0.1);
+        let mut id = 0;
+        while proxy.balancer.avoided(proxy.now) == 0 {
+            id += 1;
+            match sent(&proxy.request(request(id, u64::from(id), 0))).unwrap() {
+                ServerId(1) => proxy.end(id, ServerId(1), outcome, true),
+                other => proxy.end(id, other, Outcome::Ok, true),
+            };
+        }
+        tell(&mut proxy, 2, 1.1);
+        let used = sent(&proxy.request(request(1_000, 5, 0)));
+        assert_eq!(used, Some(ServerId(expected)), "after {outcome:?}");
+    }
+}
+
+/// The list tells when it was started again: it need not count as cold from the call on.
+#[test]
+fn a_server_called_back_is_as_warm_as_its_told_start_makes_it() {
+    let mut proxy = Proxy::with_servers(Settings::default(), 2);
+    proxy.feed(Event::ByHand(ServerId(2), true));
+    proxy.now += SECOND;
+    proxy.list(ListKind::Delta, vec![Member { started: Some(proxy.now), ..ready(2) }]);
+    proxy.now += Settings::default().warm_within;
+    proxy.feed(Event::ByHand(ServerId(2), false));
+    let used =
+        (0..40).filter(|&id| proxy.connect(request(id, u64::from(id), 0)) == Some(ServerId(2))).count();
+    assert!(used >= 10, "{used} of 40 went to one of two warm servers");
+}
