--- a/src/logic.rs
+++ b/src/logic.rs
@@ -700,7 +700,7 @@
                 continue;
             }
             let s = &self.servers[i];
-            // One that fails some is better than one without room, unless it is out of reach since its report.
+            // One that fails some is better than one without room, unless it cannot be reached.
             let room = s.load_at.is_some() && s.load < NEAR_LOAD;
             let over = (self.now < s.ejected_until && !room, !self.under_cap(i, own));
             // A new server counts at the others' mean until it holds something.
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -1,4 +1,4 @@
-//! The slot array of RJ-CH and its hashes, which never change as all balancers must agree, and random numbers.
+//! The slot array of RJ-CH and its hashes, which never change (all balancers must agree); random numbers.
 
 use crate::api::{Request, ServerId};
 use oorandom::Rand64;
