--- a/src/logic.rs
+++ b/src/logic.rs
@@ -249,8 +249,7 @@
         if kind == ListKind::Moved {
             // A backoff for the old place says nothing of the new one.
             (self.watching, self.ask_failures) = (false, 0);
-            self.ask(out);
-            return;
+            return self.ask(out);
         }
         if kind != ListKind::Cached {
             self.ask_failures = 0;
@@ -497,7 +496,6 @@
             return;
         }
         s.strikes += 1;
-        // What it reported before says nothing any more.
         s.load_at = s.load_at.filter(|_| outcome != Outcome::ConnectFailed);
         if s.strikes >= STRIKES || outcome == Outcome::ConnectFailed {
             s.ejected_until = self.now + (EJECT << s.ejections.min(3)) - EJECT / 2 + jitter;
