--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -15,6 +15,7 @@
 use crate::net::takeover::{Parcel, Successor};
 use crate::net::{log, spawn, timed_out};
 use std::collections::BTreeMap;
+use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -410,7 +411,8 @@
     let place = match guest.request(&parcel.name) {
         Ok(place) => place,
         Err(_) => {
-            // Between two lines only where the client has all that came from its backend.
+            let whole = parcel.down.iter().rposition(|&b| b == b'\n').map_or(0, |at| at + 1);
+            let _ = (&*client).write_all(&parcel.down[..whole]);
             say(&client, "MOVE");
             return account.log("no-descriptors");
         }
--- a/src/net/takeover.rs
+++ b/src/net/takeover.rs
@@ -19,10 +19,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The name of the socket.
-const NAME: &str = "jaspermoor-takeover";
-/// What a packet says of its form: another release may have another.
-const FORM: u64 = 1;
+/// The name of the socket. Its number is the form of the packets: a release with another form listens at
+/// another name, so neither finds the other, and what stands is moved.
+const NAME: &str = "jaspermoor-takeover-1";
 /// The longest packet.
 const MAX_PACKET: usize = 64 * 1024;
 /// The most bytes on their way that a connection may have to be sent; one with more has a client that takes
@@ -60,8 +59,8 @@
     /// The packet: a line of JSON, then the bytes of both ways.
     pub fn encode(&self) -> Vec<u8> {
         let head = simd_json::json!({
-            "form": FORM, "name": self.name.clone(), "class": self.class.clone(),
-            "backend": self.backend.clone(), "key": self.key, "group": self.group,
+            "name": self.name.clone(), "class": self.class.clone(), "backend": self.backend.clone(),
+            "key": self.key, "group": self.group,
             "attempts": self.attempts, "age_ms": self.age_ms, "asked_ms": self.asked_ms,
             "seen": self.seen as u64, "up": self.up.len() as u64
         });
@@ -75,9 +74,6 @@
         let number = |key: &str| head.get(key).and_then(|v| v.as_u64()).ok_or(format!("no {key}"));
         let word =
             |key: &str| head.get(key).and_then(|v| v.as_str()).map(String::from).ok_or(format!("no {key}"));
-        if number("form")? != FORM {
-            return Err(format!("a packet of form {}", number("form")?));
-        }
         let bytes = &packet[end + 1..];
         let (up, seen) = (number("up")? as usize, number("seen")? as usize);
         if up > bytes.len() || seen > bytes.len() - up {
@@ -219,13 +215,9 @@
         let packet = never_asked.encode();
         assert_eq!(Parcel::decode(&packet), Ok(never_asked));
         let text = String::from_utf8(packet).unwrap();
-        for (from, to) in [
-            ("\"form\":1", "\"form\":2"),
-            ("\"up\":0", "\"up\":9"),
-            ("\"seen\":0", "\"seen\":1"),
-            ("\n", ""),
-            ("\"name\"", "\"n\""),
-        ] {
+        for (from, to) in
+            [("\"up\":0", "\"up\":9"), ("\"seen\":0", "\"seen\":1"), ("\n", ""), ("\"name\"", "\"n\"")]
+        {
             assert!(text.contains(from), "{from}");
             assert!(Parcel::decode(text.replace(from, to).as_bytes()).is_err(), "{to}");
         }
