--- a/src/net/takeover.rs
+++ b/src/net/takeover.rs
@@ -172,7 +172,11 @@
             }
         };
         if n == 0 {
-            return log(&format!("takeover: {count} connections taken over"));
+            // A process that stops also looks here, and finds itself, where it has no successor.
+            if count > 0 {
+                log(&format!("takeover: {count} connections taken over"));
+            }
+            return;
         }
         let mut fds = Vec::new();
         for message in control.drain() {
