Stop waiting for a successor that takes nothing at half the time, and move what stands

Seen on rereading: Relay::drain tried again for good while the successor's queue was full; one that hangs would have left everything standing at the kill. Now half the time is the limit, as for a single connection. Tests: both sockets arrive with their packet, and a full queue is said and not waited for.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -163,9 +163,9 @@
                     // What could not be given away right now is tried again, up to half the time.
                     Ok(()) if now < kill / 2 => standing.clear(),
                     Ok(()) => {}
-                    Err(e) if timed_out(&e) => standing.clear(),
+                    Err(e) if timed_out(&e) && now < kill / 2 => standing.clear(),
                     Err(e) => {
-                        log(&format!("takeover: the successor is gone: {e}"));
+                        log(&format!("takeover: the successor takes no more: {e}"));
                         successor = None;
                     }
                 }
--- a/src/net/takeover.rs
+++ b/src/net/takeover.rs
@@ -198,6 +198,35 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use rustix::net::socketpair;
+
+    /// Both sockets arrive with their packet, and a successor that takes nothing is not waited for.
+    #[test]
+    fn connections_pass_whole_and_a_full_queue_is_said() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let end = || TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (client, backend) = (end(), end());
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let (to, link) = socketpair(AddressFamily::UNIX, SocketType::SEQPACKET, flags, None).unwrap();
+        let (to, parcel) = (Successor(to), Parcel { name: "9b".into(), ..Parcel::default() });
+        let mut sent = 0;
+        let refused = loop {
+            match to.send(&parcel, &client, &backend) {
+                Ok(()) => sent += 1,
+                Err(e) => break e,
+            }
+        };
+        assert!(sent > 0 && crate::net::timed_out(&refused), "{sent}: {refused}");
+        drop(to);
+        let mut received = 0;
+        receive(&link, |got, its_client, its_backend| {
+            assert_eq!(got, parcel);
+            assert_eq!(its_client.local_addr().unwrap(), client.local_addr().unwrap());
+            assert_eq!(its_backend.local_addr().unwrap(), backend.local_addr().unwrap());
+            received += 1;
+        });
+        assert_eq!(received, sent);
+    }
 
     #[test]
     fn a_parcel_is_read_as_it_was_written_or_refused() {
