Keep the backends' connections open in the test of full backends, which failed one time in eight

Seen: on a clean checkout a_backend_that_reports_it_is_full_is_passed_over failed once, and 1 of 8 times side by side. Cause: the test dropped each backend's connection as soon as it was up; the end of one cuts its server's cap, and a client that came after it was rightly sent to the other. Ruled out: the reports (both are in by then) and the limit of a probe.

--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -169,8 +169,9 @@
             "{\"columns\": [\"active\", \"x0\"], \"via\": \"probe\"}",
         );
     let relay = Relay::start(&probes, None);
-    let (mut told, mut opened, mut clients) = (0, 0, Vec::new());
-    while opened < 6 {
+    // Connections are kept: the end of one would count against its backend before all have come.
+    let (mut told, mut open, mut clients) = (0, Vec::new(), Vec::new());
+    while open.len() < 6 {
         let (at, mut peer) = fleet.accept_any();
         if peer.line() == "STATS" {
             told += 1;
@@ -183,7 +184,7 @@
         } else {
             assert_eq!(at, "s-2");
             peer.send("UP r");
-            opened += 1;
+            open.push(peer);
         }
     }
     clients.iter_mut().for_each(|client| assert_eq!(client.line(), "UP r"));
