Put the line protocol behind a seam for front protocols, and order files by concern

Need: XMPP is to come before the same decisions. src/net/ was one flat room in which seven files imported each other in a circle, and config and discovery imported each other; a second protocol would have been a second copy of five files.

Change: src/front/ has three traits (Greeter, Exchange, Passage) for state machines that do no I/O and read no clock; the line protocol implements them. src/net/ is the shell, src/platform/ has discovery, probes and takeover, src/ops/ the second address, figures, bans and log, src/cli/ the sub-commands. The admin calls get what they act on as a value, the takeover's listener a function, sessions know their registry and no relay.

Tests pass unchanged but for paths; a search of the imports finds no circle (seven files and one pair before).

--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,12 @@
+//! The sub-commands: what is asked for on the command line, and the order in which the parts start.
+
+pub mod check;
+pub mod serve;
+
+/// What ends a sub-command early.
+pub type Failure = Box<dyn std::error::Error>;
+
+/// The value of a variable of the environment.
+pub fn env(key: &str) -> Option<String> {
+    std::env::var(key).ok()
+}
--- a/src/config.rs
+++ b/src/config/mod.rs
@@ -1,9 +1,11 @@
 //! The one place where the environment and the configuration file are read, checked and given
 //! defaults. What is wrong is said with the full path of its key.
 
+pub mod listing;
+
 use crate::api::{Class, Member, Micros, Settings};
-use crate::net::discovery::{self, Endpoint};
 use crate::wire;
+use listing::Endpoint;
 use simd_json::prelude::*;
 use simd_json::OwnedValue as Value;
 use std::fmt;
@@ -198,7 +200,7 @@
 
     /// Reads the text of a configuration.
     pub fn parse(mut text: Vec<u8>, env: Env) -> Result<Config, ConfigError> {
-        discovery::shallow(&text).map_err(|e| ConfigError(format!("BALANCER_CONFIG: {e}")))?;
+        listing::shallow(&text).map_err(|e| ConfigError(format!("BALANCER_CONFIG: {e}")))?;
         let mut top = match simd_json::to_owned_value(&mut text) {
             Ok(top) if top.is_object() => top,
             Ok(_) => return bad("BALANCER_CONFIG", "is not a JSON object"),
@@ -226,7 +228,7 @@
         };
         let (known_version, known, known_problems) = match top.get("known") {
             None => (0, Vec::new(), Vec::new()),
-            Some(known) => match discovery::listing(known, &names.zones) {
+            Some(known) => match listing::listing(known, &names.zones) {
                 Ok(listing) => (listing.version, listing.servers, listing.problems),
                 Err(e) => return Err(ConfigError(format!("known.{e}"))),
             },
@@ -364,7 +366,7 @@
     fn text() -> String {
         format!(
             r#"{{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","limits":{{"cores":1.0}},"settings":{}}}"#,
-            include_str!("../tests/data/settings.json")
+            include_str!("../../tests/data/settings.json")
         )
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,9 +30,13 @@
 pub mod api;
 pub mod config;
 pub mod decide;
+pub mod front;
 pub mod logic;
 pub mod net;
+pub mod ops;
+pub mod platform;
 pub mod slots;
+pub mod sys;
 pub mod wire;
 
 pub use logic::Balancer;
--- a/src/net/admit.rs
+++ b/src/net/admit.rs
@@ -2,7 +2,7 @@
 //! nothing never take the room of those that do.
 
 use crate::config::Limits;
-use crate::net::admin::CALLERS;
+use crate::ops::admin::CALLERS;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -5,18 +5,23 @@
 //! threads the waking alone kept the process over its share for good, and lines were held back for seconds.
 
 use crate::api::{Micros, Outcome, RequestId, ServerId};
-use crate::net::backend::{reset, Up};
-use crate::net::client::{Account, Relay, Session};
+use crate::front::buffer::{Buffer, MAX_LINE};
+use crate::front::line::Lines;
+use crate::front::{News, Passage};
+use crate::net::attempt::{reset, Up};
+use crate::net::core::Core;
 use crate::net::greet::LINGER;
-use crate::net::line::{told, trim, LineBuffer, Told, MAX_LINE};
-use crate::net::takeover::{self, Parcel, Successor};
-use crate::net::{log, timed_out};
+use crate::net::link::Link;
+use crate::net::session::{Account, Session};
+use crate::ops::log::log;
+use crate::platform::takeover::{self, Parcel, Successor};
+use crate::sys::{lock, timed_out};
 use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::fd::OwnedFd;
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Read};
 use std::net::{Shutdown, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// How often connections on which nothing happens are looked at.
@@ -30,8 +35,14 @@
 /// that one that sends at full speed does not take the processor from the others.
 const PIECE: usize = 8192;
 
-/// A backend's socket, and the connection and server as the decisions know them.
-pub type Backend = (Arc<TcpStream>, RequestId, ServerId);
+/// The backend's side of a connection that is up.
+struct Backend {
+    link: Link,
+    /// The connection as the decisions know it.
+    id: RequestId,
+    server: ServerId,
+    passage: Box<dyn Passage>,
+}
 
 /// How a connection that was up has ended.
 struct End {
@@ -56,15 +67,20 @@
 }
 
 struct Conn {
+    core: Arc<Core>,
     session: Arc<Session>,
+    client: Link,
     phase: Phase,
     account: Option<Account>,
     backend: Option<Backend>,
     /// From the client to the backend, and the other way.
-    up: LineBuffer,
-    down: LineBuffer,
-    /// How much of `down` has been read already.
-    seen: usize,
+    up: Buffer,
+    down: Buffer,
+    /// How many bytes at the front of either may go on.
+    up_passed: usize,
+    down_passed: usize,
+    /// Whether the backend owes an answer to what is to go on.
+    asks: bool,
     /// Last words for the client.
     last: Vec<u8>,
     farewell: Option<End>,
@@ -80,30 +96,32 @@
 
 /// All connections whose requests are under way.
 pub struct Forwarder {
+    core: Arc<Core>,
     epoll: OwnedFd,
     conns: Mutex<BTreeMap<u64, Arc<Mutex<Conn>>>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Forwarder {
     /// One with no connections.
-    pub fn new() -> io::Result<Forwarder> {
-        Ok(Forwarder { epoll: epoll::create(epoll::CreateFlags::CLOEXEC)?, conns: Mutex::default() })
+    pub fn new(core: Arc<Core>) -> io::Result<Forwarder> {
+        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
+        Ok(Forwarder { core, epoll, conns: Mutex::default() })
     }
 
-    /// Watches a client whose request is being placed. `up` is what it has sent after its first line.
-    pub fn watch(&self, session: &Arc<Session>, up: LineBuffer) {
+    /// Watches a client whose request is being placed. `up` is what it has sent after its request.
+    pub fn watch(&self, session: &Arc<Session>, client: Link, up: Buffer) {
         let conn = Conn {
+            core: self.core.clone(),
             session: session.clone(),
+            client,
             phase: Phase::Placing,
             account: None,
             backend: None,
             up,
-            down: LineBuffer::default(),
-            seen: 0,
+            down: Buffer::default(),
+            up_passed: 0,
+            down_passed: 0,
+            asks: false,
             last: Vec::new(),
             farewell: None,
             asked: None,
@@ -128,14 +146,11 @@
         }
     }
 
-    /// Gives a client the final answer that is no connection.
-    pub fn answer(&self, session: &Session, account: Account, answer: &str, reason: &'static str) {
+    /// Gives a client the final answer that is no connection; nothing where it is gone.
+    pub fn answer(&self, session: &Session, account: Account, words: Vec<u8>, reason: &'static str) {
         self.with(session.number(), |conn| {
             account.log(reason);
-            account.answered(answer);
-            if !answer.is_empty() {
-                conn.last = format!("{answer}\r\n").into_bytes();
-            }
+            conn.last = words;
             conn.close();
         });
     }
@@ -143,9 +158,10 @@
     /// Takes over a connection that has come up.
     pub fn stand(&self, session: &Session, account: Account, id: RequestId, server: ServerId, up: Up) {
         self.with(session.number(), |conn| {
-            let _ = up.0.set_nonblocking(true);
-            (conn.backend, conn.down) = (Some((up.0, id, server)), up.1);
-            account.passed();
+            let Up { link, inbox, passage } = up;
+            let _ = link.socket.set_nonblocking(true);
+            (conn.backend, conn.down) = (Some(Backend { link, id, server, passage }), inbox);
+            account.tally.iter().for_each(|tally| tally.passed());
             (conn.account, conn.phase) = (Some(account), Phase::Up);
             conn.flush_down();
             conn.flush_up();
@@ -161,13 +177,22 @@
     }
 
     /// Goes on with a connection that stood in another process.
-    pub fn take_over(&self, session: &Arc<Session>, account: Account, backend: Backend, parcel: Parcel) {
-        self.watch(session, LineBuffer::holding(parcel.up));
+    pub fn take_over(
+        &self,
+        session: &Arc<Session>,
+        account: Account,
+        (backend, id, server): (Arc<TcpStream>, RequestId, ServerId),
+        parcel: Parcel,
+    ) {
+        self.watch(session, Link::plain(session.client.clone()), Buffer::holding(parcel.up));
         self.with(session.number(), |conn| {
-            let now = session.relay.decisions.now();
+            let now = conn.core.decisions.now();
             conn.asked = parcel.asked_ms.map(|ms| now.saturating_sub(ms * 1_000));
-            (conn.backend, conn.down) = (Some(backend), LineBuffer::holding(parcel.down));
-            (conn.account, conn.phase, conn.seen) = (Some(account), Phase::Up, parcel.seen);
+            // Only lines go from one process to another.
+            let (link, passage) = (Link::plain(backend), Box::new(Lines));
+            conn.backend = Some(Backend { link, id, server, passage });
+            (conn.down, conn.down_passed) = (Buffer::holding(parcel.down), parcel.seen);
+            (conn.account, conn.phase) = (Some(account), Phase::Up);
             conn.flush_down();
             conn.flush_up();
         });
@@ -206,8 +231,8 @@
     fn settle(&self, conn: &mut Conn) {
         let number = conn.session.number();
         let wanted = conn.wanted();
-        let backend = conn.backend.as_ref().map(|b| b.0.clone());
-        let sockets = [Some(conn.session.client.clone()), backend];
+        let backend = conn.backend.as_ref().map(|b| b.link.socket.clone());
+        let sockets = [Some(conn.client.socket.clone()), backend];
         for (side, socket) in sockets.iter().enumerate() {
             let (Some(socket), now) = (socket, &mut conn.watched[side]) else {
                 // A socket that was let go of is closed, and so is no longer watched.
@@ -229,25 +254,7 @@
     }
 }
 
-/// Writes as much as goes; the number of bytes, and whether the socket takes no more for now.
-fn write_some(mut to: &TcpStream, bytes: &[u8]) -> io::Result<(usize, bool)> {
-    let mut done = 0;
-    while done < bytes.len() {
-        match to.write(&bytes[done..]) {
-            Ok(n) => done += n,
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if timed_out(&e) => return Ok((done, true)),
-            Err(e) => return Err(e),
-        }
-    }
-    Ok((done, false))
-}
-
 impl Conn {
-    fn relay(&self) -> Arc<Relay> {
-        self.session.relay.clone()
-    }
-
     /// What is waited for on the client's socket and the backend's.
     fn wanted(&self) -> [Option<EventFlags>; 2] {
         let flag = |on: bool, flag: EventFlags| if on { flag } else { EventFlags::empty() };
@@ -272,14 +279,13 @@
     /// without a word to either side: nothing may be shut down here after that.
     fn hand_over(&mut self, to: &Successor) -> io::Result<()> {
         let (Phase::Up, None, None) = (self.phase, self.client_ended, &self.farewell) else { return Ok(()) };
-        let (Some((backend, id, _)), Some(account)) = (self.backend.clone(), &self.account) else {
-            return Ok(());
-        };
+        let (Some(backend), Some(account)) = (&self.backend, &self.account) else { return Ok(()) };
+        let (backend, id) = (backend.link.socket.clone(), backend.id);
         let bytes = self.up.rest().len() + self.down.rest().len();
         if bytes > takeover::MAX_BYTES || !self.session.give_away() {
             return Ok(());
         }
-        let now = self.session.relay.decisions.now();
+        let now = self.core.decisions.now();
         let parcel = Parcel {
             name: account.name.clone(),
             class: account.class.clone(),
@@ -289,11 +295,11 @@
             attempts: account.attempts,
             age_ms: account.began.elapsed().as_millis() as u64,
             asked_ms: self.asked.map(|at| now.saturating_sub(at) / 1_000),
-            seen: self.seen,
+            seen: self.down_passed,
             up: self.up.rest().to_vec(),
             down: self.down.rest().to_vec(),
         };
-        if let Err(e) = to.send(&parcel, &self.session.client, &backend) {
+        if let Err(e) = to.send(&parcel, &self.client.socket, &backend) {
             self.session.keep(&backend);
             return Err(e);
         }
@@ -302,7 +308,7 @@
         // The sockets stay with this value until they are no longer waited for (see `settle`): they live on
         // in the other process, and would go on waking this one.
         self.phase = Phase::Done;
-        self.session.relay.decisions.end(id, Outcome::Cancelled, Vec::new());
+        self.core.decisions.end(id, Outcome::Cancelled, Vec::new());
         Ok(())
     }
 
@@ -329,7 +335,7 @@
     }
 
     fn read_client(&mut self) {
-        let ended = match self.up.fill(&mut &*self.session.client) {
+        let ended = match self.client.fill(&mut self.up) {
             Ok(n) if n > 0 => {
                 if self.phase == Phase::Up {
                     self.flush_up();
@@ -340,12 +346,11 @@
             ended => ended,
         };
         self.client_ended = Some(Instant::now());
-        let relay = self.relay();
         match (self.phase, ended) {
             (Phase::Placing, _) => {
                 // It left before its answer. An attempt that is out is ended, and reported by its thread.
                 if let Some(id) = self.session.client_has_ended() {
-                    relay.decisions.vanish(id);
+                    self.core.decisions.vanish(id);
                 }
             }
             (_, Err(_)) => self.reset_both(end(Outcome::Cancelled, "client-reset")),
@@ -354,8 +359,8 @@
     }
 
     fn read_backend(&mut self) {
-        let Some((backend, ..)) = &self.backend else { return };
-        match self.down.fill(&mut &**backend) {
+        let Some(backend) = &mut self.backend else { return };
+        match backend.link.fill(&mut self.down) {
             Ok(0) => {
                 let gone = match self.client_ended {
                     Some(_) => end(Outcome::Cancelled, "client-left"),
@@ -363,7 +368,7 @@
                 };
                 match self.farewell.take() {
                     Some(farewell) => self.part(farewell, true),
-                    None if self.session.moving() => self.leave(Outcome::Cancelled, "moved"),
+                    None if self.session.moving() => self.move_away(end(Outcome::Cancelled, "moved")),
                     None => self.part(gone, true),
                 }
             }
@@ -382,29 +387,40 @@
 
     /// Passes on to the backend what the client has sent.
     fn flush_up(&mut self) {
-        let Some((backend, ..)) = self.backend.clone() else { return };
+        let Some(backend) = &mut self.backend else { return };
         self.up_blocked = false;
-        match self.up.whole() {
-            Ok(0) => {}
-            Ok(n) => {
-                self.asked.get_or_insert(self.session.relay.decisions.now());
-                match write_some(&backend, &self.up.rest()[..n]) {
-                    Ok((n, blocked)) => {
-                        self.up.consume(n);
-                        self.up_blocked = blocked;
-                    }
-                    // That the backend is gone is noticed on its own side.
-                    Err(_) => self.up.discard(),
-                }
+        match backend.passage.up(&self.up.rest()[self.up_passed..]) {
+            Ok(passed) => {
+                self.up_passed += passed.bytes;
+                self.asks |= passed.asks;
             }
-            Err(_) => {
-                log(&format!("client {}: a line is longer than allowed", self.session.name()));
-                // What follows may begin inside that line: none of it may reach the backend.
-                return self.leave(Outcome::Cancelled, "moved");
+            // What came before it goes on first.
+            Err(_) if self.up_passed > 0 => {}
+            Err(fault) => {
+                log(&format!("client {}: {}", self.session.name(), fault.what));
+                return self.leave(fault.words, end(Outcome::Cancelled, fault.reason));
             }
         }
+        if self.up_passed > 0 {
+            if self.asks {
+                self.asked.get_or_insert(self.core.decisions.now());
+            }
+            match backend.link.write_some(&self.up.rest()[..self.up_passed]) {
+                Ok((n, blocked)) => {
+                    self.up.consume(n);
+                    self.up_passed -= n;
+                    self.up_blocked = blocked;
+                }
+                // That the backend is gone is noticed on its own side.
+                Err(_) => {
+                    self.up.discard();
+                    self.up_passed = 0;
+                }
+            }
+            self.asks &= self.up_passed > 0;
+        }
         if self.client_ended.is_some() && !self.up_blocked {
-            let _ = backend.shutdown(Shutdown::Write);
+            backend.link.end_sending();
         }
     }
 
@@ -412,12 +428,12 @@
     /// backend, passes on the last words.
     fn flush_down(&mut self) {
         if let Phase::Closing(since, false) = self.phase {
-            match write_some(&self.session.client, &self.last) {
+            match self.client.write_some(&self.last) {
                 Ok((n, blocked)) => {
                     self.last.drain(..n);
                     self.down_blocked = blocked.then_some(since);
                     if !blocked {
-                        let _ = self.session.client.shutdown(Shutdown::Write);
+                        self.client.end_sending();
                         self.phase = Phase::Closing(Instant::now(), true);
                     }
                 }
@@ -425,44 +441,56 @@
             }
             return;
         }
-        let (relay, Some((_, id, server))) = (self.relay(), self.backend.clone()) else { return };
-        let Ok(whole) = self.down.whole() else { return self.leave(Outcome::Reset, "line-too-long") };
-        for line in self.down.rest()[self.seen..whole].split_inclusive(|&b| b == b'\n') {
-            match told(trim(line), &relay.names) {
-                Told::Load(x) => {
-                    let note = relay.notes.read(server, id, relay.decisions.now(), x);
-                    relay.decisions.note(id, note);
+        let (core, Some(backend)) = (self.core.clone(), &mut self.backend) else { return };
+        let (id, server) = (backend.id, backend.server);
+        let mut news = Vec::new();
+        let fresh = &self.down.rest()[self.down_passed..];
+        match backend.passage.down(fresh, &core.terms().rules, &mut news) {
+            Ok(n) => self.down_passed += n,
+            Err(_) if self.down_passed > 0 => {}
+            Err(fault) => return self.leave(fault.words, end(Outcome::Reset, fault.reason)),
+        }
+        for news in news {
+            match news {
+                News::Load(x) => {
+                    let note = core.notes.read(server, id, core.decisions.now(), x);
+                    core.decisions.note(id, note);
+                }
+                News::Farewell(outcome, report, reason) => {
+                    self.farewell = Some(End { outcome, report, reason });
                 }
-                Told::Bye(report) => self.farewell = Some(End { report, ..end(Outcome::Ok, "served") }),
-                Told::Move => self.farewell = Some(end(Outcome::Cancelled, "sent-away")),
-                _ => {}
             }
         }
-        match write_some(&self.session.client, &self.down.rest()[..whole]) {
+        match self.client.write_some(&self.down.rest()[..self.down_passed]) {
             Ok((n, blocked)) => {
                 self.down.consume(n);
-                self.seen = whole - n;
+                self.down_passed -= n;
                 self.down_blocked = blocked.then(|| self.down_blocked.unwrap_or_else(Instant::now));
             }
             Err(_) => self.reset_both(end(Outcome::Cancelled, "client-reset")),
         }
     }
 
-    /// Sends the client away between two lines, then ends both sides.
-    fn leave(&mut self, outcome: Outcome, reason: &'static str) {
-        self.last = b"MOVE\r\n".to_vec();
-        self.part(end(outcome, reason), false);
+    /// Asks the client to come again, between two lines, then ends both sides.
+    fn move_away(&mut self, end: End) {
+        let words = self.backend.as_ref().map(|b| b.passage.come_again());
+        self.leave(words.unwrap_or_default(), end);
+    }
+
+    /// Sends the client away with these words, after what may go on to it, then ends both sides.
+    fn leave(&mut self, words: Vec<u8>, end: End) {
+        self.last = words;
+        self.part(end, false);
     }
 
     /// Ends the backend's side; the client gets what has come from there, then the last words.
     fn part(&mut self, end: End, rest: bool) {
-        let whole = self.down.whole().unwrap_or(0);
-        let to = if rest { self.down.rest().len() } else { whole };
+        let to = if rest { self.down.rest().len() } else { self.down_passed };
         let mut last = self.down.rest()[..to].to_vec();
         last.append(&mut self.last);
         self.last = last;
-        if let Some((backend, ..)) = &self.backend {
-            let _ = backend.shutdown(Shutdown::Both);
+        if let Some(backend) = &self.backend {
+            let _ = backend.link.socket.shutdown(Shutdown::Both);
         }
         self.report(end);
         self.close();
@@ -479,9 +507,9 @@
 
     /// Closes both sides by a reset.
     fn reset_both(&mut self, end: End) {
-        reset(&self.session.client);
-        if let Some((backend, ..)) = &self.backend {
-            reset(backend);
+        reset(&self.client.socket);
+        if let Some(backend) = &self.backend {
+            reset(&backend.link.socket);
         }
         self.report(end);
         self.phase = Phase::Done;
@@ -489,10 +517,10 @@
 
     /// Tells the decisions and the log how the connection ended, and lets go of its backend.
     fn report(&mut self, end: End) {
-        if let Some((backend, id, _)) = self.backend.take() {
+        if let Some(Backend { link, id, .. }) = self.backend.take() {
             self.session.release();
-            drop(backend);
-            self.session.relay.decisions.end(id, end.outcome, end.report);
+            drop(link);
+            self.core.decisions.end(id, end.outcome, end.report);
         }
         if let Some(account) = self.account.take() {
             account.log(end.reason);
@@ -501,7 +529,7 @@
 
     /// Throws away what a client sends that has had its last words.
     fn discard(&mut self) {
-        match (&*self.session.client).read(&mut [0; PIECE]) {
+        match (&*self.client.socket).read(&mut [0; PIECE]) {
             Ok(PIECE) => self.flooded = true,
             Ok(n) if n > 0 => {}
             Err(e) if timed_out(&e) || e.kind() == ErrorKind::Interrupted => {}
@@ -511,7 +539,7 @@
 
     /// What only time shows.
     fn look(&mut self) {
-        let now = self.session.relay.decisions.now();
+        let now = self.core.decisions.now();
         let stuck = self.down_blocked.is_some_and(|since| since.elapsed() > STUCK);
         match self.phase {
             Phase::Closing(since, true) if since.elapsed() > LINGER => self.phase = Phase::Done,
@@ -527,7 +555,7 @@
             // A machine that vanished says nothing and keeps its connections open: only a line that stays
             // unanswered shows it.
             Phase::Up if self.asked.is_some_and(|at| now.saturating_sub(at) > SILENT) => {
-                self.leave(Outcome::Reset, "backend-silent");
+                self.move_away(end(Outcome::Reset, "backend-silent"));
             }
             _ => {}
         }
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -2,7 +2,7 @@
 //! every process of the relay shares. It is waited for with a wake-up beside it, so that a process can stop
 //! taking clients at once: a blocked `accept` would take one more.
 
-use crate::net::log;
+use crate::ops::log::log;
 use listenfd::ListenFd;
 use rustix::event::{eventfd, poll, EventfdFlags, PollFd, PollFlags};
 use rustix::fd::OwnedFd;
--- /dev/null
+++ b/src/net/session.rs
@@ -0,0 +1,219 @@
+//! A request or connection under way, as those see it who may end it: the decisions, the thread that places
+//! it, the thread that passes on its bytes.
+
+use crate::api::RequestId;
+use crate::decide::Flow;
+use crate::net::admit::Place;
+use crate::ops::log::log;
+use crate::ops::metrics::Tally;
+use crate::sys::lock;
+use std::collections::BTreeMap;
+use std::net::{Shutdown, TcpStream};
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Instant;
+
+#[derive(Default)]
+struct State {
+    backend: Option<Arc<TcpStream>>,
+    /// Attempts below this number are called off.
+    called_off: u16,
+    up: bool,
+    moving: bool,
+    /// Whether the client left before its answer.
+    client_ended: bool,
+    /// Its id for the decisions.
+    id: Option<RequestId>,
+}
+
+/// All sessions, by number.
+#[derive(Default)]
+pub struct Sessions(Mutex<BTreeMap<u64, Weak<Session>>>);
+
+impl Sessions {
+    /// Those that are under way.
+    pub fn live(&self) -> Vec<Arc<Session>> {
+        lock(&self.0).values().filter_map(Weak::upgrade).collect()
+    }
+}
+
+/// One client's connection. Whoever works on it shares its sockets: no descriptor is doubled.
+pub struct Session {
+    sessions: Arc<Sessions>,
+    /// The client's socket.
+    pub client: Arc<TcpStream>,
+    /// The keys of the client and of its group.
+    pub keys: (u64, u64),
+    state: Mutex<State>,
+    /// Given back last, when the sockets are closed.
+    place: Place,
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        lock(&self.sessions.0).remove(&self.place.number);
+    }
+}
+
+impl Flow for Session {
+    fn give_up(&self, attempt: u16) {
+        let mut state = lock(&self.state);
+        state.called_off = state.called_off.max(attempt + 1);
+        if let (false, Some(backend)) = (state.up, &state.backend) {
+            let _ = backend.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn relocate(&self) {
+        let mut state = lock(&self.state);
+        if let (true, Some(backend)) = (state.up && !state.moving, &state.backend) {
+            // Wakes the forwarder, which first passes on what has come.
+            let _ = backend.shutdown(Shutdown::Read);
+            state.moving = true;
+        }
+    }
+}
+
+impl Session {
+    /// A session of that client; `standing` is the backend's socket where it is up already.
+    pub fn new(
+        sessions: &Arc<Sessions>,
+        client: Arc<TcpStream>,
+        keys: (u64, u64),
+        place: Place,
+        standing: Option<Arc<TcpStream>>,
+    ) -> Arc<Session> {
+        let state = State { up: standing.is_some(), backend: standing, ..State::default() };
+        let state = Mutex::new(state);
+        let session = Arc::new(Session { sessions: sessions.clone(), client, keys, state, place });
+        lock(&sessions.0).insert(session.number(), Arc::downgrade(&session));
+        session
+    }
+
+    /// Takes the socket of an attempt; false if the attempt is called off.
+    pub fn hold(&self, backend: &Arc<TcpStream>, attempt: u16) -> bool {
+        let mut state = lock(&self.state);
+        if state.called_off > attempt || state.client_ended {
+            return false;
+        }
+        state.backend = Some(backend.clone());
+        true
+    }
+
+    /// Whether the socket of an attempt is held.
+    pub fn holds(&self) -> bool {
+        lock(&self.state).backend.is_some()
+    }
+
+    /// Gives a connection that is up away to another process: from here on nothing of this one touches its
+    /// sockets, which both share. False if it is about to be moved.
+    pub fn give_away(&self) -> bool {
+        let mut state = lock(&self.state);
+        let stands = state.up && !state.moving;
+        if stands {
+            (state.up, state.backend) = (false, None);
+        }
+        stands
+    }
+
+    /// Takes a connection back that could not be given away.
+    pub fn keep(&self, backend: &Arc<TcpStream>) {
+        let mut state = lock(&self.state);
+        (state.up, state.backend) = (true, Some(backend.clone()));
+    }
+
+    /// Lets go of the socket of an attempt.
+    pub fn release(&self) {
+        lock(&self.state).backend = None;
+    }
+
+    /// Whether an attempt is called off, or its client has left.
+    pub fn called_off(&self, attempt: u16) -> bool {
+        let state = lock(&self.state);
+        state.called_off > attempt || state.client_ended
+    }
+
+    /// The connection's own id.
+    pub fn name(&self) -> &str {
+        &self.place.id
+    }
+
+    /// Whether it is up and not about to be moved.
+    pub fn stands(&self) -> bool {
+        let state = lock(&self.state);
+        state.up && !state.moving
+    }
+
+    /// Whether the client is to be moved.
+    pub fn moving(&self) -> bool {
+        lock(&self.state).moving
+    }
+
+    /// The connection's number.
+    pub fn number(&self) -> u64 {
+        self.place.number
+    }
+
+    /// The decisions know it by this id.
+    pub fn takes_id(&self, id: RequestId) {
+        lock(&self.state).id = Some(id);
+    }
+
+    /// The client has left before its answer: an attempt that is out ends. Its id, where it has one yet.
+    pub fn client_has_ended(&self) -> Option<RequestId> {
+        let mut state = lock(&self.state);
+        state.client_ended = true;
+        if let (false, Some(backend)) = (state.up, &state.backend) {
+            let _ = backend.shutdown(Shutdown::Both);
+        }
+        state.id
+    }
+
+    /// Whether the client left before its answer.
+    pub fn client_ended(&self) -> bool {
+        lock(&self.state).client_ended
+    }
+
+    /// Whether the connection is up.
+    pub fn is_up(&self, up: bool) {
+        lock(&self.state).up = up;
+    }
+}
+
+/// What the log says of a connection that has ended.
+pub struct Account {
+    /// The connection's own id.
+    pub name: String,
+    /// Its class.
+    pub class: String,
+    /// Its backend.
+    pub backend: String,
+    /// How many attempts were made.
+    pub attempts: u16,
+    /// When it began.
+    pub began: Instant,
+    /// Its part in the figures; none before its class is known.
+    pub tally: Option<Tally>,
+}
+
+impl Account {
+    /// One of a client that has just come.
+    pub fn new() -> Account {
+        let (name, class, backend) = (String::new(), String::new(), String::new());
+        Account { name, class, backend, attempts: 0, began: Instant::now(), tally: None }
+    }
+
+    /// Writes the connection's one line.
+    pub fn log(&self, reason: &str) {
+        let Account { name, class, backend, attempts, began, .. } = self;
+        let ms = began.elapsed().as_millis();
+        log(&format!(
+            "end id={name} class={class} backend={backend} attempts={attempts} ms={ms} reason={reason}"
+        ));
+    }
+}
+
+impl Default for Account {
+    fn default() -> Self {
+        Account::new()
+    }
+}
--- a/src/net/admin.rs
+++ b/src/ops/admin.rs
@@ -3,15 +3,18 @@
 //! One thread waits for all callers. A caller that hangs costs it a place and no time: places are few, and
 //! when all are taken the caller that has had one for longest gives it up.
 
-use crate::net::bans::Bans;
-use crate::net::client::Relay;
-use crate::net::discovery::server_id;
-use crate::net::metrics::Fleet;
-use crate::net::{log, timed_out};
+use crate::config::listing::server_id;
+use crate::decide::Decisions;
+use crate::ops::bans::Bans;
+use crate::ops::log::log;
+use crate::ops::metrics::{Fleet, Metrics};
+use crate::platform::directory::Directory;
+use crate::sys::timed_out;
 use percent_encoding::percent_decode_str;
 use rustix::event::{poll, PollFd, PollFlags};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -159,16 +162,28 @@
 /// The second address of a relay.
 pub struct Admin {
     listener: TcpListener,
-    relay: Arc<Relay>,
+    staffed: Staffed,
     bans: Bans,
 }
 
+/// What staff ask about and act on.
+pub struct Staffed {
+    /// The decisions.
+    pub decisions: Arc<Decisions>,
+    /// The backends' addresses.
+    pub directory: Arc<Directory>,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
+    /// Whether this process takes clients.
+    pub open: Arc<AtomicBool>,
+}
+
 impl Admin {
     /// Listens at this address, with the bans that are in force already.
-    pub fn open(addr: SocketAddr, relay: Arc<Relay>, bans: Bans) -> io::Result<Admin> {
+    pub fn open(addr: SocketAddr, staffed: Staffed, bans: Bans) -> io::Result<Admin> {
         let listener = TcpListener::bind(addr)?;
         listener.set_nonblocking(true)?;
-        let mut admin = Admin { listener, relay, bans };
+        let mut admin = Admin { listener, staffed, bans };
         admin.follow();
         Ok(admin)
     }
@@ -183,13 +198,13 @@
     /// Tells the network first: it checks right before a first byte goes out.
     fn apply(&self, id: &str, out_of_use: bool) {
         log(&format!("admin: backend {id} is {} by hand", if out_of_use { "out" } else { "back" }));
-        self.relay.directory.by_hand(server_id(id), out_of_use);
-        self.relay.decisions.by_hand(server_id(id), out_of_use);
+        self.staffed.directory.by_hand(server_id(id), out_of_use);
+        self.staffed.decisions.by_hand(server_id(id), out_of_use);
     }
 
     /// Takes a backend out, or calls it back. Two calls for the same are one.
     fn by_hand(&mut self, id: &str, out_of_use: bool) -> Answer {
-        if !self.bans.holds(id) && self.relay.directory.endpoint(server_id(id)).is_none() {
+        if !self.bans.holds(id) && self.staffed.directory.endpoint(server_id(id)).is_none() {
             return answer(404, "no backend has this id");
         }
         if self.bans.holds(id) != out_of_use {
@@ -270,13 +285,15 @@
 
     fn serve(&mut self, call: &Call) -> Answer {
         match call {
-            Call::Ready if self.relay.takes_clients() => answer(200, "ready"),
+            Call::Ready if self.staffed.open.load(Relaxed) => answer(200, "ready"),
             Call::Ready => answer(503, "takes no clients"),
             Call::Backend(id, out_of_use) => self.by_hand(id, *out_of_use),
             Call::Counters => {
-                let fleet =
-                    Fleet { known: self.relay.directory.known(), skipped: self.relay.decisions.avoided() };
-                (200, self.relay.metrics.render(&fleet))
+                let fleet = Fleet {
+                    known: self.staffed.directory.known(),
+                    skipped: self.staffed.decisions.avoided(),
+                };
+                (200, self.staffed.metrics.render(&fleet))
             }
         }
     }
--- a/src/net/probe.rs
+++ b/src/platform/probe.rs
@@ -3,8 +3,10 @@
 use crate::api::{Outcome, ServerId};
 use crate::config::Names;
 use crate::decide::Decisions;
-use crate::net::discovery::Directory;
-use crate::net::line::{report, trim, LineBuffer};
+use crate::front::buffer::{trim, Buffer};
+use crate::front::line::words::report;
+use crate::platform::directory::Directory;
+use crate::sys::timed_out;
 use crossbeam_channel::Receiver;
 use std::io::Write;
 use std::net::TcpStream;
@@ -33,12 +35,12 @@
     if set.and_then(|()| stream.write_all(b"STATS\r\n")).is_err() {
         return failed(Outcome::ConnectFailed);
     }
-    let mut buffer = LineBuffer::default();
+    let mut buffer = Buffer::default();
     loop {
         match buffer.fill(&mut stream) {
             Ok(0) => return failed(Outcome::Reset),
             Ok(_) => {}
-            Err(e) if super::timed_out(&e) => return failed(Outcome::Timeout),
+            Err(e) if timed_out(&e) => return failed(Outcome::Timeout),
             Err(_) => return failed(Outcome::Reset),
         }
         match buffer.line() {
