--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,220 @@
+//! `jaspermoor-lab`: stand-ins, a first run, and measurements.
+
+use argh::FromArgs;
+use jaspermoor_lab::certs::{self, Authority, Valid};
+use jaspermoor_lab::discovery::{read_list, Discovery};
+use jaspermoor_lab::xmpp_server::{Fault, Server, Setup};
+use jaspermoor_lab::{bench, demo, line, relay};
+use std::error::Error;
+use std::io::BufRead;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Stand-ins, a first run and measurements for the relay jaspermoor. All of it stays on loopback.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Demo(Demo),
+    XmppServer(XmppServer),
+    Discovery(DiscoveryServer),
+    Backend(Backend),
+    Cert(Cert),
+    Bench(Bench),
+}
+
+/// Starts a relay, discovery, three servers and clients, drains one server half-way and checks the rules.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct Demo {
+    /// line or xmpp (default)
+    #[argh(positional, default = "String::from(\"xmpp\")")]
+    what: String,
+    /// how many clients (default 60)
+    #[argh(option, default = "60")]
+    clients: usize,
+}
+
+/// A stand-in XMPP server. Faults come as lines on standard input or in a file: none, drain-mid-stanza MS, reset,
+/// silence, refuse, later, break-sasl, silent-sasl, end-after-success, cut.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "xmpp-server")]
+struct XmppServer {
+    /// where it listens
+    #[argh(option)]
+    listen: SocketAddr,
+    /// its domain
+    #[argh(option)]
+    domain: String,
+    /// NAME:PASSWORD, as often as there are users; without any, a user's password is its name
+    #[argh(option)]
+    user: Vec<String>,
+    /// its certificate; STARTTLS is required then
+    #[argh(option)]
+    cert: Option<PathBuf>,
+    /// the certificate's key
+    #[argh(option)]
+    key: Option<PathBuf>,
+    /// a file whose last line is the fault in force
+    #[argh(option)]
+    control: Option<PathBuf>,
+}
+
+/// A stand-in for discovery.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "discovery")]
+struct DiscoveryServer {
+    /// where it listens
+    #[argh(option)]
+    listen: SocketAddr,
+    /// a JSON list of objects with id, addr, state and started_ms; read again whenever it changes
+    #[argh(option)]
+    file: PathBuf,
+}
+
+/// A stand-in backend of the line protocol.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "backend")]
+struct Backend {
+    /// where it listens
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+/// Makes an authority and a certificate for a domain.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cert")]
+struct Cert {
+    /// the domain
+    #[argh(option)]
+    domain: String,
+    /// the directory; ca.pem, DOMAIN.pem and DOMAIN.key are written there
+    #[argh(option)]
+    out: PathBuf,
+}
+
+/// Measures the relay on this machine.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "bench")]
+struct Bench {
+    /// what: xmpp
+    #[argh(positional)]
+    what: String,
+    /// runs of each measurement, whose median is shown (default 5)
+    #[argh(option, default = "5")]
+    runs: usize,
+    /// idle sessions whose memory is measured (default 2000)
+    #[argh(option, default = "2000")]
+    idle: usize,
+}
+
+type Failure = Box<dyn Error>;
+
+/// A directory of this process's own.
+fn scratch() -> PathBuf {
+    std::env::temp_dir().join(format!("jaspermoor-lab-{}", std::process::id()))
+}
+
+fn demo(demo: &Demo) -> Result<bool, Failure> {
+    let plan = demo::Plan {
+        program: relay::program()?,
+        dir: scratch(),
+        clients: demo.clients,
+        messages: 40,
+        pause: Duration::from_millis(100),
+        size: 200,
+        progress: true,
+    };
+    let verdicts = match demo.what.as_str() {
+        "xmpp" => demo::xmpp(&plan),
+        "line" => demo::line(&plan),
+        other => Err(format!("'{other}' is neither line nor xmpp").into()),
+    };
+    let _ = std::fs::remove_dir_all(&plan.dir);
+    let verdicts = verdicts?;
+    print!("{verdicts}");
+    Ok(verdicts.all())
+}
+
+fn xmpp_server(s: XmppServer) -> Result<bool, Failure> {
+    let user = |text: &String| {
+        let (name, password) = text.split_once(':').ok_or(format!("--user {text}: is not NAME:PASSWORD"))?;
+        Ok::<_, String>((name.to_string(), password.to_string()))
+    };
+    let tls = match (&s.cert, &s.key) {
+        (Some(cert), Some(key)) => Some(certs::server(cert, key)?),
+        (None, None) => None,
+        _ => return Err("--cert and --key go together".into()),
+    };
+    let users = s.user.iter().map(user).collect::<Result<_, _>>()?;
+    let server = Server::start(Setup { listen: Some(s.listen), domain: s.domain, users, tls })?;
+    println!("ready {}", server.addr);
+    let apply = |line: &str| match Fault::read(line) {
+        Some(fault) => server.fault(fault),
+        None => eprintln!("'{line}' is no fault"),
+    };
+    std::thread::scope(|scope| {
+        scope.spawn(|| std::io::stdin().lock().lines().map_while(Result::ok).for_each(|line| apply(&line)));
+        let mut last = String::new();
+        loop {
+            if let Some(text) = s.control.as_ref().and_then(|file| std::fs::read_to_string(file).ok()) {
+                if text != last {
+                    text.lines().last().into_iter().for_each(apply);
+                    last = text;
+                }
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    })
+}
+
+fn run(command: Command) -> Result<bool, Failure> {
+    match command {
+        Command::Demo(d) => demo(&d),
+        Command::XmppServer(s) => xmpp_server(s),
+        Command::Discovery(d) => {
+            let entries = read_list(&std::fs::read_to_string(&d.file)?)?;
+            let discovery = Discovery::start(Some(d.listen), &entries)?;
+            println!("ready {}", discovery.addr);
+            discovery.follow(&d.file)
+        }
+        Command::Backend(b) => {
+            let backend = line::Backend::start(Some(b.listen))?;
+            println!("ready {}", backend.addr);
+            loop {
+                std::thread::park();
+            }
+        }
+        Command::Cert(c) => {
+            let pair = Authority::new(&c.out)?.leaf(&c.domain, &c.domain, Valid::Long)?;
+            println!("{}\n{}", pair.certificate.display(), pair.key.display());
+            Ok(true)
+        }
+        Command::Bench(b) if b.what == "xmpp" => {
+            let dir = scratch();
+            let result = bench::xmpp(&relay::program()?, &dir, b.runs, b.idle);
+            let _ = std::fs::remove_dir_all(dir);
+            print!("{}", result?);
+            Ok(true)
+        }
+        Command::Bench(b) => Err(format!("'{}' is not measured; xmpp is", b.what).into()),
+    }
+}
+
+fn main() -> ExitCode {
+    match run(argh::from_env::<Arguments>().command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("jaspermoor-lab: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -2,7 +2,10 @@
 
 use super::{env, Failure};
 use argh::FromArgs;
+use jaspermoor::config::operator::OperatorFile;
 use jaspermoor::config::Config;
+use jaspermoor::net::core::Xmpp;
+use std::path::PathBuf;
 
 /// Reads and checks a configuration.
 #[derive(FromArgs)]
@@ -11,6 +14,9 @@
     /// the file; without it, the one that BALANCER_CONFIG names
     #[argh(positional)]
     config: Option<String>,
+    /// an operator file that goes with it
+    #[argh(option)]
+    operator: Option<PathBuf>,
 }
 
 /// Runs it.
@@ -27,5 +33,11 @@
         config.known.len(),
         config.classes.names().len()
     );
+    let Some(path) = check.operator else { return Ok(()) };
+    let file = OperatorFile::load(&path)?;
+    match Xmpp::of(&file, &config)? {
+        Some(xmpp) => println!("{}: XMPP for {}", path.display(), xmpp.terms.domains.join(", ")),
+        None => println!("{}: opens nothing", path.display()),
+    }
     Ok(())
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -2,6 +2,7 @@
 //! defaults. What is wrong is said with the full path of its key.
 
 pub mod listing;
+pub mod operator;
 
 use crate::api::{Class, Member, Micros, Settings};
 use crate::wire;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -148,7 +148,7 @@
             match call {
                 Call::GiveUp(flow, attempt) => flow.give_up(attempt),
                 Call::Relocate(flow) => flow.relocate(),
-                Call::Log(line) => crate::ops::log::log(&line),
+                Call::Log(line) => crate::log::log(&line),
             }
         }
     }
--- a/src/front/buffer.rs
+++ b/src/front/buffer.rs
@@ -8,6 +8,11 @@
 /// Bytes that a buffer makes room for at a time.
 const CHUNK: usize = 512;
 
+/// The most room that is made at a time: more for a unit that has grown long already.
+const LARGE: usize = 16 * 1024;
+/// The longest room that an empty buffer keeps: what any line needs.
+const KEPT: usize = MAX_LINE + 2 * CHUNK;
+
 /// Bytes that have come and are not yet used up.
 #[derive(Default)]
 pub struct Buffer {
@@ -37,8 +42,10 @@
             self.bytes.copy_within(self.start..self.end, 0);
             (self.start, self.end) = (0, self.end - self.start);
         }
-        if self.bytes.len() < self.end + CHUNK {
-            self.bytes.resize(self.end + CHUNK, 0);
+        // No line is long enough for more than the smallest piece.
+        let room = if self.end > MAX_LINE { LARGE } else { CHUNK };
+        if self.bytes.len() < self.end + room {
+            self.bytes.resize(self.end + room, 0);
         }
         loop {
             match from.read(&mut self.bytes[self.end..]) {
@@ -78,6 +85,18 @@
     /// Uses up bytes at the front.
     pub fn consume(&mut self, n: usize) {
         self.start = (self.start + n).min(self.end);
+        // One long stanza must not cost its memory for as long as the connection lives.
+        if self.start == self.end && self.bytes.len() > KEPT {
+            *self = Buffer::default();
+        }
+    }
+
+    /// Leaves the first so many bytes of what has come, and puts these behind them.
+    pub fn replace_tail(&mut self, from: usize, with: &[u8]) {
+        let from = (self.start + from).min(self.end);
+        self.bytes.truncate(from);
+        self.bytes.extend_from_slice(with);
+        self.end = self.bytes.len();
     }
 
     /// The bytes of a range that was just taken.
--- a/src/front/line/mod.rs
+++ b/src/front/line/mod.rs
@@ -6,7 +6,7 @@
 use crate::api::{Micros, Outcome, Request};
 use crate::front::buffer::{trim, Buffer, TooLong, MAX_LINE};
 use crate::front::{
-    Answer, Exchange, Fault, Greeter, News, Next, Order, Passage, Passed, Rules, Short, Step,
+    Answer, Away, Exchange, Fault, Greeter, News, Next, Order, Passage, Passed, Rules, Short, Step,
 };
 use std::sync::Arc;
 use words::{opening, told, Open, Opening, Told};
@@ -16,6 +16,9 @@
 const HEARD: Micros = 2_000_000;
 /// One that has asked whether the relay is there, and then for nothing, is closed after this.
 const IDLE: Micros = 60_000_000;
+/// A backend that leaves a client's line unanswered for so long counts as lost: clients give up on a
+/// connection after 7 s, and a crowded backend may take about 3 s.
+const SILENT: Micros = 5_000_000;
 /// The last words to a client that is asked to come again.
 const MOVE: &[u8] = b"MOVE\r\n";
 
@@ -86,6 +89,10 @@
 }
 
 impl Order for Asked {
+    fn front(&self) -> &'static str {
+        "line"
+    }
+
     fn name(&self) -> &str {
         &self.open.name
     }
@@ -106,7 +113,7 @@
         match answer {
             Answer::Refused(0) => line("BUSY"),
             Answer::Refused(wait) => line(&format!("BUSY {}", wait.div_ceil(1000))),
-            Answer::Failed => line("FAILED"),
+            Answer::Failed(_) => line("FAILED"),
             Answer::IdInUse => line("ERR id-in-use"),
         }
     }
@@ -187,9 +194,13 @@
         Ok(whole)
     }
 
-    fn come_again(&self) -> Vec<u8> {
+    fn words(&self, _why: Away) -> Vec<u8> {
         MOVE.to_vec()
     }
+
+    fn silent(&self) -> Micros {
+        SILENT
+    }
 }
 
 #[cfg(test)]
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -15,6 +15,7 @@
 
 pub mod buffer;
 pub mod line;
+pub mod xmpp;
 
 use crate::api::{Micros, Outcome, Request};
 use crate::config::{Classes, Names};
@@ -36,6 +37,8 @@
     Read,
     /// Send this and go on.
     Say(Vec<u8>),
+    /// Put the link under TLS with the certificate of this domain; then [`Greeter::secured`].
+    Secure(String),
     /// Have this placed. What is left in the buffer came after it.
     Place(Box<dyn Order>),
     /// End the connection with these last words, for the reason that the log names.
@@ -56,6 +59,11 @@
     /// Goes on with what has come.
     fn next(&mut self, inbox: &mut Buffer, now: Micros, rules: &Arc<Rules>) -> Next;
 
+    /// TLS stands.
+    fn secured(&mut self, now: Micros) {
+        let _ = now;
+    }
+
     /// When the client must have said what comes next.
     fn until(&self) -> Micros;
 
@@ -63,19 +71,31 @@
     fn cut_short(&mut self, inbox: &Buffer, why: Short) -> (Vec<u8>, &'static str);
 }
 
+/// What a request has failed of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// A backend did not answer in time.
+    Late,
+    /// A backend could not be reached, broke off, or answered with an error.
+    Broke,
+}
+
 /// A final answer that is no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
     /// A further try is harmless after this wait (0: no advice).
     Refused(Micros),
     /// Nothing is promised.
-    Failed,
+    Failed(Cause),
     /// Another open connection has its id.
     IdInUse,
 }
 
 /// A client's request for a connection.
 pub trait Order: Send + Sync {
+    /// The name of its protocol, for the log.
+    fn front(&self) -> &'static str;
+
     /// The connection's own id, which no other open connection may have.
     fn name(&self) -> &str;
 
@@ -85,6 +105,11 @@
     /// The backend at which the connection was open before the start, if it was.
     fn at(&self) -> Option<&str>;
 
+    /// Whether its backend finishes what it sends before the connection is moved ([`Passage::part`]).
+    fn finishes(&self) -> bool {
+        false
+    }
+
     /// The machine of one attempt.
     fn exchange(&self) -> Box<dyn Exchange>;
 
@@ -97,6 +122,10 @@
 pub enum Step {
     /// Wait for more bytes.
     Read,
+    /// Send this; nothing can have run by it.
+    Say(Vec<u8>),
+    /// Put the link under TLS with a server of this name.
+    Secure(String),
     /// Send the request: once its last byte is out it may have run.
     Ask(Vec<u8>),
     /// The connection is up. What is left in the buffer is for the client.
@@ -121,9 +150,42 @@
 pub enum News {
     /// `LOAD X`: see [`line::note`].
     Load(f32),
+    /// The client has its final answer: it is served (true), or its backend has said no.
+    Answered(bool),
     /// How the connection ends, once the backend ends it: the outcome, a load report where one came, and the
     /// reason for the log.
     Farewell(Outcome, Vec<f32>, &'static str),
+    /// It is over once what may go on has gone on, with these words to the client.
+    Over(Vec<u8>, Outcome, &'static str),
+    /// A backend that was asked to finish has done so.
+    Finished,
+}
+
+/// How a connection may be moved.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Parting {
+    /// At once: all that has come is whole.
+    Now,
+    /// The backend gets these words and so long to finish what it sends.
+    Finish {
+        /// The words.
+        words: Vec<u8>,
+        /// How long it may take.
+        within: Micros,
+    },
+    /// Not yet; after so long at once.
+    Later(Micros),
+}
+
+/// Why a client is sent away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Away {
+    /// It is to come again: its backend leaves, or the relay does.
+    Moved,
+    /// Its backend has gone without a word, or answers nothing.
+    Gone,
+    /// Its final answer is due.
+    Late,
 }
 
 /// What comes cannot go on, and the connection is ended by the relay.
@@ -155,6 +217,35 @@
     /// How many bytes of the backend may go on to the client, and what they mean.
     fn down(&mut self, fresh: &[u8], rules: &Rules, news: &mut Vec<News>) -> Result<usize, Fault>;
 
-    /// The last words to a client that is asked to come again.
-    fn come_again(&self) -> Vec<u8>;
+    /// The last words to a client that is sent away.
+    fn words(&self, why: Away) -> Vec<u8>;
+
+    /// Whether the client has its final answer once the backend's first words have gone on to it.
+    fn answered(&self) -> bool {
+        true
+    }
+
+    /// Whether the connection may go on in another process, as an adopted one of [`line::Lines`].
+    fn portable(&self) -> bool {
+        true
+    }
+
+    /// Whether a client is shown the end of its backend as it was: what came last, whole or not, and a reset for
+    /// a reset. Where not, it gets whole units and last words.
+    fn mirrors_end(&self) -> bool {
+        true
+    }
+
+    /// A backend that leaves what asks for an answer unanswered for so long counts as lost.
+    fn silent(&self) -> Micros;
+
+    /// The connection is to be moved.
+    fn part(&mut self) -> Parting {
+        Parting::Now
+    }
+
+    /// Whether half a unit has come from the backend.
+    fn half(&self) -> bool {
+        false
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod config;
 pub mod decide;
 pub mod front;
+pub mod log;
 pub mod logic;
 pub mod net;
 pub mod ops;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,6 @@
 
 use argh::FromArgs;
 use cli::{check, serve};
-use jaspermoor::ops::log::log;
 use std::process::ExitCode;
 
 /// Relay for long-lived connections.
@@ -29,7 +28,7 @@
 
 fn main() -> ExitCode {
     let result = match argh::from_env::<Arguments>().command {
-        Command::Serve(_) => serve::run(),
+        Command::Serve(serve) => serve::run(serve),
         Command::Check(check) => check::run(check),
         Command::Version(_) => {
             println!("jaspermoor {}", env!("CARGO_PKG_VERSION"));
@@ -39,7 +38,8 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            log(&format!("jaspermoor: {e}"));
+            // Also where no log has been started.
+            eprintln!("jaspermoor: {e}");
             ExitCode::FAILURE
         }
     }
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -3,10 +3,10 @@
 use crate::api::{Micros, Outcome, RequestId, ServerId};
 use crate::front::buffer::Buffer;
 use crate::front::{Exchange, Order, Passage, Step};
+use crate::log::log;
 use crate::net::core::Core;
 use crate::net::link::Link;
 use crate::net::session::Session;
-use crate::ops::log::log;
 use crate::sys::timed_out;
 use socket2::SockRef;
 use std::net::TcpStream;
@@ -77,7 +77,11 @@
         return failed(Outcome::Moot);
     }
     // The dial has its own limit; a connection that comes up after it is closed unused.
-    let Ok(stream) = TcpStream::connect_timeout(&endpoint.addr, dial) else {
+    let mut addr = endpoint.addr;
+    if let Some(port) = core.port(order.front()) {
+        addr.set_port(port);
+    }
+    let Ok(stream) = TcpStream::connect_timeout(&addr, dial) else {
         return failed(Outcome::ConnectFailed);
     };
     let stream = Arc::new(stream);
@@ -87,36 +91,62 @@
     let mut link = Link::plain(stream.clone());
     let mut exchange: Box<dyn Exchange> = order.exchange();
     let mut inbox = Buffer::default();
-    let mut asked = false;
+    // Whether the request's last byte is out, and whether anything is.
+    let (mut asked, mut said) = (false, false);
+    // Before the request's last byte nothing can have run, whatever happens.
+    let broke = |asked: bool| match (asked, session.called_off(a.number)) {
+        (_, true) => failed(Outcome::Cancelled),
+        (true, false) => failed(Outcome::Reset),
+        (false, false) => failed(Outcome::ConnectFailed),
+    };
     loop {
         let wait = left();
         if wait.is_zero() {
-            return failed(if asked { Outcome::Timeout } else { Outcome::Moot });
+            return failed(match (asked, said) {
+                (true, _) => Outcome::Timeout,
+                (false, true) => Outcome::ConnectFailed,
+                (false, false) => Outcome::Moot,
+            });
+        }
+        let step = exchange.step(&mut inbox, wait.as_micros() as Micros);
+        // During the dial, or a negotiation, the backend may have left, or the request may have been
+        // answered: once more, right before each first byte of something new.
+        let new = matches!(step, Step::Ask(_) | Step::Say(_) | Step::Secure(_));
+        if new && !adopted && (!core.directory.takes_new(a.server) || !core.decisions.owed(id)) {
+            return failed(Outcome::Moot);
         }
-        match exchange.step(&mut inbox, wait.as_micros() as Micros) {
+        match step {
             Step::Read => {}
-            Step::Ask(bytes) => {
-                // During the dial the backend may have left, or the request may have been answered: once
-                // more, right before the first byte.
-                if !adopted && (!core.directory.takes_new(a.server) || !core.decisions.owed(id)) {
-                    return failed(Outcome::Moot);
+            Step::Say(bytes) => {
+                said = true;
+                if send(&mut link, &bytes, wait).is_err() {
+                    return broke(false);
                 }
-                let sent = stream
-                    .set_nodelay(true)
-                    .and_then(|()| stream.set_write_timeout(Some(wait)))
-                    .and_then(|()| link.write_all(&bytes));
-                if sent.is_err() {
-                    let called_off = session.called_off(a.number);
-                    return failed(if called_off { Outcome::Cancelled } else { Outcome::ConnectFailed });
+            }
+            Step::Ask(bytes) => {
+                if send(&mut link, &bytes, wait).is_err() {
+                    return broke(false);
                 }
                 core.metrics.tries.fetch_add(1, Relaxed);
                 asked = true;
             }
+            Step::Secure(domain) => {
+                said = true;
+                let Some(tls) = core.xmpp().and_then(|xmpp| xmpp.tls.client(&domain)) else {
+                    return failed(Outcome::Moot);
+                };
+                if let Err(e) = stream.set_nodelay(true).and_then(|()| link.secure(tls, left)) {
+                    log(&format!("backend {}: no TLS for {domain}: {e}", endpoint.name));
+                    return broke(false);
+                }
+                continue;
+            }
             Step::Up => return Ok(Up { link, inbox, passage: exchange.passage() }),
+            Step::Not(Outcome::Error | Outcome::Reset, _) if !asked => return broke(false),
             Step::Not(outcome, report) => return Err((outcome, report)),
             Step::Nonsense(what) => {
                 log(&format!("backend {}: {what} in place of an answer", endpoint.name));
-                return failed(Outcome::Error);
+                return failed(if asked { Outcome::Error } else { Outcome::ConnectFailed });
             }
         }
         let wait = left();
@@ -126,12 +156,17 @@
         match link.set_read_timeout(wait).and_then(|()| link.fill(&mut inbox)) {
             Err(e) if timed_out(&e) => {}
             Ok(n) if n > 0 => {}
-            _ if session.called_off(a.number) => return failed(Outcome::Cancelled),
-            _ => return failed(Outcome::Reset),
+            _ => return broke(asked),
         }
     }
 }
 
+fn send(link: &mut Link, bytes: &[u8], wait: Duration) -> std::io::Result<()> {
+    link.socket.set_nodelay(true)?;
+    link.socket.set_write_timeout(Some(wait))?;
+    link.write_all(bytes)
+}
+
 /// Makes the closing of a socket a reset.
 pub fn reset(stream: &TcpStream) {
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -5,19 +5,20 @@
 use crate::config::Config;
 use crate::decide::{Decisions, Flow, Verdict};
 use crate::front::line::Greeting;
-use crate::front::{Answer, Greeter, Order};
+use crate::front::xmpp::greeting;
+use crate::front::{Answer, Cause, Greeter, Order};
+use crate::log::log;
 use crate::net::admit::{Denied, Guest};
 use crate::net::attempt::{self, Attempt};
 use crate::net::core::Core;
 use crate::net::forward::Forwarder;
-use crate::net::greet::{hear, part, say};
+use crate::net::greet::{hear, part, say, secure};
 use crate::net::link::Link;
 use crate::net::listen::Door;
 use crate::net::session::{Account, Session};
-use crate::ops::log::log;
 use crate::platform::directory::Directory;
 use crate::platform::takeover::{Parcel, Successor};
-use crate::sys::{spawn, timed_out};
+use crate::sys::{spawn_with, timed_out, STACK};
 use std::net::TcpStream;
 use std::path::Path;
 use std::sync::atomic::Ordering::Relaxed;
@@ -31,6 +32,30 @@
 const KILL_DEADLINE: Duration = Duration::from_secs(3);
 const KILL_AFTER: Duration = Duration::from_millis(700);
 
+/// Stack of a thread that may have a TLS handshake to do.
+const TLS_STACK: usize = 512 * 1024;
+
+/// What is spoken at a door.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Speaks {
+    /// The line protocol.
+    Line,
+    /// XMPP that begins in clear.
+    Xmpp,
+    /// XMPP that begins with TLS.
+    XmppTls,
+}
+
+impl Speaks {
+    fn front(self) -> &'static str {
+        if self == Speaks::Line {
+            "line"
+        } else {
+            "xmpp"
+        }
+    }
+}
+
 /// A relay: what its connections share, and those that are up.
 pub struct Relay {
     /// What all connections share.
@@ -51,8 +76,10 @@
     }
 
     /// Takes in connections until the door is closed.
-    pub fn accept(self: &Arc<Self>, door: &Door) {
-        self.core.open.store(true, Relaxed);
+    pub fn accept(self: &Arc<Self>, door: &Door, speaks: Speaks) {
+        if speaks == Speaks::Line {
+            self.core.open.store(true, Relaxed);
+        }
         loop {
             // What cannot be taken in now waits in the listener's queue.
             if !self.core.admission.room() {
@@ -62,12 +89,23 @@
                 continue;
             }
             let Some(client) = door.next() else { break };
-            let (relay, guest) = (self.clone(), self.core.admission.guest(client));
-            if let Err(e) = spawn("session", move || serve(&relay, guest)) {
-                log(&format!("accept: no thread: {e}"));
-            }
+            self.take_in(client, speaks);
+        }
+        if speaks == Speaks::Line {
+            return self.core.open.store(false, Relaxed);
+        }
+        // This socket is the process's own, and goes with it.
+        while let Some(client) = door.left().filter(|_| self.core.admission.room()) {
+            self.take_in(client, speaks);
+        }
+    }
+
+    fn take_in(self: &Arc<Self>, client: TcpStream, speaks: Speaks) {
+        let stack = if speaks == Speaks::Line { STACK } else { TLS_STACK };
+        let (relay, guest) = (self.clone(), self.core.admission.guest(client));
+        if let Err(e) = spawn_with(stack, "session", move || serve(&relay, guest, speaks)) {
+            log(&format!("accept: no thread: {e}"));
         }
-        self.core.open.store(false, Relaxed);
     }
 
     /// Moves the standing connections in a paced way and returns once none is left, or when the platform is
@@ -88,7 +126,9 @@
         while start.elapsed() + Duration::from_millis(200) < kill {
             sleep(step);
             let now = start.elapsed();
-            let mut standing: Vec<_> = self.core.sessions.live().into_iter().filter(|s| s.stands()).collect();
+            let standing = self.core.sessions.live().into_iter().filter(|s| s.stands());
+            // What cannot change process is moved, whoever takes over.
+            let (mut standing, fixed): (Vec<_>, Vec<_>) = standing.partition(|s| s.portable());
             if let Some(to) = &successor {
                 match standing.iter().try_for_each(|s| self.forwarder.hand_over(s.number(), to)) {
                     // What could not be given away right now is tried again, up to half the time.
@@ -105,6 +145,7 @@
                 continue;
             }
             let steps = (moved_by.saturating_sub(now).as_secs_f32() / step.as_secs_f32()).max(1.0);
+            standing.extend(fixed);
             let share = (standing.len() as f32 / steps).ceil() as usize;
             standing.iter().take(share).for_each(|s| s.relocate());
             // Those that have yet to ask are waited for where nobody else would hear them.
@@ -119,12 +160,16 @@
     }
 }
 
-fn serve(relay: &Arc<Relay>, guest: Guest) {
+fn serve(relay: &Arc<Relay>, guest: Guest, speaks: Speaks) {
     let core = &relay.core;
     let mut link = Link::plain(guest.stream.clone());
-    let mut greeter: Box<dyn Greeter> = Box::new(Greeting::new(core.decisions.now()));
-    let mut account = Account::new();
-    let (order, rest) = match hear(&guest, &mut link, &mut *greeter, core) {
+    let mut account = Account::new(speaks.front());
+    let Some(mut greeter) = greeter(core, speaks) else { return };
+    let heard = match speaks {
+        Speaks::XmppTls => secure(&mut link, core, None, greeter.until()),
+        Speaks::Line | Speaks::Xmpp => Ok(()),
+    };
+    let (order, rest) = match heard.and_then(|()| hear(&guest, &mut link, &mut *greeter, core)) {
         Ok(asked) => asked,
         Err("") => return,
         Err(reason) => return account.log(reason),
@@ -136,7 +181,8 @@
     let (answer, reason) = match guest.request(order.name()) {
         Ok(place) => {
             let keys = (order.request().key, order.request().group);
-            let session = Session::new(&core.sessions, guest.stream.clone(), keys, place, None);
+            let session =
+                Session::new(&core.sessions, guest.stream.clone(), keys, place, order.finishes(), None);
             drop(guest);
             relay.forwarder.watch(&session, link, rest);
             return self::place(relay, &session, &*order, account);
@@ -152,11 +198,25 @@
     part(&guest.stream);
 }
 
+/// The machine that hears a client of this door; none where the front has gone meanwhile.
+fn greeter(core: &Core, speaks: Speaks) -> Option<Box<dyn Greeter>> {
+    let now = core.decisions.now();
+    if speaks == Speaks::Line {
+        return Some(Box::new(Greeting::new(now)));
+    }
+    let mut ids = [0; 3];
+    for id in &mut ids {
+        *id = getrandom::u64().inspect_err(|e| log(&format!("xmpp: no random numbers: {e}"))).ok()?;
+    }
+    let terms = core.xmpp()?.terms.clone();
+    Some(Box::new(greeting::Greeting::new(terms, ids, speaks == Speaks::XmppTls, now)))
+}
+
 /// Counts a connection by its final answer.
 fn count(account: &Account, answer: Answer) {
     match (&account.tally, answer) {
         (Some(tally), Answer::Refused(_)) => tally.dropped(),
-        (Some(tally), Answer::Failed | Answer::IdInUse) => tally.failed(),
+        (Some(tally), Answer::Failed(_) | Answer::IdInUse) => tally.failed(),
         (None, _) => {}
     }
 }
@@ -168,6 +228,7 @@
     let (client, backend) = (guest.stream.clone(), Arc::new(backend));
     let classes = &core.terms().rules.classes;
     let account = Account {
+        front: "line",
         name: parcel.name.clone(),
         class: parcel.class.clone(),
         backend: parcel.backend.clone(),
@@ -185,7 +246,7 @@
     };
     drop(guest);
     let keys = (parcel.key, parcel.group);
-    let session = Session::new(&core.sessions, client, keys, place, Some(backend.clone()));
+    let session = Session::new(&core.sessions, client, keys, place, false, Some(backend.clone()));
     let request = Request {
         // One that has vanished here goes on under any: the decisions look at nothing but its aims.
         class: classes.index(&parcel.class).unwrap_or(0),
@@ -204,6 +265,9 @@
         return adopt(relay, session, order, at, account);
     }
     let core = &*relay.core;
+    // Whoever waits is owed its answer by then; what went before the request is the client's own time.
+    let answer_by = core.decisions.now() + order.request().left;
+    let mut cause = Cause::Broke;
     let flow: Arc<dyn Flow> = session.clone();
     let pick = core.decisions.pick(order.request().clone(), flow, |id| session.takes_id(id));
     let id = pick.id;
@@ -222,7 +286,7 @@
                 session.is_up(result.is_ok());
                 match result {
                     Ok(up) if core.decisions.up(id, core.decisions.now() - began) => {
-                        return relay.forwarder.stand(session, account, id, server, up);
+                        return relay.forwarder.stand(session, account, (id, server), up, answer_by);
                     }
                     Ok(up) => {
                         // Answered meanwhile: the attempt is closed before anything else happens.
@@ -231,13 +295,16 @@
                         session.is_up(false);
                         core.decisions.report(id, Outcome::Cancelled, Vec::new());
                     }
-                    Err((outcome, report)) => core.decisions.report(id, outcome, report),
+                    Err((outcome, report)) => {
+                        cause = if outcome == Outcome::Timeout { Cause::Late } else { Cause::Broke };
+                        core.decisions.report(id, outcome, report);
+                    }
                 }
             }
             Verdict::Refuse(wait) => {
                 break (Some(Answer::Refused(wait.min(core.terms().max_retry_after))), "refused")
             }
-            Verdict::Fail => break (Some(Answer::Failed), "failed"),
+            Verdict::Fail => break (Some(Answer::Failed(cause)), "failed"),
             Verdict::Gone => break (None, "client-gave-up"),
         }
     };
@@ -259,12 +326,17 @@
     match attempt::attempt(&Attempt { core, session, order, id, server, until, number: 0 }) {
         Ok(up) => {
             session.is_up(true);
-            relay.forwarder.stand(session, account, id, server, up);
+            relay.forwarder.stand(session, account, (id, server), up, until);
         }
         Err((outcome, report)) => {
             core.decisions.end(id, outcome, report);
-            count(&account, Answer::Failed);
-            relay.forwarder.answer(session, account, order.words(Answer::Failed), "not-adopted");
+            count(&account, Answer::Failed(Cause::Broke));
+            relay.forwarder.answer(
+                session,
+                account,
+                order.words(Answer::Failed(Cause::Broke)),
+                "not-adopted",
+            );
         }
     }
 }
@@ -311,7 +383,7 @@
         let rules = relay.core.terms().rules.clone();
         let Next::Place(order) = Greeting::new(0).next(&mut inbox, 0, &rules) else { panic!() };
         let (client, place) = (guest.stream.clone(), guest.request("1").unwrap());
-        let session = Session::new(&relay.core.sessions, client, (0x7f, 0), place, None);
+        let session = Session::new(&relay.core.sessions, client, (0x7f, 0), place, false, None);
         Setup { listener, relay, session, order, _front }
     }
 
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -1,16 +1,19 @@
 //! What all connections of a relay share.
 
 use crate::api::Micros;
+use crate::config::operator::{OperatorError, OperatorFile};
 use crate::config::Config;
 use crate::decide::Decisions;
 use crate::front::line::note::Notes;
+use crate::front::xmpp::terms;
 use crate::front::Rules;
 use crate::net::admit::Admission;
 use crate::net::session::Sessions;
+use crate::net::tls::Tls;
 use crate::ops::metrics::Metrics;
 use crate::platform::directory::Directory;
 use crate::sys::lock;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -34,6 +37,25 @@
     }
 }
 
+/// The XMPP front as an install has it.
+pub struct Xmpp {
+    /// What its machines take from the operator file.
+    pub terms: Arc<terms::Terms>,
+    /// Certificates.
+    pub tls: Tls,
+    /// The port of XMPP servers, where it is not the one that discovery gives.
+    pub port: Option<u16>,
+}
+
+impl Xmpp {
+    /// The front that an operator file sets, with its certificates, all checked; none where it sets none.
+    pub fn of(file: &OperatorFile, config: &Config) -> Result<Option<Arc<Xmpp>>, OperatorError> {
+        let Some(x) = &file.operator.xmpp else { return Ok(None) };
+        let terms = Arc::new(terms::Terms::of(file, x, &config.classes)?);
+        Ok(Some(Arc::new(Xmpp { terms, tls: Tls::load(file, x)?, port: x.servers.port })))
+    }
+}
+
 /// What all connections share.
 pub struct Core {
     /// The decisions.
@@ -41,6 +63,7 @@
     /// The backends' addresses.
     pub directory: Arc<Directory>,
     terms: Mutex<Arc<Terms>>,
+    xmpp: Mutex<Option<Arc<Xmpp>>>,
     /// What backends told lately.
     pub notes: Notes,
     /// Who may come in.
@@ -62,6 +85,7 @@
             decisions,
             directory,
             terms: Mutex::new(Arc::new(Terms::of(config))),
+            xmpp: Mutex::default(),
             notes: Notes::default(),
             admission: Admission::new(&config.limits, config.admin.is_some(), config.accept_fd.is_some()),
             metrics,
@@ -82,4 +106,20 @@
         self.decisions.settings(config.settings.clone());
         *lock(&self.terms) = Arc::new(Terms::of(config));
     }
+
+    /// The XMPP front, where there is one.
+    pub fn xmpp(&self) -> Option<Arc<Xmpp>> {
+        lock(&self.xmpp).clone()
+    }
+
+    /// The XMPP front is as said from now on; sessions under way go on as they were admitted.
+    pub fn adopt_xmpp(&self, xmpp: Option<Arc<Xmpp>>) {
+        self.metrics.xmpp.on.store(xmpp.is_some(), Relaxed);
+        *lock(&self.xmpp) = xmpp;
+    }
+
+    /// The port at which servers of that front are reached, where it is not the one that discovery gives.
+    pub fn port(&self, front: &str) -> Option<u16> {
+        self.xmpp().filter(|_| front == "xmpp").and_then(|xmpp| xmpp.port)
+    }
 }
--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -7,13 +7,13 @@
 use crate::api::{Micros, Outcome, RequestId, ServerId};
 use crate::front::buffer::{Buffer, MAX_LINE};
 use crate::front::line::Lines;
-use crate::front::{News, Passage};
+use crate::front::{Away, News, Parting, Passage};
+use crate::log::log;
 use crate::net::attempt::{reset, Up};
 use crate::net::core::Core;
 use crate::net::greet::LINGER;
 use crate::net::link::Link;
 use crate::net::session::{Account, Session};
-use crate::ops::log::log;
 use crate::platform::takeover::{self, Parcel, Successor};
 use crate::sys::{lock, timed_out};
 use rustix::event::epoll::{self, EventData, EventFlags};
@@ -21,14 +21,12 @@
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read};
 use std::net::{Shutdown, TcpStream};
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// How often connections on which nothing happens are looked at.
 const LOOK: Duration = Duration::from_millis(200);
-/// A backend that leaves a client's line unanswered for so long counts as lost: clients give up on a
-/// connection after 7 s, and a crowded backend may take about 3 s.
-const SILENT: Micros = 5_000_000;
 /// The longest wait for a client that takes no bytes.
 const STUCK: Duration = Duration::from_secs(5);
 /// What is thrown away at a time of a client that has had its last word; more waits for the next look, so
@@ -81,6 +79,14 @@
     down_passed: usize,
     /// Whether the backend owes an answer to what is to go on.
     asks: bool,
+    /// By when the client is owed its final answer; none once it has it.
+    answer_by: Option<Micros>,
+    /// Up to when the backend may finish what it sends, or its client be answered, before it is moved.
+    finish_by: Option<Micros>,
+    /// Whether the backend was told to finish.
+    parting: bool,
+    /// How it ends once what may go on has gone on, and the last words.
+    over: Option<(Vec<u8>, End)>,
     /// Last words for the client.
     last: Vec<u8>,
     farewell: Option<End>,
@@ -122,6 +128,10 @@
             up_passed: 0,
             down_passed: 0,
             asks: false,
+            answer_by: None,
+            finish_by: None,
+            parting: false,
+            over: None,
             last: Vec::new(),
             farewell: None,
             asked: None,
@@ -155,13 +165,27 @@
         });
     }
 
-    /// Takes over a connection that has come up.
-    pub fn stand(&self, session: &Session, account: Account, id: RequestId, server: ServerId, up: Up) {
+    /// Takes over a connection that has come up. `answer_by` is when its client is owed its final answer.
+    pub fn stand(
+        &self,
+        session: &Session,
+        account: Account,
+        (id, server): (RequestId, ServerId),
+        up: Up,
+        answer_by: Micros,
+    ) {
         self.with(session.number(), |conn| {
             let Up { link, inbox, passage } = up;
             let _ = link.socket.set_nonblocking(true);
+            if passage.answered() {
+                account.tally.iter().for_each(|tally| tally.passed());
+            } else {
+                conn.answer_by = Some(answer_by);
+            }
+            if !passage.portable() {
+                conn.core.metrics.xmpp.sessions.fetch_add(1, Relaxed);
+            }
             (conn.backend, conn.down) = (Some(Backend { link, id, server, passage }), inbox);
-            account.tally.iter().for_each(|tally| tally.passed());
             (conn.account, conn.phase) = (Some(account), Phase::Up);
             conn.flush_down();
             conn.flush_up();
@@ -259,6 +283,7 @@
     fn wanted(&self) -> [Option<EventFlags>; 2] {
         let flag = |on: bool, flag: EventFlags| if on { flag } else { EventFlags::empty() };
         let client_in = self.client_ended.is_none()
+            && !self.parting
             && match self.phase {
                 Phase::Placing => self.up.rest().len() < MAX_LINE,
                 Phase::Up => !self.up_blocked,
@@ -281,6 +306,9 @@
         let (Phase::Up, None, None) = (self.phase, self.client_ended, &self.farewell) else { return Ok(()) };
         let (Some(backend), Some(account)) = (&self.backend, &self.account) else { return Ok(()) };
         let (backend, id) = (backend.link.socket.clone(), backend.id);
+        if !self.backend.as_ref().is_some_and(|b| b.passage.portable()) {
+            return Ok(());
+        }
         let bytes = self.up.rest().len() + self.down.rest().len();
         if bytes > takeover::MAX_BYTES || !self.session.give_away() {
             return Ok(());
@@ -361,22 +389,13 @@
     fn read_backend(&mut self) {
         let Some(backend) = &mut self.backend else { return };
         match backend.link.fill(&mut self.down) {
-            Ok(0) => {
-                let gone = match self.client_ended {
-                    Some(_) => end(Outcome::Cancelled, "client-left"),
-                    None => end(Outcome::Reset, "backend-ended"),
-                };
-                match self.farewell.take() {
-                    Some(farewell) => self.part(farewell, true),
-                    None if self.session.moving() => self.move_away(end(Outcome::Cancelled, "moved")),
-                    None => self.part(gone, true),
-                }
-            }
+            Ok(0) => self.backend_ended(),
             Ok(_) => {
                 self.asked = None;
                 self.flush_down();
             }
             Err(e) if timed_out(&e) => {}
+            Err(_) if !backend.passage.mirrors_end() => self.backend_ended(),
             Err(_) => {
                 // Ended by a reset: so is the other side.
                 let gone = self.farewell.take().unwrap_or(end(Outcome::Reset, "backend-reset"));
@@ -385,40 +404,68 @@
         }
     }
 
+    /// The backend has ended its side.
+    fn backend_ended(&mut self) {
+        let Some(backend) = &self.backend else { return };
+        let mirrors = backend.passage.mirrors_end();
+        let gone = match self.client_ended {
+            Some(_) => end(Outcome::Cancelled, "client-left"),
+            None => end(Outcome::Reset, "backend-ended"),
+        };
+        match self.farewell.take() {
+            Some(farewell) if !self.parting => self.part(farewell, true),
+            _ if self.parting || self.session.moving() => self.move_away(),
+            None if !mirrors && self.client_ended.is_none() => {
+                let words = backend.passage.words(Away::Gone);
+                self.leave(words, gone);
+            }
+            farewell => self.part(farewell.unwrap_or(gone), true),
+        }
+    }
+
     /// Passes on to the backend what the client has sent.
     fn flush_up(&mut self) {
         let Some(backend) = &mut self.backend else { return };
-        self.up_blocked = false;
-        match backend.passage.up(&self.up.rest()[self.up_passed..]) {
-            Ok(passed) => {
-                self.up_passed += passed.bytes;
-                self.asks |= passed.asks;
+        let mut blocked = std::mem::take(&mut self.up_blocked);
+        loop {
+            let mut fresh = 0;
+            match backend.passage.up(&self.up.rest()[self.up_passed..]) {
+                Ok(passed) => {
+                    fresh = passed.bytes;
+                    self.asks |= passed.asks;
+                }
+                // What came before it goes on first.
+                Err(_) if self.up_passed > 0 => {}
+                Err(fault) => {
+                    log(&format!("client {}: {}", self.session.name(), fault.what));
+                    return self.leave(fault.words, end(Outcome::Cancelled, fault.reason));
+                }
             }
-            // What came before it goes on first.
-            Err(_) if self.up_passed > 0 => {}
-            Err(fault) => {
-                log(&format!("client {}: {}", self.session.name(), fault.what));
-                return self.leave(fault.words, end(Outcome::Cancelled, fault.reason));
+            self.up_passed += fresh;
+            if self.up_passed == 0 && !blocked {
+                break;
             }
-        }
-        if self.up_passed > 0 {
             if self.asks {
                 self.asked.get_or_insert(self.core.decisions.now());
             }
             match backend.link.write_some(&self.up.rest()[..self.up_passed]) {
-                Ok((n, blocked)) => {
+                Ok((n, full)) => {
                     self.up.consume(n);
                     self.up_passed -= n;
-                    self.up_blocked = blocked;
+                    blocked = full;
                 }
                 // That the backend is gone is noticed on its own side.
                 Err(_) => {
                     self.up.discard();
-                    self.up_passed = 0;
+                    (self.up_passed, blocked) = (0, false);
                 }
             }
             self.asks &= self.up_passed > 0;
+            if blocked || fresh == 0 {
+                break;
+            }
         }
+        self.up_blocked = blocked;
         if self.client_ended.is_some() && !self.up_blocked {
             backend.link.end_sending();
         }
@@ -441,40 +488,98 @@
             }
             return;
         }
-        let (core, Some(backend)) = (self.core.clone(), &mut self.backend) else { return };
-        let (id, server) = (backend.id, backend.server);
-        let mut news = Vec::new();
-        let fresh = &self.down.rest()[self.down_passed..];
-        match backend.passage.down(fresh, &core.terms().rules, &mut news) {
-            Ok(n) => self.down_passed += n,
-            Err(_) if self.down_passed > 0 => {}
-            Err(fault) => return self.leave(fault.words, end(Outcome::Reset, fault.reason)),
-        }
-        for news in news {
-            match news {
-                News::Load(x) => {
-                    let note = core.notes.read(server, id, core.decisions.now(), x);
-                    core.decisions.note(id, note);
+        let mut finished = false;
+        loop {
+            let Some(backend) = &mut self.backend else { return };
+            let (id, server) = (backend.id, backend.server);
+            let (mut fresh, mut news) = (0, Vec::new());
+            let unread = &self.down.rest()[self.down_passed..];
+            match backend.passage.down(unread, &self.core.terms().rules, &mut news) {
+                Ok(n) => fresh = n,
+                Err(_) if self.down_passed > 0 => {}
+                Err(fault) => {
+                    log(&format!("backend of {}: {}", self.session.name(), fault.what));
+                    return self.leave(fault.words, end(Outcome::Reset, fault.reason));
+                }
+            }
+            self.down_passed += fresh;
+            for news in news {
+                match news {
+                    News::Load(x) => {
+                        let note = self.core.notes.read(server, id, self.core.decisions.now(), x);
+                        self.core.decisions.note(id, note);
+                    }
+                    News::Farewell(outcome, report, reason) => {
+                        self.farewell = Some(End { outcome, report, reason });
+                    }
+                    News::Answered(served) => self.answered(served),
+                    News::Over(words, outcome, reason) => self.over = Some((words, end(outcome, reason))),
+                    News::Finished => finished = true,
                 }
-                News::Farewell(outcome, report, reason) => {
-                    self.farewell = Some(End { outcome, report, reason });
+            }
+            match self.client.write_some(&self.down.rest()[..self.down_passed]) {
+                Ok((n, blocked)) => {
+                    self.down.consume(n);
+                    self.down_passed -= n;
+                    self.down_blocked = blocked.then(|| self.down_blocked.unwrap_or_else(Instant::now));
                 }
+                Err(_) => return self.reset_both(end(Outcome::Cancelled, "client-reset")),
             }
-        }
-        match self.client.write_some(&self.down.rest()[..self.down_passed]) {
-            Ok((n, blocked)) => {
-                self.down.consume(n);
-                self.down_passed -= n;
-                self.down_blocked = blocked.then(|| self.down_blocked.unwrap_or_else(Instant::now));
+            if finished {
+                return self.move_away();
+            }
+            if let Some((words, end)) = self.over.take() {
+                return self.leave(words, end);
+            }
+            if self.down_blocked.is_some() || fresh == 0 {
+                return;
             }
-            Err(_) => self.reset_both(end(Outcome::Cancelled, "client-reset")),
         }
     }
 
-    /// Asks the client to come again, between two lines, then ends both sides.
-    fn move_away(&mut self, end: End) {
-        let words = self.backend.as_ref().map(|b| b.passage.come_again());
-        self.leave(words.unwrap_or_default(), end);
+    /// The client has its final answer.
+    fn answered(&mut self, served: bool) {
+        self.answer_by = None;
+        match (&self.account, served) {
+            (Some(Account { tally: Some(tally), .. }), true) => tally.passed(),
+            (_, true) => {}
+            (_, false) => drop(self.core.metrics.xmpp.sasl_failures.fetch_add(1, Relaxed)),
+        }
+    }
+
+    /// Asks the client to come again, between two units, then ends both sides.
+    fn move_away(&mut self) {
+        let Some(backend) = &self.backend else { return };
+        let metrics = &self.core.metrics.xmpp;
+        if backend.passage.half() {
+            metrics.cut.fetch_add(1, Relaxed);
+        }
+        if !backend.passage.portable() {
+            metrics.moved.fetch_add(1, Relaxed);
+        }
+        self.leave(backend.passage.words(Away::Moved), end(Outcome::Cancelled, "moved"));
+    }
+
+    /// The connection is to be moved: once the backend has finished, or its time for that is up.
+    fn depart(&mut self, now: Micros) {
+        let Some(backend) = &mut self.backend else { return };
+        if let Some(by) = self.finish_by.filter(|by| self.parting || now >= *by) {
+            if now >= by {
+                self.move_away();
+            }
+            return;
+        }
+        match backend.passage.part() {
+            Parting::Now => self.move_away(),
+            Parting::Later(within) => drop(self.finish_by.get_or_insert(now + within)),
+            Parting::Finish { words, within } => {
+                // Half a unit of the client's is not on its way: nothing of it went on.
+                self.up.replace_tail(self.up_passed, &words);
+                self.up_passed += words.len();
+                (self.parting, self.finish_by) = (true, Some(now + within));
+                self.flush_up();
+            }
+        }
     }
 
     /// Sends the client away with these words, after what may go on to it, then ends both sides.
@@ -485,6 +590,7 @@
 
     /// Ends the backend's side; the client gets what has come from there, then the last words.
     fn part(&mut self, end: End, rest: bool) {
+        let rest = rest && self.backend.as_ref().is_some_and(|b| b.passage.mirrors_end());
         let to = if rest { self.down.rest().len() } else { self.down_passed };
         let mut last = self.down.rest()[..to].to_vec();
         last.append(&mut self.last);
@@ -517,12 +623,19 @@
 
     /// Tells the decisions and the log how the connection ended, and lets go of its backend.
     fn report(&mut self, end: End) {
-        if let Some(Backend { link, id, .. }) = self.backend.take() {
+        if let Some(Backend { link, id, passage, .. }) = self.backend.take() {
             self.session.release();
             drop(link);
+            if !passage.portable() {
+                self.core.metrics.xmpp.sessions.fetch_sub(1, Relaxed);
+            }
             self.core.decisions.end(id, end.outcome, end.report);
         }
         if let Some(account) = self.account.take() {
+            // It was owed an answer, and what it has had now was a failure's.
+            if self.answer_by.take().is_some() && self.client_ended.is_none() {
+                account.tally.iter().for_each(|tally| tally.failed());
+            }
             account.log(end.reason);
         }
     }
@@ -537,6 +650,10 @@
         }
     }
 
+    fn silent(&self) -> Micros {
+        self.backend.as_ref().map_or(Micros::MAX, |b| b.passage.silent())
+    }
+
     /// What only time shows.
     fn look(&mut self) {
         let now = self.core.decisions.now();
@@ -552,11 +669,19 @@
             Phase::Up if self.client_ended.is_some_and(|at| at.elapsed() > LINGER) => {
                 self.part(end(Outcome::Cancelled, "client-left"), true);
             }
-            // A machine that vanished says nothing and keeps its connections open: only a line that stays
-            // unanswered shows it.
-            Phase::Up if self.asked.is_some_and(|at| now.saturating_sub(at) > SILENT) => {
-                self.move_away(end(Outcome::Reset, "backend-silent"));
+            // A machine that vanished says nothing and keeps its connections open: only what stays unanswered
+            // shows it.
+            Phase::Up if self.asked.is_some_and(|at| now.saturating_sub(at) > self.silent()) => {
+                let words = self.backend.as_ref().map(|b| b.passage.words(Away::Gone));
+                self.leave(words.unwrap_or_default(), end(Outcome::Reset, "backend-silent"));
+            }
+            // Two looks before it is due: the next one might be too late.
+            Phase::Up if self.answer_by.is_some_and(|by| now + 2 * LOOK.as_micros() as Micros >= by) => {
+                let late = if self.asked.is_some() { Outcome::Timeout } else { Outcome::Cancelled };
+                let words = self.backend.as_ref().map(|b| b.passage.words(Away::Late));
+                self.leave(words.unwrap_or_default(), end(late, "answer-late"));
             }
+            Phase::Up if self.session.departs() => self.depart(now),
             _ => {}
         }
     }
--- a/src/net/greet.rs
+++ b/src/net/greet.rs
@@ -1,6 +1,7 @@
 //! The first words of a connection, and its last ones: up to the request, and an answer that reaches the
 //! client although it may still be sending.
 
+use crate::api::Micros;
 use crate::front::buffer::Buffer;
 use crate::front::{Greeter, Next, Order, Short};
 use crate::net::admit::Guest;
@@ -9,6 +10,7 @@
 use crate::sys::timed_out;
 use std::io::{ErrorKind, Read};
 use std::net::TcpStream;
+use std::sync::atomic::Ordering::Relaxed;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -41,6 +43,11 @@
                 link.write_all(&bytes).map_err(|_| "")?;
                 continue;
             }
+            Next::Secure(domain) => {
+                secure(link, core, Some(&domain), greeter.until())?;
+                greeter.secured(core.decisions.now());
+                continue;
+            }
             Next::Place(order) => return Ok((order, inbox)),
             Next::End(last, reason) => {
                 say(link, &last);
@@ -65,6 +72,21 @@
     }
 }
 
+/// Puts a client's link under TLS, up to that time.
+pub fn secure(link: &mut Link, core: &Core, domain: Option<&str>, until: Micros) -> Result<(), &'static str> {
+    let tls = core.xmpp().and_then(|xmpp| xmpp.tls.server(domain)).ok_or("no-tls")?;
+    let done = link.secure(tls, || core.decisions.left(until));
+    let _ = link.socket.set_write_timeout(Some(ANSWER));
+    done.map_err(|e| {
+        core.metrics.xmpp.tls_failures.fetch_add(1, Relaxed);
+        if timed_out(&e) {
+            "tls-late"
+        } else {
+            "tls-failed"
+        }
+    })
+}
+
 /// Gives the client its last word.
 pub fn say(link: &mut Link, words: &[u8]) {
     let _ = link.socket.set_write_timeout(Some(ANSWER));
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -2,10 +2,11 @@
 //! every process of the relay shares. It is waited for with a wake-up beside it, so that a process can stop
 //! taking clients at once: a blocked `accept` would take one more.
 
-use crate::ops::log::log;
+use crate::log::log;
 use listenfd::ListenFd;
 use rustix::event::{eventfd, poll, EventfdFlags, PollFd, PollFlags};
 use rustix::fd::OwnedFd;
+use socket2::{Domain, Socket, Type};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
@@ -24,6 +25,17 @@
         Door::new(TcpListener::bind(addr)?, false)
     }
 
+    /// Opens a socket at an address that several processes of a relay listen at during an upgrade, each with a
+    /// socket of its own.
+    pub fn open_beside(addr: SocketAddr) -> io::Result<Door> {
+        let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_reuse_port(true)?;
+        socket.bind(&addr.into())?;
+        socket.listen(1024)?;
+        Door::new(socket.into(), false)
+    }
+
     /// Takes the socket that this process has inherited as that descriptor. Call it before any thread is
     /// started: the descriptor's number goes through the environment.
     pub fn inherit(fd: u16) -> io::Result<Door> {
@@ -74,6 +86,11 @@
         }
     }
 
+    /// A client that waits at a door that is closed: with the socket it would be reset.
+    pub fn left(&self) -> Option<TcpStream> {
+        self.listener.accept().ok().map(|(client, _)| client)
+    }
+
     /// Waits without taking anyone; true if this process takes no more.
     pub fn pause(&self, limit: Duration) -> bool {
         let mut fds = [PollFd::new(&self.wake, PollFlags::IN)];
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,3 +10,4 @@
 pub mod link;
 pub mod listen;
 pub mod session;
+pub mod tls;
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -4,7 +4,6 @@
 use crate::api::RequestId;
 use crate::decide::Flow;
 use crate::net::admit::Place;
-use crate::ops::log::log;
 use crate::ops::metrics::Tally;
 use crate::sys::lock;
 use std::collections::BTreeMap;
@@ -44,6 +43,8 @@
     /// The keys of the client and of its group.
     pub keys: (u64, u64),
     state: Mutex<State>,
+    /// Whether its backend finishes what it sends before it is moved: the forwarder sees to that.
+    finishes: bool,
     /// Given back last, when the sockets are closed.
     place: Place,
 }
@@ -66,8 +67,10 @@
     fn relocate(&self) {
         let mut state = lock(&self.state);
         if let (true, Some(backend)) = (state.up && !state.moving, &state.backend) {
-            // Wakes the forwarder, which first passes on what has come.
-            let _ = backend.shutdown(Shutdown::Read);
+            if !self.finishes {
+                // Wakes the forwarder, which first passes on what has come.
+                let _ = backend.shutdown(Shutdown::Read);
+            }
             state.moving = true;
         }
     }
@@ -80,11 +83,12 @@
         client: Arc<TcpStream>,
         keys: (u64, u64),
         place: Place,
+        finishes: bool,
         standing: Option<Arc<TcpStream>>,
     ) -> Arc<Session> {
         let state = State { up: standing.is_some(), backend: standing, ..State::default() };
         let state = Mutex::new(state);
-        let session = Arc::new(Session { sessions: sessions.clone(), client, keys, state, place });
+        let session = Arc::new(Session { sessions: sessions.clone(), client, keys, state, finishes, place });
         lock(&sessions.0).insert(session.number(), Arc::downgrade(&session));
         session
     }
@@ -148,6 +152,16 @@
         lock(&self.state).moving
     }
 
+    /// Whether the client is to be moved once its backend has finished.
+    pub fn departs(&self) -> bool {
+        self.finishes && self.moving()
+    }
+
+    /// Whether it may go on in another process.
+    pub fn portable(&self) -> bool {
+        !self.finishes
+    }
+
     /// The connection's number.
     pub fn number(&self) -> u64 {
         self.place.number
@@ -181,6 +195,8 @@
 
 /// What the log says of a connection that has ended.
 pub struct Account {
+    /// Its protocol.
+    pub front: &'static str,
     /// The connection's own id.
     pub name: String,
     /// Its class.
@@ -197,23 +213,15 @@
 
 impl Account {
     /// One of a client that has just come.
-    pub fn new() -> Account {
+    pub fn new(front: &'static str) -> Account {
         let (name, class, backend) = (String::new(), String::new(), String::new());
-        Account { name, class, backend, attempts: 0, began: Instant::now(), tally: None }
+        Account { front, name, class, backend, attempts: 0, began: Instant::now(), tally: None }
     }
 
     /// Writes the connection's one line.
     pub fn log(&self, reason: &str) {
-        let Account { name, class, backend, attempts, began, .. } = self;
-        let ms = began.elapsed().as_millis();
-        log(&format!(
-            "end id={name} class={class} backend={backend} attempts={attempts} ms={ms} reason={reason}"
-        ));
-    }
-}
-
-impl Default for Account {
-    fn default() -> Self {
-        Account::new()
+        let Account { front, name, class, backend, attempts, began, .. } = self;
+        let ms = began.elapsed().as_millis() as u64;
+        tracing::info!(id = %name, class, backend, attempts, ms, reason, front, "end");
     }
 }
--- /dev/null
+++ b/src/net/tls.rs
@@ -0,0 +1,141 @@
+//! Certificates, and the configurations of TLS made of them. All are read and checked at once: a bad pair among
+//! them changes nothing.
+//!
+//! Guards against: a key that is another certificate's, a certificate that has run out or is for another name,
+//! found out by the first client in place of the operator.
+
+use crate::config::operator::{OperatorError, OperatorFile, Security, Xmpp};
+use rustls::crypto::ring;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::server::{ClientHello, ResolvesServerCert};
+use rustls::sign::CertifiedKey;
+use rustls::{ClientConfig, ClientConnection, Connection, RootCertStore, ServerConfig, ServerConnection};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Certificates by domain, and the one for whoever names none.
+#[derive(Debug)]
+struct Chosen {
+    all: Arc<BTreeMap<String, Arc<CertifiedKey>>>,
+    default: String,
+}
+
+impl ResolvesServerCert for Chosen {
+    fn resolve(&self, hello: ClientHello<'_>) -> Option<Arc<CertifiedKey>> {
+        let named = hello.server_name().and_then(|name| self.all.get(&name.to_lowercase()));
+        named.or_else(|| self.all.get(&self.default)).cloned()
+    }
+}
+
+/// TLS towards clients and servers.
+pub struct Tls {
+    by_domain: BTreeMap<String, Arc<ServerConfig>>,
+    first: String,
+    towards_servers: Option<Arc<ClientConfig>>,
+}
+
+fn certified(file: &OperatorFile, n: usize, x: &Xmpp) -> Result<Arc<CertifiedKey>, OperatorError> {
+    let (domain, key) = (&x.domain[n], format!("xmpp.domain[{n}]"));
+    let at = file.resolve(&domain.certificate);
+    let wrong = |what: String| file.error(&format!("{key}.certificate"), format!("{}: {what}", at.display()));
+    let chain: Result<Vec<CertificateDer>, _> =
+        CertificateDer::pem_file_iter(&at).map_err(|e| wrong(e.to_string()))?.collect();
+    let chain = chain.map_err(|e| wrong(e.to_string()))?;
+    let Some(leaf) = chain.first() else { return Err(wrong("has no certificate".into())) };
+    let (_, parsed) =
+        x509_parser::parse_x509_certificate(leaf).map_err(|e| wrong(format!("cannot be read: {e}")))?;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs() as i64;
+    let valid = parsed.validity();
+    if valid.not_after.timestamp() < now {
+        return Err(wrong(format!("has run out on {}", valid.not_after)));
+    }
+    if valid.not_before.timestamp() > now {
+        return Err(wrong(format!("holds from {} only", valid.not_before)));
+    }
+    let name = ServerName::try_from(domain.name.clone())
+        .map_err(|_| file.error(&format!("{key}.name"), "is no name that a certificate can have"))?;
+    let end = webpki::EndEntityCert::try_from(leaf).map_err(|e| wrong(e.to_string()))?;
+    end.verify_is_valid_for_subject_name(&name).map_err(|_| wrong(format!("is not for {}", domain.name)))?;
+    let secret = file.resolve(&domain.key);
+    let wrong = |what: String| file.error(&format!("{key}.key"), format!("{}: {what}", secret.display()));
+    let secret = PrivateKeyDer::from_pem_file(&secret).map_err(|e| wrong(e.to_string()))?;
+    let pair = CertifiedKey::from_der(chain, secret, &ring::default_provider());
+    pair.map(Arc::new).map_err(|e| wrong(format!("is not the certificate's key: {e}")))
+}
+
+impl Tls {
+    /// Reads and checks all that `[xmpp]` names.
+    pub fn load(file: &OperatorFile, x: &Xmpp) -> Result<Tls, OperatorError> {
+        let mut all = BTreeMap::new();
+        for n in 0..x.domain.len() {
+            all.insert(x.domain[n].name.to_lowercase(), certified(file, n, x)?);
+        }
+        let all = Arc::new(all);
+        let Some(first) = x.domain.first() else {
+            return Err(file.error("xmpp.domain", "no domain is served"));
+        };
+        let ticketer =
+            ring::Ticketer::new().map_err(|e| file.error("xmpp", format!("no random numbers: {e}")))?;
+        let config = |domain: &String| {
+            let chosen = Chosen { all: all.clone(), default: domain.clone() };
+            let mut config = ServerConfig::builder_with_provider(Arc::new(ring::default_provider()))
+                .with_safe_default_protocol_versions()
+                .map_err(|e| file.error("xmpp", e))?
+                .with_no_client_auth()
+                .with_cert_resolver(Arc::new(chosen));
+            // Clients that were moved come back together: a resumed handshake costs a tenth of a full one.
+            config.ticketer = ticketer.clone();
+            config.send_tls13_tickets = 1;
+            // Nothing is kept for each client: phones are many.
+            config.session_storage = Arc::new(rustls::server::NoServerSessionStorage {});
+            Ok((domain.clone(), Arc::new(config)))
+        };
+        let by_domain = all.keys().map(config).collect::<Result<_, _>>()?;
+        let towards_servers = match x.servers.security {
+            Security::Plain => None,
+            Security::StartTls | Security::Tls => Some(Tls::towards_servers(file, x)?),
+        };
+        Ok(Tls { by_domain, first: first.name.to_lowercase(), towards_servers })
+    }
+
+    fn towards_servers(file: &OperatorFile, x: &Xmpp) -> Result<Arc<ClientConfig>, OperatorError> {
+        let key = "xmpp.servers.ca";
+        let Some(ca) = &x.servers.ca else {
+            return Err(
+                file.error(key, "is missing: servers' certificates must be checked against something")
+            );
+        };
+        let at = file.resolve(ca);
+        let wrong = |what: String| file.error(key, format!("{}: {what}", at.display()));
+        let mut roots = RootCertStore::empty();
+        for root in CertificateDer::pem_file_iter(&at).map_err(|e| wrong(e.to_string()))? {
+            let root = root.map_err(|e| wrong(e.to_string()))?;
+            roots.add(root).map_err(|e| wrong(e.to_string()))?;
+        }
+        if roots.is_empty() {
+            return Err(wrong("has no certificate".into()));
+        }
+        let config = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+            .with_safe_default_protocol_versions()
+            .map_err(|e| file.error(key, e))?
+            .with_root_certificates(roots)
+            .with_no_client_auth();
+        Ok(Arc::new(config))
+    }
+
+    /// The relay's side of TLS with a client; the certificate is that of the name the client gives, else that of
+    /// this domain, else the first.
+    pub fn server(&self, domain: Option<&str>) -> Option<Connection> {
+        let config =
+            domain.and_then(|d| self.by_domain.get(d)).or_else(|| self.by_domain.get(&self.first))?;
+        ServerConnection::new(config.clone()).ok().map(Connection::Server)
+    }
+
+    /// The relay's side of TLS with a server of that domain.
+    pub fn client(&self, domain: &str) -> Option<Connection> {
+        let name = ServerName::try_from(domain.to_string()).ok()?;
+        ClientConnection::new(self.towards_servers.clone()?, name).ok().map(Connection::Client)
+    }
+}
--- a/src/ops/admin.rs
+++ b/src/ops/admin.rs
@@ -5,8 +5,8 @@
 
 use crate::config::listing::server_id;
 use crate::decide::Decisions;
+use crate::log::log;
 use crate::ops::bans::Bans;
-use crate::ops::log::log;
 use crate::ops::metrics::{Fleet, Metrics};
 use crate::platform::directory::Directory;
 use crate::sys::timed_out;
--- a/src/ops/bans.rs
+++ b/src/ops/bans.rs
@@ -2,7 +2,7 @@
 //! each, in a directory of its own. The file system makes and removes a file whole, so that two processes
 //! which are called at once can neither lose a ban nor read half of one.
 
-use crate::ops::log::log;
+use crate::log::log;
 use percent_encoding::{percent_decode_str, utf8_percent_encode, NON_ALPHANUMERIC};
 use std::collections::BTreeSet;
 use std::fs;
--- a/src/ops/metrics.rs
+++ b/src/ops/metrics.rs
@@ -2,7 +2,7 @@
 //! rendered in one place, in the text form that scrapers read.
 
 use std::fmt::Write;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// How the connections of one class were answered.
@@ -25,6 +25,25 @@
     pub loads: AtomicU64,
     /// Configurations turned down at SIGHUP.
     pub load_errors: AtomicU64,
+    /// Of the XMPP front.
+    pub xmpp: Xmpp,
+}
+
+/// Figures of the XMPP front; they are shown where there is one.
+#[derive(Default)]
+pub struct Xmpp {
+    /// Whether there is one.
+    pub on: AtomicBool,
+    /// Sessions that their servers have taken and that have not ended.
+    pub sessions: AtomicU64,
+    /// Sessions whose server said no to their credentials.
+    pub sasl_failures: AtomicU64,
+    /// Handshakes that came to nothing.
+    pub tls_failures: AtomicU64,
+    /// Stanzas that were half received when their session was moved, and were lost.
+    pub cut: AtomicU64,
+    /// Sessions that were moved.
+    pub moved: AtomicU64,
 }
 
 /// What is not counted but looked up when the figures are asked for.
@@ -83,7 +102,16 @@
             ("known_backends", "gauge", fleet.known as u64),
             ("skipped_backends", "gauge", fleet.skipped as u64),
         ];
-        for (name, kind, n) in single {
+        let xmpp = [
+            ("xmpp_sessions", "gauge", &self.xmpp.sessions),
+            ("xmpp_sasl_failures_total", "counter", &self.xmpp.sasl_failures),
+            ("xmpp_tls_failures_total", "counter", &self.xmpp.tls_failures),
+            ("xmpp_cut_stanzas_total", "counter", &self.xmpp.cut),
+            ("xmpp_moved_total", "counter", &self.xmpp.moved),
+        ];
+        let xmpp = xmpp.iter().filter(|_| self.xmpp.on.load(Relaxed));
+        let xmpp = xmpp.map(|(name, kind, n)| (*name, *kind, n.load(Relaxed)));
+        for (name, kind, n) in single.into_iter().chain(xmpp) {
             let _ = writeln!(text, "# TYPE edge_balancer_{name} {kind}\nedge_balancer_{name} {n}");
         }
         text
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,6 +1,5 @@
-//! What staff see and say: the log, the figures, backends out by hand, the second address.
+//! What staff see and say: the figures, backends out by hand, the second address.
 
 pub mod admin;
 pub mod bans;
-pub mod log;
 pub mod metrics;
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -4,7 +4,7 @@
 use crate::config::listing::{listing, shallow, Endpoint};
 use crate::config::Names;
 use crate::decide::Decisions;
-use crate::ops::log::log;
+use crate::log::log;
 use crate::platform::directory::Directory;
 use crate::sys::{lock, timed_out};
 use crossbeam_channel::Receiver;
--- a/src/platform/takeover.rs
+++ b/src/platform/takeover.rs
@@ -2,7 +2,7 @@
 //! packet with what is known of them. The process that has started last listens at one place in the
 //! directory that all processes of a relay share; one that stops looks there for its successor.
 
-use crate::ops::log::log;
+use crate::log::log;
 use rustix::fd::{AsFd, OwnedFd};
 use rustix::net::sockopt::get_socket_peercred;
 use rustix::net::{
--- a/src/sys.rs
+++ b/src/sys.rs
@@ -5,11 +5,16 @@
 use std::thread;
 
 /// Stack of the threads that serve connections.
-const STACK: usize = 128 * 1024;
+pub const STACK: usize = 128 * 1024;
 
 /// Starts a thread with a small stack.
 pub fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> io::Result<()> {
-    thread::Builder::new().name(name.into()).stack_size(STACK).spawn(work).map(drop)
+    spawn_with(STACK, name, work)
+}
+
+/// Starts a thread with that much stack.
+pub fn spawn_with(stack: usize, name: &str, work: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new().name(name.into()).stack_size(stack).spawn(work).map(drop)
 }
 
 /// Whether a read or write only ran into its time limit.
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -200,7 +200,8 @@
                 let some = |k: u64| {
                     (ServerId(1 + (turn.a >> (8 * k)) % 12), state[(turn.b >> (4 * k)) as usize % 3])
                 };
-                let started = (turn.b % 3 == 0).then_some(self.now.saturating_sub(turn.b % 20_000_000));
+                let started =
+                    turn.b.is_multiple_of(3).then_some(self.now.saturating_sub(turn.b % 20_000_000));
                 self.list(ListKind::Delta, &[some(0), some(1)], started);
             }
             1 => {
@@ -221,8 +222,8 @@
                     key: turn.a % 40,
                     group: turn.b % 6,
                     left,
-                    mid_flow: self.settings.passes_through && turn.a % 4 == 0,
-                    again: turn.a % 3 == 0,
+                    mid_flow: self.settings.passes_through && turn.a.is_multiple_of(4),
+                    again: turn.a.is_multiple_of(3),
                     tenant: 0,
                 };
                 let c = Client {
