Prove the XMPP front in its hard cases, and let plain text and stanzas pass the parser by

Need: the front had a demo, and no test for each way in which it could go wrong; and measured beside a bare TLS copy loop the XML parser cost it most of its throughput.

Long units of all sessions may hold a quarter of the memory; whoever asks for more is told resource-constraint. Buffers are let go of when a session is quiet.

--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -80,6 +80,7 @@
         sockets: 8192,
         replace: Vec::new(),
         listen: None,
+        held: None,
     }
 }
 
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -2,7 +2,8 @@
 
 use crate::discovery::Entry;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -30,6 +31,8 @@
     pub replace: Vec<(String, String)>,
     /// Where clients come; a free port where none is said.
     pub listen: Option<SocketAddr>,
+    /// A listening socket that the platform holds and all processes of the relay inherit.
+    pub held: Option<Arc<TcpListener>>,
 }
 
 impl Setup {
@@ -73,7 +76,15 @@
         let config = setup.dir.join(format!("{}.json", setup.name));
         let operator = setup.dir.join(format!("{}.toml", setup.name));
         std::fs::write(&config, setup.config())?;
-        let mut command = Command::new(&setup.program);
+        // Where a socket is held the shell puts it where the platform does.
+        let mut command = match &setup.held {
+            None => Command::new(&setup.program),
+            Some(_) => {
+                let mut shell = Command::new("sh");
+                shell.args(["-c", "exec 5<&0 0</dev/null; exec \"$0\" \"$@\""]).arg(&setup.program);
+                shell
+            }
+        };
         command.arg("serve").env("BALANCER_CONFIG", &config).env("TMPDIR", &setup.dir);
         for key in ["NAME", "LISTEN", "DISCOVERY", "ADMIN", "ACCEPT_FD"] {
             command.env_remove(format!("BALANCER_{key}"));
@@ -82,7 +93,11 @@
             std::fs::write(&operator, text)?;
             command.arg("--operator").arg(&operator);
         }
-        let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn()?;
+        match &setup.held {
+            None => command.stdin(Stdio::null()),
+            Some(held) => command.env("BALANCER_ACCEPT_FD", "5").stdin(OwnedFd::from(held.try_clone()?)),
+        };
+        let mut child = command.stderr(Stdio::piped()).spawn()?;
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
         if let Some(said) = child.stderr.take() {
             let lines = log.clone();
--- a/crates/lab/src/stream.rs
+++ b/crates/lab/src/stream.rs
@@ -19,7 +19,7 @@
     framer: Framer,
     held: Vec<u8>,
     /// How much of `held` the framer has read, and where the unit that it reads begins.
-    read: usize,
+    framed: usize,
     began: usize,
 }
 
@@ -36,7 +36,7 @@
     pub fn new(socket: TcpStream) -> Stream {
         let _ = socket.set_nodelay(true);
         let framer = Framer::new(BOUNDS, true);
-        Stream { inner: Some(Inner::Plain(socket)), framer, held: Vec::new(), read: 0, began: 0 }
+        Stream { inner: Some(Inner::Plain(socket)), framer, held: Vec::new(), framed: 0, began: 0 }
     }
 
     /// The socket below.
@@ -81,7 +81,7 @@
     pub fn restart(&mut self) {
         self.framer = Framer::new(BOUNDS, true);
         self.held.drain(..self.began);
-        (self.read, self.began) = (0, 0);
+        (self.framed, self.began) = (0, 0);
     }
 
     /// Sends bytes.
@@ -98,30 +98,34 @@
         }
     }
 
+    /// Bytes as they come, past the framer.
+    pub fn read(&mut self, piece: &mut [u8]) -> io::Result<usize> {
+        match self.inner.as_mut().ok_or(ErrorKind::NotConnected)? {
+            Inner::Plain(socket) => socket.read(piece),
+            Inner::Client(tls) => tls.read(piece),
+            Inner::Server(tls) => tls.read(piece),
+        }
+    }
+
     /// The next unit but white space, and its bytes; an error of kind `UnexpectedEof` where none is left.
     pub fn unit(&mut self) -> io::Result<(Unit, Vec<u8>)> {
         let mut piece = [0; 16 * 1024];
         loop {
-            while self.read < self.held.len() {
-                let (n, unit) = self.framer.feed(&self.held[self.read..]).map_err(|c| other(c.name()))?;
-                self.read += n;
+            while self.framed < self.held.len() {
+                let (n, unit) = self.framer.feed(&self.held[self.framed..]).map_err(|c| other(c.name()))?;
+                self.framed += n;
                 let Some(unit) = unit else { break };
-                let bytes = self.held[self.began..self.read].to_vec();
-                self.began = self.read;
+                let bytes = self.held[self.began..self.framed].to_vec();
+                self.began = self.framed;
                 if self.began == self.held.len() || self.began > 64 * 1024 {
                     self.held.drain(..self.began);
-                    (self.read, self.began) = (0, 0);
+                    (self.framed, self.began) = (0, 0);
                 }
                 if unit != Unit::Space {
                     return Ok((unit, bytes));
                 }
             }
-            let read = match self.inner.as_mut().ok_or(ErrorKind::NotConnected)? {
-                Inner::Plain(socket) => socket.read(&mut piece),
-                Inner::Client(tls) => tls.read(&mut piece),
-                Inner::Server(tls) => tls.read(&mut piece),
-            };
-            match read {
+            match self.read(&mut piece) {
                 Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
                 Ok(n) => self.held.extend_from_slice(&piece[..n]),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
--- a/src/front/buffer.rs
+++ b/src/front/buffer.rs
@@ -8,7 +8,7 @@
 /// Bytes that a buffer makes room for at a time.
 const CHUNK: usize = 512;
 
-/// The most room that is made at a time: more for a unit that has grown long already.
+/// The room that is made for what may be long: what one record of TLS holds.
 const LARGE: usize = 16 * 1024;
 /// The longest room that an empty buffer keeps: what any line needs.
 const KEPT: usize = MAX_LINE + 2 * CHUNK;
@@ -19,6 +19,8 @@
     bytes: Vec<u8>,
     start: usize,
     end: usize,
+    /// Whether it makes more room at a time than a line needs.
+    roomy: bool,
 }
 
 /// A line is longer than the protocol allows.
@@ -28,7 +30,7 @@
 impl Buffer {
     /// A buffer in which this has come.
     pub fn holding(bytes: Vec<u8>) -> Buffer {
-        Buffer { start: 0, end: bytes.len(), bytes }
+        Buffer { start: 0, end: bytes.len(), bytes, roomy: false }
     }
 
     /// What has come and is not used up.
@@ -36,14 +38,18 @@
         &self.bytes[self.start..self.end]
     }
 
+    /// From now on it makes room for what may be long, and reads it in fewer calls.
+    pub fn make_roomy(&mut self) {
+        self.roomy = true;
+    }
+
     /// Reads once; 0 is the end of the stream.
     pub fn fill(&mut self, from: &mut impl Read) -> io::Result<usize> {
         if self.start > 0 {
             self.bytes.copy_within(self.start..self.end, 0);
             (self.start, self.end) = (0, self.end - self.start);
         }
-        // No line is long enough for more than the smallest piece.
-        let room = if self.end > MAX_LINE { LARGE } else { CHUNK };
+        let room = if self.roomy { LARGE } else { CHUNK };
         if self.bytes.len() < self.end + room {
             self.bytes.resize(self.end + room, 0);
         }
@@ -85,9 +91,19 @@
     /// Uses up bytes at the front.
     pub fn consume(&mut self, n: usize) {
         self.start = (self.start + n).min(self.end);
-        // One long stanza must not cost its memory for as long as the connection lives.
+    }
+
+    /// How much memory it holds.
+    pub fn room(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Lets go of room that only a long unit has needed, where nothing is held now: one such must not cost its
+    /// memory for as long as the connection lives.
+    pub fn rest_room(&mut self) {
         if self.start == self.end && self.bytes.len() > KEPT {
-            *self = Buffer::default();
+            self.bytes = Vec::new();
+            (self.start, self.end) = (0, 0);
         }
     }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -186,6 +186,8 @@
     Gone,
     /// Its final answer is due.
     Late,
+    /// There is no memory for what it sends or is sent.
+    NoRoom,
 }
 
 /// What comes cannot go on, and the connection is ended by the relay.
@@ -244,6 +246,9 @@
         Parting::Now
     }
 
+    /// Nothing has come for a while: memory that is needed only meanwhile can go.
+    fn rest(&mut self) {}
+
     /// Whether half a unit has come from the backend.
     fn half(&self) -> bool {
         false
--- a/src/front/xmpp/frame.rs
+++ b/src/front/xmpp/frame.rs
@@ -8,6 +8,7 @@
 //! Guards against: a unit cut in the middle, a peer that nests without end or sends an attribute of 60 MB, text
 //! where none may stand.
 
+use super::simple;
 use rxml::error::EndOrError;
 use rxml::parser::WithOptions;
 use rxml::{Event, Options, Parse, Parser, RawEvent, RawParser};
@@ -158,7 +159,8 @@
 pub enum Unit {
     /// The stream's start.
     Header(Header),
-    /// A whole element below it. Where no content is kept it has its names and attributes only.
+    /// A whole element below it. Where no content is kept it has its names and attributes only, and a stanza of the
+    /// client's namespace has not even those.
     Element(Element),
     /// White space between elements: a sign of life.
     Space,
@@ -186,6 +188,14 @@
     /// Whether the content of the one below the stream is kept. That of the stream's own always is: an error's
     /// condition stands there.
     keeps: bool,
+    /// Whether stanzas of the plainest form may pass the parser by: their namespace is known.
+    quick: bool,
+    /// Whether the parser has just taken a tag and nothing behind it: text may pass it by.
+    fresh: bool,
+    /// The last byte that the parser has taken.
+    last: u8,
+    /// The first bytes of a character of such text whose others have not come.
+    split: Vec<u8>,
     /// What ended the reading.
     dead: Option<Condition>,
     over: bool,
@@ -216,6 +226,10 @@
             head,
             open,
             keeps: keep,
+            quick: false,
+            fresh: false,
+            last: 0,
+            split: Vec::new(),
             dead: None,
             over: false,
         }
@@ -249,15 +263,31 @@
             let space = bytes.iter().all(|b| b.is_ascii_whitespace());
             return if space { Ok((bytes.len(), Some(Unit::Space))) } else { Err(Condition::NotWellFormed) };
         }
+        let ordinary = self.quick && self.depth == 1 && self.unit == 0 && bytes[0] == b'<';
+        if let Some(n) = ordinary.then(|| simple::element(bytes, &self.bounds)).flatten() {
+            return Ok((n, Some(Unit::Element(Element::default()))));
+        }
         let skip = std::mem::take(&mut self.skip).min(bytes.len());
         let mut rest = &bytes[skip..];
         loop {
+            if self.fresh && self.depth > 1 && !self.keeps {
+                let n = self.plain(rest)?;
+                self.unit += n;
+                rest = &rest[n..];
+                if self.unit > self.bounds.stanza {
+                    return Err(Condition::PolicyViolation);
+                }
+                if rest.is_empty() {
+                    return Ok((bytes.len(), None));
+                }
+            }
             let before = rest.len();
             let event = self.parser.parse(&mut rest, false);
             let used = before - rest.len();
+            let at = bytes.len() - before;
+            let empty = self.ends_empty(&bytes[at..at + used]);
             (self.unit, self.taken) = (self.unit + used, self.taken + used);
             if self.depth == 0 {
-                let at = bytes.len() - before;
                 self.head.extend_from_slice(&bytes[at..at + used]);
             }
             let most = if self.depth == 0 { self.bounds.header } else { self.bounds.stanza };
@@ -274,6 +304,12 @@
                         }
                         _ => 0,
                     };
+                    // Behind `<a/>` the parser has the end still to tell.
+                    self.fresh = match &event {
+                        Event::StartElement(..) => !empty,
+                        Event::EndElement(_) => true,
+                        _ => false,
+                    };
                     self.event(event)?
                 }
                 Ok(None) => return Err(Condition::NotWellFormed),
@@ -285,14 +321,70 @@
             if let Some(unit) = unit {
                 // What the parser has taken of the next unit is that one's.
                 (self.unit, self.skip) = (self.taken, self.taken);
-                if self.depth == 1 && self.taken == 0 {
-                    self.parser.release_temporaries();
-                }
                 return Ok((bytes.len() - rest.len() - self.taken, Some(unit)));
             }
         }
     }
 
+    /// Lets go of memory that is needed only while units come.
+    pub fn rest(&mut self) {
+        if self.unit == 0 {
+            self.parser.release_temporaries();
+        }
+    }
+
+    /// Whether the bytes that the parser has just taken end a tag that is its own end.
+    fn ends_empty(&mut self, taken: &[u8]) -> bool {
+        let [.., last] = taken else { return false };
+        let before = if let [.., before, _] = taken { *before } else { self.last };
+        self.last = *last;
+        (before, *last) == (b'/', b'>')
+    }
+
+    /// How many bytes at the front are plain text, which needs no parser: all up to a `<`, or up to what only the
+    /// parser can judge (`&`, and `]`, which may begin `]]>`). Most bytes of long stanzas are such.
+    fn plain(&mut self, bytes: &[u8]) -> Result<usize, Condition> {
+        let found = memchr::memchr3(b'<', b'&', b']', bytes);
+        let text = &bytes[..found.unwrap_or(bytes.len())];
+        let bad = Err(Condition::NotWellFormed);
+        if !plain(text) {
+            return bad;
+        }
+        let mut rest = text;
+        while !self.split.is_empty() && !rest.is_empty() {
+            self.split.push(rest[0]);
+            rest = &rest[1..];
+            match std::str::from_utf8(&self.split) {
+                Ok(c) if !allowed(c) => return bad,
+                Ok(_) => self.split.clear(),
+                Err(e) if e.error_len().is_some() => return bad,
+                Err(_) => {}
+            }
+        }
+        match std::str::from_utf8(rest) {
+            Ok(text) if allowed(text) => {}
+            Ok(_) => return bad,
+            Err(e) if e.error_len().is_some() => return bad,
+            Err(e) => {
+                let (whole, split) = rest.split_at(e.valid_up_to());
+                if !std::str::from_utf8(whole).is_ok_and(allowed) {
+                    return bad;
+                }
+                self.split.extend_from_slice(split);
+            }
+        }
+        match found {
+            // A character that does not end before a tag does not end.
+            Some(_) if !self.split.is_empty() => bad,
+            Some(at) => {
+                // The parser reads on up to the next tag.
+                self.fresh = false;
+                Ok(at)
+            }
+            None => Ok(text.len()),
+        }
+    }
+
     fn event(&mut self, event: Event) -> Result<Option<Unit>, Condition> {
         match event {
             Event::XmlDeclaration(..) => Ok(None),
@@ -311,6 +403,7 @@
                             .map(|(_, v)| v.to_string())
                     };
                     let (tag, content) = declared(&std::mem::take(&mut self.head), self.bounds.token);
+                    self.quick = !self.keep && content.as_deref() == Some(NS_CLIENT);
                     let header =
                         Header { to: get("to"), from: get("from"), version: get("version"), tag, content };
                     return Ok(Some(Unit::Header(header)));
@@ -318,7 +411,10 @@
                 if self.depth == 2 {
                     self.keeps = self.keep || ns.as_str() == NS_STREAMS;
                 }
-                if self.depth == 2 || self.keeps {
+                if self.depth == 2 && !self.keeps && ns.as_str() == NS_CLIENT {
+                    // An ordinary stanza: nobody asks more of it.
+                    self.open.push(Element::default());
+                } else if self.depth == 2 || self.keeps {
                     let plain = attributes.iter().filter(|((ns, _), _)| ns.is_empty());
                     let attributes = plain.map(|((_, n), v)| (n.to_string(), v.to_string())).collect();
                     let (ns, name) = (ns.to_string(), name.to_string());
@@ -357,6 +453,16 @@
     }
 }
 
+/// Whether a text has no control character that XML forbids.
+pub(super) fn plain(text: &[u8]) -> bool {
+    !text.iter().fold(false, |bad, &b| bad | (b < b' ' && b != b'\t' && b != b'\n' && b != b'\r'))
+}
+
+/// Whether a text has none of the two characters beyond control characters that XML forbids.
+pub(super) fn allowed(text: &str) -> bool {
+    memchr::memchr(0xef, text.as_bytes()).is_none() || !text.contains(['\u{fffe}', '\u{ffff}'])
+}
+
 /// The stream error that a fault of the XML is answered with.
 fn condition(e: &rxml::Error) -> Condition {
     match e {
@@ -474,6 +580,48 @@
         }
     }
 
+    /// Text that passes the parser by is judged as the parser would.
+    #[test]
+    fn plain_text_is_held_to_the_same_rules() {
+        let read = |text: &str, tail: &[u8], keep: bool, step: usize| {
+            let all = [HEADER.as_bytes(), text.as_bytes(), tail].concat();
+            let (mut framer, mut ends, mut at) = (Framer::new(Bounds::default(), keep), Vec::new(), 0);
+            while at < all.len() {
+                let end = (at + step).min(all.len());
+                match framer.feed(&all[at..end]) {
+                    Ok((n, unit)) => {
+                        at += n;
+                        ends.extend(unit.filter(|u| *u != Unit::Space).map(|_| at));
+                    }
+                    Err(condition) => return (ends, Some(condition)),
+                }
+            }
+            (ends, None)
+        };
+        let cases: [(&str, &[u8]); 14] = [
+            ("<a>plain é 😀 text</a><b/>x", b""),
+            ("<a><b/>text<c></c>text</a><d/>", b""),
+            ("<a>x &amp; y ]] > z<b/>x</a><c/>", b""),
+            ("<a>x ]]> y</a>", b""),
+            ("<a>\t\r\n</a>", b""),
+            ("<a>\u{1}</a>", b""),
+            ("<a><b/>\u{fffe}</a>", b""),
+            ("<a>\u{feff}\u{fffd}</a>", b""),
+            ("<a b='/'>x</a><c d='>'/>", b""),
+            ("<a>", b"\xff</a>"),
+            ("<a>", b"\xc3</a>"),
+            ("<a>", b"\xe2\x82\xac</a>"),
+            ("<a>", b"\xed\xa0\x80</a>"),
+            ("<a>x<!-- --></a>", b""),
+        ];
+        for (text, tail) in cases {
+            let judged = read(text, tail, true, 1 << 20);
+            for step in 1..40 {
+                assert_eq!(read(text, tail, false, step), judged, "{text} {tail:?} in pieces of {step}");
+            }
+        }
+    }
+
     /// An attribute of 60 MB is refused long before it has come.
     #[test]
     fn nothing_large_is_held_before_it_is_refused() {
--- a/src/front/xmpp/mod.rs
+++ b/src/front/xmpp/mod.rs
@@ -11,6 +11,7 @@
 pub mod greeting;
 pub mod jid;
 pub mod passage;
+pub mod simple;
 pub mod terms;
 
 use frame::{Condition, NS_CLIENT, NS_ERRORS, NS_STREAMS};
--- a/src/front/xmpp/passage.rs
+++ b/src/front/xmpp/passage.rs
@@ -185,6 +185,9 @@
 
     fn down(&mut self, fresh: &[u8], _rules: &Rules, news: &mut Vec<News>) -> Result<usize, Fault> {
         let mut passed = 0;
+        if self.first.as_ref().is_some_and(|(bytes, _)| *bytes > fresh.len()) {
+            return Ok(0);
+        }
         if let Some((bytes, answer)) = self.first.take() {
             self.hear(Unit::Element(answer), &fresh[..bytes], news)?;
             passed = bytes;
@@ -212,6 +215,7 @@
             Away::Moved => Condition::SystemShutdown,
             Away::Gone => Condition::RemoteConnectionFailed,
             Away::Late => Condition::ConnectionTimeout,
+            Away::NoRoom => Condition::ResourceConstraint,
         };
         let host = self.terms.see_other_host.as_deref().filter(|_| why == Away::Moved);
         let text = self.with_header(|tag| match host {
@@ -250,6 +254,11 @@
         }
     }
 
+    fn rest(&mut self) {
+        self.up.rest();
+        self.down.rest();
+    }
+
     fn half(&self) -> bool {
         !self.down.between()
     }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -13,7 +13,7 @@
 use crate::ops::metrics::Metrics;
 use crate::platform::directory::Directory;
 use crate::sys::lock;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -56,6 +56,34 @@
     }
 }
 
+/// The share of the memory limit that long units may take together, all connections counted.
+const HELD_SHARE: u64 = 4;
+
+/// Memory that is held for long units, and the most that may be: a stanza is held until it is whole, and many
+/// clients with a long one each, begun and never ended, would else take all there is.
+pub struct Held {
+    now: AtomicUsize,
+    most: usize,
+}
+
+impl Held {
+    /// None yet, within that limit of the process.
+    pub fn new(memory_mb: u64) -> Held {
+        Held { now: AtomicUsize::new(0), most: (memory_mb * 1024 * 1024 / HELD_SHARE) as usize }
+    }
+
+    /// Holds so many bytes in place of so many before; false where that is more than there may be. What is held
+    /// is counted in any case.
+    pub fn change(&self, before: usize, after: usize) -> bool {
+        if after >= before {
+            let all = self.now.fetch_add(after - before, Relaxed) + (after - before);
+            return after == before || all <= self.most;
+        }
+        self.now.fetch_sub(before - after, Relaxed);
+        true
+    }
+}
+
 /// What all connections share.
 pub struct Core {
     /// The decisions.
@@ -72,6 +100,8 @@
     pub metrics: Arc<Metrics>,
     /// Whether this process takes clients.
     pub open: Arc<AtomicBool>,
+    /// Memory that the buffers of standing connections hold for long units.
+    pub held: Held,
     /// The requests and connections under way.
     pub sessions: Arc<Sessions>,
 }
@@ -89,6 +119,7 @@
             notes: Notes::default(),
             admission: Admission::new(&config.limits, config.admin.is_some(), config.accept_fd.is_some()),
             metrics,
+            held: Held::new(config.limits.memory_mb),
             open: Arc::default(),
             sessions: Arc::default(),
         })
--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -85,6 +85,8 @@
     finish_by: Option<Micros>,
     /// Whether the backend was told to finish.
     parting: bool,
+    /// Memory of its buffers that is counted with that of all.
+    held: usize,
     /// How it ends once what may go on has gone on, and the last words.
     over: Option<(Vec<u8>, End)>,
     /// Last words for the client.
@@ -131,6 +133,7 @@
             answer_by: None,
             finish_by: None,
             parting: false,
+            held: 0,
             over: None,
             last: Vec::new(),
             farewell: None,
@@ -182,10 +185,13 @@
             } else {
                 conn.answer_by = Some(answer_by);
             }
-            if !passage.portable() {
+            let lines = passage.portable();
+            (conn.backend, conn.down) = (Some(Backend { link, id, server, passage }), inbox);
+            if !lines {
                 conn.core.metrics.xmpp.sessions.fetch_add(1, Relaxed);
+                conn.up.make_roomy();
+                conn.down.make_roomy();
             }
-            (conn.backend, conn.down) = (Some(Backend { link, id, server, passage }), inbox);
             (conn.account, conn.phase) = (Some(account), Phase::Up);
             conn.flush_down();
             conn.flush_up();
@@ -253,6 +259,7 @@
 
     /// Waits for what the connection now needs, or forgets it.
     fn settle(&self, conn: &mut Conn) {
+        conn.count_memory();
         let number = conn.session.number();
         let wanted = conn.wanted();
         let backend = conn.backend.as_ref().map(|b| b.link.socket.clone());
@@ -279,6 +286,19 @@
 }
 
 impl Conn {
+    /// Counts what its buffers hold; whoever asks for more when there is none left gives up its place. Lines are
+    /// short and not counted.
+    fn count_memory(&mut self) {
+        let lines = self.backend.as_ref().is_none_or(|b| b.passage.portable());
+        let now = if lines { 0 } else { self.up.room() + self.down.room() };
+        let before = std::mem::replace(&mut self.held, now);
+        if !self.core.held.change(before, now) && self.phase == Phase::Up {
+            let words = self.backend.as_ref().map(|b| b.passage.words(Away::NoRoom));
+            self.leave(words.unwrap_or_default(), end(Outcome::Cancelled, "no-memory"));
+            self.count_memory();
+        }
+    }
+
     /// What is waited for on the client's socket and the backend's.
     fn wanted(&self) -> [Option<EventFlags>; 2] {
         let flag = |on: bool, flag: EventFlags| if on { flag } else { EventFlags::empty() };
@@ -657,6 +677,11 @@
     /// What only time shows.
     fn look(&mut self) {
         let now = self.core.decisions.now();
+        if let Some(backend) = self.backend.as_mut().filter(|b| !b.passage.portable()) {
+            self.up.rest_room();
+            self.down.rest_room();
+            backend.passage.rest();
+        }
         let stuck = self.down_blocked.is_some_and(|since| since.elapsed() > STUCK);
         match self.phase {
             Phase::Closing(since, true) if since.elapsed() > LINGER => self.phase = Phase::Done,
--- a/src/net/tls.rs
+++ b/src/net/tls.rs
@@ -7,13 +7,12 @@
 use crate::config::operator::{OperatorError, OperatorFile, Security, Xmpp};
 use rustls::crypto::ring;
 use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
 use rustls::server::{ClientHello, ResolvesServerCert};
 use rustls::sign::CertifiedKey;
 use rustls::{ClientConfig, ClientConnection, Connection, RootCertStore, ServerConfig, ServerConnection};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Certificates by domain, and the one for whoever names none.
 #[derive(Debug)]
@@ -44,19 +43,20 @@
         CertificateDer::pem_file_iter(&at).map_err(|e| wrong(e.to_string()))?.collect();
     let chain = chain.map_err(|e| wrong(e.to_string()))?;
     let Some(leaf) = chain.first() else { return Err(wrong("has no certificate".into())) };
-    let (_, parsed) =
-        x509_parser::parse_x509_certificate(leaf).map_err(|e| wrong(format!("cannot be read: {e}")))?;
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs() as i64;
-    let valid = parsed.validity();
-    if valid.not_after.timestamp() < now {
-        return Err(wrong(format!("has run out on {}", valid.not_after)));
-    }
-    if valid.not_before.timestamp() > now {
-        return Err(wrong(format!("holds from {} only", valid.not_before)));
-    }
     let name = ServerName::try_from(domain.name.clone())
         .map_err(|_| file.error(&format!("{key}.name"), "is no name that a certificate can have"))?;
     let end = webpki::EndEntityCert::try_from(leaf).map_err(|e| wrong(e.to_string()))?;
+    // Who has signed it is the clients' to judge: without an anchor only its dates are looked at.
+    let (algorithms, usage) = (webpki::ALL_VERIFICATION_ALGS, webpki::KeyUsage::server_auth());
+    match end.verify_for_usage(algorithms, &[], &[], UnixTime::now(), usage, None, None) {
+        Err(webpki::Error::CertExpired { not_after, .. }) => {
+            return Err(wrong(format!("has run out, {} days ago", days(not_after))));
+        }
+        Err(webpki::Error::CertNotValidYet { not_before, .. }) => {
+            return Err(wrong(format!("holds in {} days only", days(not_before))));
+        }
+        _ => {}
+    }
     end.verify_is_valid_for_subject_name(&name).map_err(|_| wrong(format!("is not for {}", domain.name)))?;
     let secret = file.resolve(&domain.key);
     let wrong = |what: String| file.error(&format!("{key}.key"), format!("{}: {what}", secret.display()));
@@ -65,6 +65,11 @@
     pair.map(Arc::new).map_err(|e| wrong(format!("is not the certificate's key: {e}")))
 }
 
+/// How many days a moment is from now.
+fn days(at: UnixTime) -> u64 {
+    UnixTime::now().as_secs().abs_diff(at.as_secs()) / 86_400
+}
+
 impl Tls {
     /// Reads and checks all that `[xmpp]` names.
     pub fn load(file: &OperatorFile, x: &Xmpp) -> Result<Tls, OperatorError> {
