Confine sites to cells, with a balancer for each and paced moves between them

Need: a poisoned site spent the retries, refusals and servers of all.

Change: src/cells/ has the map (weighted rendezvous of servers, a table of slots for sites, pins, cells set apart, borrowing within a bound, faults of size and zone, explain and plan). The decisions' facade keeps a balancer for each cell, given its own servers only; the module is untouched. A cell without a usable server refuses at once with the time, or borrows. At a reload a site's new connections go to its new cell and the standing ones are moved one by one, each once, only while the new cell can take somebody; an upgrade goes on with it; a server that changes its cell drains in the old one. Figures by cell; `jaspermoor cells`.

--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -2,6 +2,7 @@
 
 use super::{env, Failure};
 use argh::FromArgs;
+use jaspermoor::cells::Cells;
 use jaspermoor::config::operator::OperatorFile;
 use jaspermoor::config::Config;
 use jaspermoor::net::core::Xmpp;
@@ -35,9 +36,13 @@
     );
     let Some(path) = check.operator else { return Ok(()) };
     let file = OperatorFile::load(&path)?;
+    let map = Cells::of(&file)?.map;
+    if !map.is_empty() {
+        println!("{}: {} cells", path.display(), map.len());
+    }
     match Xmpp::of(&file, &config)? {
         Some(xmpp) => println!("{}: XMPP for {}", path.display(), xmpp.terms.domains.join(", ")),
-        None => println!("{}: opens nothing", path.display()),
+        None => println!("{}: opens no XMPP", path.display()),
     }
     Ok(())
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The sub-commands: what is asked for on the command line, and the order in which the parts start.
 
+pub mod cells;
 pub mod check;
 pub mod serve;
 
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -4,6 +4,7 @@
 use argh::FromArgs;
 use crossbeam_channel::bounded;
 use jaspermoor::api::{ListKind, Member};
+use jaspermoor::cells::Cells;
 use jaspermoor::config::operator::OperatorFile;
 use jaspermoor::config::Config;
 use jaspermoor::decide::{run_timers, Decisions, Orders};
@@ -59,6 +60,7 @@
         Some(file) => Xmpp::of(file, &config)?,
         None => None,
     };
+    let cells = operator.as_ref().map(Cells::of).transpose()?.unwrap_or_default();
     let door = match config.accept_fd {
         Some(fd) => {
             Door::inherit(fd).map_err(|e| format!("BALANCER_ACCEPT_FD: cannot listen on {fd}: {e}"))?
@@ -77,6 +79,8 @@
     }
     let cached: Vec<Member> = config.known.iter().map(|(_, member)| member.clone()).collect();
     let decisions = Decisions::new(config.settings.clone(), config.seed, cached, Orders { watch, probe });
+    // Before the first request: no site is placed by another map.
+    decisions.cells(cells);
     let relay = Relay::new(&config, decisions.clone(), directory.clone())?;
 
     let timers = decisions.clone();
@@ -167,7 +171,7 @@
 fn reload(config: &mut Config, source: &Source, core: &Core, operator: Option<&OperatorFile>) {
     let read = || -> Result<_, Failure> {
         let (new, fixed) = config.reload(&env)?;
-        let Some(old) = operator else { return Ok((new, fixed, core.xmpp())) };
+        let Some(old) = operator else { return Ok((new, fixed, core.xmpp(), Cells::default())) };
         let file = OperatorFile::load(old.path())?;
         let (was, now) = (&old.operator.xmpp, &file.operator.xmpp);
         let places = |x: &Option<jaspermoor::config::operator::Xmpp>| {
@@ -178,9 +182,10 @@
             return Err(file.error("xmpp.listen", what).into());
         }
         let xmpp = Xmpp::of(&file, &new)?;
-        Ok((new, fixed, xmpp))
+        let cells = Cells::of(&file)?;
+        Ok((new, fixed, xmpp, cells))
     };
-    let (new, fixed, xmpp) = match read() {
+    let (new, fixed, xmpp, cells) = match read() {
         Ok(read) => read,
         Err(e) => {
             core.metrics.load_errors.fetch_add(1, Relaxed);
@@ -192,6 +197,7 @@
     }
     core.adopt_settings(&new);
     core.adopt_xmpp(xmpp);
+    core.decisions.cells(cells);
     *config = new;
     let moved = source.relocate(config.discovery);
     if moved {
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -41,6 +41,99 @@
 pub struct Operator {
     /// The XMPP front; none where nothing is said of it.
     pub xmpp: Option<Xmpp>,
+    /// Cells; one that has everything where nothing is said of them.
+    pub cells: Option<Cells>,
+}
+
+/// `[cells]`
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cells {
+    /// `[[cells.cell]]`
+    #[serde(default)]
+    pub cell: Vec<Cell>,
+    /// `[[cells.site]]`: sites that have a cell by name.
+    #[serde(default)]
+    pub site: Vec<SitePin>,
+    /// Cells with fewer servers are a fault.
+    #[serde(default)]
+    pub least_servers: usize,
+    /// Cells with more servers are a fault.
+    #[serde(default = "any_number")]
+    pub most_servers: usize,
+    /// What becomes of a site whose cell has no usable server.
+    #[serde(default)]
+    pub no_server: NoServer,
+    /// The most sessions that a cell lends to others.
+    #[serde(default = "borrow_most")]
+    pub borrow_most: u32,
+    /// When a client that is refused for want of a cell may come again.
+    #[serde(default = "retry_after_ms")]
+    pub retry_after_ms: u64,
+    /// Standing connections that are moved a second once their site has another cell.
+    #[serde(default = "moves_per_second")]
+    pub moves_per_second: u32,
+}
+
+fn any_number() -> usize {
+    usize::MAX
+}
+
+fn borrow_most() -> u32 {
+    16
+}
+
+fn retry_after_ms() -> u64 {
+    1_000
+}
+
+fn moves_per_second() -> u32 {
+    5
+}
+
+/// `[[cells.cell]]`
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cell {
+    /// Its name; what lives there follows from it.
+    pub name: String,
+    /// Its share of sites and servers against others.
+    #[serde(default = "one")]
+    pub weight: u32,
+    /// Servers that are its own by name.
+    #[serde(default)]
+    pub servers: Vec<String>,
+    /// Whether only sites that are pinned to it live there.
+    #[serde(default)]
+    pub quarantine: bool,
+    /// Whether it takes new releases first.
+    #[serde(default)]
+    pub canary: bool,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// `[[cells.site]]`
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SitePin {
+    /// The group key, in hexadecimal, as clients send it.
+    pub key: String,
+    /// The cell.
+    pub cell: String,
+}
+
+/// What becomes of a site whose cell has no usable server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum NoServer {
+    /// It is refused.
+    #[default]
+    Refuse,
+    /// It borrows.
+    Borrow,
 }
 
 /// `[xmpp]`
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,12 +3,14 @@
 //! protocol today) sees neither events nor actions, and nothing here knows what that is.
 
 use crate::api::{
-    Action, Event, ListKind, Member, Micros, Outcome, Request, RequestId, ServerId, Settings, SECOND,
+    Action, Event, ListKind, Member, MemberState, Micros, Outcome, Request, RequestId, ServerId, Settings,
+    SECOND,
 };
+use crate::cells::{Cells, Placed};
 use crate::logic::Balancer;
 use crossbeam_channel::{bounded, Receiver, Sender};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -63,7 +65,32 @@
     pub probe: Sender<ServerId>,
 }
 
+/// What is counted of one cell.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CellFigures {
+    /// Its name.
+    pub name: String,
+    /// Its listed servers, and whether one of them may be sent anything.
+    pub servers: usize,
+    /// See `servers`.
+    pub usable: bool,
+    /// Requests and connections that it has.
+    pub holds: u32,
+    /// Those of them that it lends room to.
+    pub borrowed: u32,
+    /// Requests that came up, were refused, and have failed since the start.
+    pub up: u64,
+    /// See `up`.
+    pub refused: u64,
+    /// See `up`.
+    pub failed: u64,
+}
+
 struct Entry {
+    /// Its balancer, and the key of its group.
+    at: usize,
+    group: u64,
+    borrowed: bool,
     verdicts: Sender<Verdict>,
     flow: Arc<dyn Flow>,
     server: ServerId,
@@ -71,12 +98,34 @@
     answered: bool,
 }
 
-struct Inner {
+/// The balancer of a cell, and what is counted of it. It knows the cell's servers only.
+struct Part {
+    name: String,
     balancer: Balancer,
+    figures: CellFigures,
+}
+
+/// The timer that is no balancer's: the next move of a connection whose site has another cell.
+const MOVES: usize = usize::MAX;
+
+struct Inner {
+    /// By name: a cell that has gone keeps its place for what stands there.
+    parts: Vec<Part>,
+    /// The part of each cell of the map.
+    by_cell: Vec<usize>,
+    cells: Cells,
+    seed: u64,
+    settings: Settings,
+    /// The list as last told, with the part of each server.
+    members: BTreeMap<ServerId, (Member, usize)>,
+    by_hand: BTreeSet<ServerId>,
+    /// Connections that are to be moved to their site's new cell, and whether a timer is set for the next.
+    moves: VecDeque<RequestId>,
+    moving: bool,
     last: Micros,
     next_id: u32,
     entries: BTreeMap<RequestId, Entry>,
-    timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    timers: BinaryHeap<Reverse<(Micros, usize, u64)>>,
     actions: Vec<Action>,
     orders: Orders,
 }
@@ -102,7 +151,15 @@
         let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let decisions = Arc::new(Decisions {
             inner: Mutex::new(Inner {
-                balancer: Balancer::new(settings, seed),
+                parts: vec![Part::new(Cells::default().map.name(0), settings.clone(), seed)],
+                by_cell: vec![0],
+                cells: Cells::default(),
+                seed,
+                settings,
+                members: BTreeMap::new(),
+                by_hand: BTreeSet::new(),
+                moves: VecDeque::new(),
+                moving: false,
                 last: 0,
                 next_id: 0,
                 entries: BTreeMap::new(),
@@ -132,13 +189,18 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Feeds one event and carries out what it brings; calls to flows are made after the lock is free.
-    fn feed(&self, mut inner: MutexGuard<'_, Inner>, event: Event) {
+    /// Feeds one event to a cell's balancer and carries out what it brings.
+    fn feed(&self, inner: MutexGuard<'_, Inner>, at: usize, event: Event) {
+        self.act(inner, |inner, now, calls| inner.handle(at, now, event, calls));
+    }
+
+    /// Does something under the lock; calls to flows are made after it is free.
+    fn act(&self, mut inner: MutexGuard<'_, Inner>, what: impl FnOnce(&mut Inner, Micros, &mut Vec<Call>)) {
         let mut calls = Vec::new();
         let now = self.now().max(inner.last);
         inner.last = now;
         let first = inner.timers.peek().map(|t| t.0 .0);
-        inner.handle(now, event, &mut calls);
+        what(&mut inner, now, &mut calls);
         // The ticker sleeps until the first timer: it must hear of an earlier one.
         if inner.timers.peek().map(|t| t.0 .0) != first {
             self.sooner.notify_one();
@@ -157,17 +219,44 @@
     /// id is handed to `taken` before the wait, so that the request can be called off meanwhile.
     pub fn pick(&self, request: Request, flow: Arc<dyn Flow>, taken: impl FnOnce(RequestId)) -> Pick {
         let mut inner = self.lock();
-        let (id, verdicts) = inner.admit(flow, ServerId::default(), false);
+        let (at, borrowed) = match inner.place(request.group) {
+            Placed::At(cell) => (Some(inner.by_cell[cell]), false),
+            Placed::Borrowed(cell) => (Some(inner.by_cell[cell]), true),
+            Placed::Refused => (None, false),
+        };
+        let home = inner.by_cell[inner.cells.map.home(request.group).0];
+        let (id, verdicts) = inner.admit(flow, ServerId::default(), false, at.unwrap_or(home), request.group);
         taken(id);
-        self.feed(inner, Event::Request(Request { id, ..request }));
+        match at {
+            Some(at) => {
+                if let Some(entry) = inner.entries.get_mut(&id).filter(|_| borrowed) {
+                    entry.borrowed = true;
+                    inner.parts[at].figures.borrowed += 1;
+                }
+                self.feed(inner, at, Event::Request(Request { id, ..request }));
+            }
+            // No balancer hears of it: its cell has nobody.
+            None => {
+                let wait = inner.cells.retry_after;
+                inner.finish(id, Verdict::Refuse(wait));
+            }
+        }
         Pick { id, verdicts }
     }
 
     /// Takes a connection that was open at a server before this process started.
     pub fn adopt(&self, request: Request, server: ServerId, flow: Arc<dyn Flow>) -> RequestId {
         let mut inner = self.lock();
-        let (id, _) = inner.admit(flow, server, true);
-        self.feed(inner, Event::Open(Request { id, ..request }, server));
+        let at = inner.part_of(server);
+        let (id, _) = inner.admit(flow, server, true, at, request.group);
+        if inner.by_cell[inner.cells.map.home(request.group).0] != at && !inner.cells.map.is_empty() {
+            // Its site was being moved when another process had it: this one goes on with that.
+            inner.moves.push_back(id);
+        }
+        self.act(inner, |inner, now, calls| {
+            inner.next_move(now);
+            inner.handle(at, now, Event::Open(Request { id, ..request }, server), calls);
+        });
         id
     }
 
@@ -177,8 +266,9 @@
         let mut inner = self.lock();
         let Some(entry) = inner.entries.get_mut(&id).filter(|e| !e.answered) else { return false };
         entry.answered = true;
-        let server = entry.server;
-        self.feed(inner, Event::First { id, server, took });
+        let (server, at) = (entry.server, entry.at);
+        inner.parts[at].figures.up += 1;
+        self.feed(inner, at, Event::First { id, server, took });
         true
     }
 
@@ -186,15 +276,15 @@
     pub fn report(&self, id: RequestId, outcome: Outcome, report: Vec<f32>) {
         let inner = self.lock();
         let Some(entry) = inner.entries.get(&id) else { return };
-        let (server, last) = (entry.server, entry.answered);
-        self.feed(inner, Event::Outcome { id, server, outcome, last, report });
+        let (server, last, at) = (entry.server, entry.answered, entry.at);
+        self.feed(inner, at, Event::Outcome { id, server, outcome, last, report });
     }
 
     /// Reports the end of a connection that was up; nothing more follows.
     pub fn end(&self, id: RequestId, outcome: Outcome, report: Vec<f32>) {
         let mut inner = self.lock();
-        let Some(entry) = inner.entries.remove(&id) else { return };
-        self.feed(inner, Event::Outcome { id, server: entry.server, outcome, last: true, report });
+        let Some(entry) = inner.dismiss(id) else { return };
+        self.feed(inner, entry.at, Event::Outcome { id, server: entry.server, outcome, last: true, report });
     }
 
     /// The client has left before its answer. Nothing more is owed; an attempt still out must be
@@ -204,7 +294,8 @@
         let Some(entry) = inner.entries.get_mut(&id).filter(|e| !e.answered) else { return };
         entry.answered = true;
         let _ = entry.verdicts.try_send(Verdict::Gone);
-        self.feed(inner, Event::Vanished(id));
+        let at = entry.at;
+        self.feed(inner, at, Event::Vanished(id));
     }
 
     /// Whether a request is still owed its answer.
@@ -215,43 +306,73 @@
     /// How many listed servers are avoided now.
     pub fn avoided(&self) -> usize {
         let now = self.now();
-        self.lock().balancer.avoided(now)
+        self.lock().parts.iter().map(|part| part.balancer.avoided(now)).sum()
     }
 
     /// Forgets a request that has had its final verdict.
     pub fn forget(&self, id: RequestId) {
-        self.lock().entries.remove(&id);
+        self.lock().dismiss(id);
     }
 
     /// Passes on news of an open connection.
     pub fn note(&self, id: RequestId, note: Note) {
         let inner = self.lock();
         let Some(entry) = inner.entries.get(&id) else { return };
+        let at = entry.at;
         let event = match note {
             Note::Load(load) => Event::LoadNote(id, entry.server, load),
             Note::Delay(took) => Event::DelayNote(id, entry.server, took),
         };
-        self.feed(inner, event);
+        self.feed(inner, at, event);
     }
 
     /// Passes on what a probe found.
     pub fn probed(&self, server: ServerId, outcome: Outcome, report: Vec<f32>) {
-        self.feed(self.lock(), Event::Probed { server, outcome, report });
+        let inner = self.lock();
+        let at = inner.part_of(server);
+        self.feed(inner, at, Event::Probed { server, outcome, report });
     }
 
-    /// Passes on news of the fleet.
+    /// Passes on news of the fleet: to each cell those of its own servers.
     pub fn members(&self, kind: ListKind, members: Vec<Member>) {
-        self.feed(self.lock(), Event::Members { kind, members });
+        self.act(self.lock(), |inner, now, calls| inner.list(kind, members, now, calls));
     }
 
     /// New settings hold from now on.
     pub fn settings(&self, settings: Settings) {
-        self.feed(self.lock(), Event::Settings(settings));
+        self.act(self.lock(), |inner, now, calls| {
+            inner.settings = settings.clone();
+            for at in 0..inner.parts.len() {
+                inner.handle(at, now, Event::Settings(settings.clone()), calls);
+            }
+        });
     }
 
     /// Staff have taken a server out, or called it back.
     pub fn by_hand(&self, server: ServerId, out_of_use: bool) {
-        self.feed(self.lock(), Event::ByHand(server, out_of_use));
+        let mut inner = self.lock();
+        if out_of_use {
+            inner.by_hand.insert(server);
+        } else {
+            inner.by_hand.remove(&server);
+        }
+        inner.count_servers();
+        let at = inner.part_of(server);
+        self.feed(inner, at, Event::ByHand(server, out_of_use));
+    }
+
+    /// Other cells hold from now on. Servers that change theirs drain in the old one; connections whose site has
+    /// another are moved little by little, each once.
+    pub fn cells(&self, cells: Cells) {
+        self.act(self.lock(), |inner, now, calls| inner.adopt_cells(cells, now, calls));
+    }
+
+    /// What is counted of each cell, and how many connections still wait to be moved to another one.
+    pub fn cell_figures(&self) -> (Vec<CellFigures>, usize) {
+        let mut inner = self.lock();
+        inner.count_servers();
+        let figures = inner.by_cell.iter().map(|at| inner.parts[*at].figures.clone()).collect();
+        (figures, inner.moves.len())
     }
 
     /// Fires the timers that are due and sleeps until the next one, or until an earlier one is set.
@@ -261,8 +382,11 @@
             let now = self.now();
             let due = inner.timers.peek().map(|t| t.0 .0);
             if due.is_some_and(|at| at <= now) {
-                let token = inner.timers.pop().map_or(0, |t| t.0 .1);
-                self.feed(inner, Event::Timer(token));
+                let (at, token) = inner.timers.pop().map_or((0, 0), |t| (t.0 .1, t.0 .2));
+                match at {
+                    MOVES => self.act(inner, Inner::move_one),
+                    at => self.feed(inner, at, Event::Timer(token)),
+                }
                 continue;
             }
             let wait = due.map_or(IDLE, |at| Duration::from_micros(at - now).min(IDLE));
@@ -286,12 +410,21 @@
     }
 }
 
+impl Part {
+    fn new(name: &str, settings: Settings, seed: u64) -> Part {
+        let figures = CellFigures { name: name.into(), ..CellFigures::default() };
+        Part { name: name.into(), balancer: Balancer::new(settings, seed), figures }
+    }
+}
+
 impl Inner {
     fn admit(
         &mut self,
         flow: Arc<dyn Flow>,
         server: ServerId,
         answered: bool,
+        at: usize,
+        group: u64,
     ) -> (RequestId, Receiver<Verdict>) {
         let (verdicts, mailbox) = bounded(MAILBOX);
         self.next_id = self.next_id.wrapping_add(1);
@@ -299,22 +432,157 @@
             self.next_id = self.next_id.wrapping_add(1);
         }
         let id = RequestId(self.next_id);
-        self.entries.insert(id, Entry { verdicts, flow, server, attempts: 0, answered });
+        let borrowed = false;
+        self.entries.insert(id, Entry { at, group, borrowed, verdicts, flow, server, attempts: 0, answered });
+        self.parts[at].figures.holds += 1;
         (id, mailbox)
     }
 
-    fn handle(&mut self, now: Micros, event: Event, calls: &mut Vec<Call>) {
+    /// Forgets a request or connection.
+    fn dismiss(&mut self, id: RequestId) -> Option<Entry> {
+        let entry = self.entries.remove(&id)?;
+        let figures = &mut self.parts[entry.at].figures;
+        figures.holds -= 1;
+        figures.borrowed -= u32::from(entry.borrowed);
+        Some(entry)
+    }
+
+    /// Where a new request of a group goes. One cell alone asks nobody: its balancer knows better.
+    fn place(&self, group: u64) -> Placed {
+        if self.cells.map.is_empty() {
+            return Placed::At(0);
+        }
+        let each = |of: fn(&CellFigures) -> u32| -> Vec<u32> {
+            self.by_cell.iter().map(|at| of(&self.parts[*at].figures)).collect()
+        };
+        let (home, _) = self.cells.map.home(group);
+        // The common case looks at one cell, however many there are.
+        if self.parts[self.by_cell[home]].figures.usable {
+            return Placed::At(home);
+        }
+        let usable: Vec<bool> = each(|f| u32::from(f.usable)).into_iter().map(|u| u > 0).collect();
+        self.cells.map.place(group, &usable, &each(|f| f.borrowed))
+    }
+
+    /// A server's part, as listed; as the map has it where it is not.
+    fn part_of(&self, server: ServerId) -> usize {
+        let listed = self.members.get(&server).map(|(_, at)| *at);
+        listed.unwrap_or_else(|| self.by_cell[self.cells.map.of_server(server)])
+    }
+
+    /// Counts each cell's servers anew.
+    fn count_servers(&mut self) {
+        for part in &mut self.parts {
+            (part.figures.servers, part.figures.usable) = (0, false);
+        }
+        for (server, (member, at)) in &self.members {
+            let figures = &mut self.parts[*at].figures;
+            figures.servers += 1;
+            figures.usable |= member.state == MemberState::Ready && !self.by_hand.contains(server);
+        }
+    }
+
+    fn list(&mut self, kind: ListKind, members: Vec<Member>, now: Micros, calls: &mut Vec<Call>) {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            self.members.clear();
+        }
+        let mut news: Vec<Vec<Member>> = vec![Vec::new(); self.parts.len()];
+        for member in members {
+            let at = self.part_of(member.server);
+            match member.state {
+                MemberState::Gone => drop(self.members.remove(&member.server)),
+                _ => drop(self.members.insert(member.server, (member.clone(), at))),
+            }
+            news[at].push(member);
+        }
+        self.count_servers();
+        // Each hears of each list, also of one that names none of its servers: that it came is news too.
+        for (at, members) in news.into_iter().enumerate() {
+            self.handle(at, now, Event::Members { kind, members }, calls);
+        }
+    }
+
+    fn adopt_cells(&mut self, cells: Cells, now: Micros, calls: &mut Vec<Call>) {
+        if cells.map == self.cells.map {
+            self.cells = cells;
+            return;
+        }
+        let known = self.parts.len();
+        self.by_cell = (0..cells.map.len())
+            .map(|cell| {
+                let name = cells.map.name(cell);
+                self.parts.iter().position(|part| part.name == name).unwrap_or_else(|| {
+                    let seed = self.seed ^ (self.parts.len() as u64).rotate_left(32);
+                    self.parts.push(Part::new(name, self.settings.clone(), seed));
+                    self.parts.len() - 1
+                })
+            })
+            .collect();
+        self.cells = cells;
+        // A new part begins with the list as it is; others hear what has changed.
+        let mut news: Vec<Vec<Member>> = vec![Vec::new(); self.parts.len()];
+        for (server, (member, at)) in &mut self.members {
+            let to = self.by_cell[self.cells.map.of_server(*server)];
+            if to != *at {
+                news[*at].push(Member { state: MemberState::Draining, ..member.clone() });
+                news[to].push(member.clone());
+                *at = to;
+            }
+        }
+        self.count_servers();
+        for (at, members) in news.into_iter().enumerate() {
+            let kind = if at < known { ListKind::Delta } else { ListKind::Full };
+            self.handle(at, now, Event::Members { kind, members }, calls);
+        }
+        for server in self.by_hand.clone() {
+            let at = self.part_of(server);
+            self.handle(at, now, Event::ByHand(server, true), calls);
+        }
+        // Whoever stands elsewhere than its site lives now. Borrowed ones as well: their time there is over.
+        let (map, by_cell) = (&self.cells.map, &self.by_cell);
+        let away = |(id, e): (&RequestId, &Entry)| (by_cell[map.home(e.group).0] != e.at).then_some(*id);
+        self.moves = self.entries.iter().filter(|(_, e)| e.answered).filter_map(away).collect();
+        self.next_move(now);
+    }
+
+    /// Sets the timer of the next move, where one waits and none is set.
+    fn next_move(&mut self, now: Micros) {
+        if !self.moves.is_empty() && !std::mem::replace(&mut self.moving, true) {
+            self.timers.push(Reverse((now + self.cells.move_pause, MOVES, 0)));
+        }
+    }
+
+    /// Moves the next connection whose site has another cell, unless that cell can take nobody: then it waits.
+    fn move_one(&mut self, now: Micros, calls: &mut Vec<Call>) {
+        self.moving = false;
+        while let Some(id) = self.moves.pop_front() {
+            let Some(entry) = self.entries.get(&id) else { continue };
+            let home = self.by_cell[self.cells.map.home(entry.group).0];
+            if home == entry.at {
+                continue;
+            }
+            if self.parts[home].figures.usable {
+                calls.push(Call::Relocate(entry.flow.clone()));
+            } else {
+                self.moves.push_back(id);
+            }
+            break;
+        }
+        self.next_move(now);
+    }
+
+    fn handle(&mut self, at: usize, now: Micros, event: Event, calls: &mut Vec<Call>) {
         let mut actions = std::mem::take(&mut self.actions);
-        if let Err(unknown) = self.balancer.handle(now, event, &mut actions) {
+        if let Err(unknown) = self.parts[at].balancer.handle(now, event, &mut actions) {
             calls.push(Call::Log(format!("decide: {unknown}")));
         }
         for action in actions.drain(..) {
-            self.carry_out(action, calls);
+            self.carry_out(at, action, calls);
         }
         self.actions = actions;
     }
 
-    fn carry_out(&mut self, action: Action, calls: &mut Vec<Call>) {
+    fn carry_out(&mut self, part: usize, action: Action, calls: &mut Vec<Call>) {
         match action {
             Action::Send { id, server, until } => {
                 let Some(e) = self.entries.get_mut(&id) else { return };
@@ -333,8 +601,10 @@
                 let flow = self.entries.get(&id).map(|e| e.flow.clone());
                 calls.extend(flow.map(Call::Relocate));
             }
-            Action::Timer(at, token) => self.timers.push(Reverse((at, token))),
-            Action::Watch(on) => drop(self.orders.watch.try_send(on)),
+            Action::Timer(at, token) => self.timers.push(Reverse((at, part, token))),
+            // There is one watch; what the first balancer hears of it they all hear, and so it asks for all.
+            Action::Watch(on) if part == 0 => drop(self.orders.watch.try_send(on)),
+            Action::Watch(_) => {}
             Action::Probe(server) => {
                 // A prober that is behind must not be waited for: the probe has failed.
                 if self.orders.probe.try_send(server).is_err() {
@@ -348,6 +618,12 @@
     fn finish(&mut self, id: RequestId, verdict: Verdict) {
         let Some(e) = self.entries.get_mut(&id).filter(|e| !e.answered) else { return };
         e.answered = true;
+        let figures = &mut self.parts[e.at].figures;
+        match verdict {
+            Verdict::Refuse(_) => figures.refused += 1,
+            Verdict::Fail => figures.failed += 1,
+            Verdict::Attempt { .. } | Verdict::Gone => {}
+        }
         let _ = e.verdicts.try_send(verdict);
     }
 }
--- a/src/front/xmpp/terms.rs
+++ b/src/front/xmpp/terms.rs
@@ -4,9 +4,9 @@
 use super::frame::Bounds;
 use super::jid::{self, Jid};
 use crate::api::{Micros, Request, SECOND};
+use crate::cells::site_key;
 use crate::config::operator::{self, OperatorError, OperatorFile, Xmpp};
 use crate::config::Classes;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// What a session's group is: the sessions of one group are kept together, since a server pays for each group
 /// that it holds any of.
@@ -146,11 +146,6 @@
     }
 }
 
-/// A key for the decisions: the same at every relay and after every restart, and never 0, which means none.
-fn key(text: &str) -> u64 {
-    xxh3_64(text.as_bytes()).max(1)
-}
-
 /// Mechanisms whose credentials go through unchanged where TLS ends here: none that binds to the channel.
 const MECHANISMS: [&str; 3] = ["SCRAM-SHA-256", "SCRAM-SHA-1", "PLAIN"];
 
@@ -271,8 +266,8 @@
         };
         Some(Request {
             class,
-            key: key(&jid.bare()),
-            group: group.map_or(0, |group| key(&group)),
+            key: site_key(&jid.bare()),
+            group: group.map_or(0, |group| site_key(&group)),
             left: rule.deadline.unwrap_or_else(|| classes.deadline(class)).min(crate::decide::LONGEST),
             ..Request::default()
         })
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 //! ```
 
 pub mod api;
+pub mod cells;
 pub mod config;
 pub mod decide;
 pub mod front;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 mod cli;
 
 use argh::FromArgs;
-use cli::{check, serve};
+use cli::{cells, check, serve};
 use std::process::ExitCode;
 
 /// Relay for long-lived connections.
@@ -18,6 +18,7 @@
 enum Command {
     Serve(serve::Serve),
     Check(check::Check),
+    Cells(cells::CellsOf),
     Version(Version),
 }
 
@@ -29,6 +30,7 @@
 fn main() -> ExitCode {
     let result = match argh::from_env::<Arguments>().command {
         Command::Serve(serve) => serve::run(serve),
+        Command::Cells(asked) => cells::run(asked),
         Command::Check(check) => check::run(check),
         Command::Version(_) => {
             println!("jaspermoor {}", env!("CARGO_PKG_VERSION"));
--- a/src/ops/admin.rs
+++ b/src/ops/admin.rs
@@ -289,10 +289,9 @@
             Call::Ready => answer(503, "takes no clients"),
             Call::Backend(id, out_of_use) => self.by_hand(id, *out_of_use),
             Call::Counters => {
-                let fleet = Fleet {
-                    known: self.staffed.directory.known(),
-                    skipped: self.staffed.decisions.avoided(),
-                };
+                let (cells, moves) = self.staffed.decisions.cell_figures();
+                let (known, skipped) = (self.staffed.directory.known(), self.staffed.decisions.avoided());
+                let fleet = Fleet { known, skipped, cells, moves };
                 (200, self.staffed.metrics.render(&fleet))
             }
         }
--- a/src/ops/metrics.rs
+++ b/src/ops/metrics.rs
@@ -1,6 +1,7 @@
 //! The figures of this process. They are counted where things happen, outside the decisions' lock, and
 //! rendered in one place, in the text form that scrapers read.
 
+use crate::decide::CellFigures;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -52,6 +53,10 @@
     pub known: usize,
     /// Those of them that the relay avoids now, by hand or by choice.
     pub skipped: usize,
+    /// Each cell; one alone is not shown.
+    pub cells: Vec<CellFigures>,
+    /// Connections that wait to be moved to their site's cell.
+    pub moves: usize,
 }
 
 impl Metrics {
@@ -114,10 +119,37 @@
         for (name, kind, n) in single.into_iter().chain(xmpp) {
             let _ = writeln!(text, "# TYPE edge_balancer_{name} {kind}\nedge_balancer_{name} {n}");
         }
+        if fleet.cells.len() > 1 {
+            by_cell(&mut text, fleet);
+        }
         text
     }
 }
 
+/// The figures of cells. Their number is bounded by that of cells.
+fn by_cell(text: &mut String, fleet: &Fleet) {
+    type Figure = fn(&CellFigures) -> u64;
+    let figures: [(&str, &str, Figure); 7] = [
+        ("cell_servers", "gauge", |c| c.servers as u64),
+        ("cell_usable", "gauge", |c| c.usable.into()),
+        ("cell_in_progress", "gauge", |c| c.holds.into()),
+        ("cell_borrowed", "gauge", |c| c.borrowed.into()),
+        ("cell_up_total", "counter", |c| c.up),
+        ("cell_refused_total", "counter", |c| c.refused),
+        ("cell_failed_total", "counter", |c| c.failed),
+    ];
+    // Writing to a text cannot fail.
+    for (name, kind, figure) in figures {
+        let _ = writeln!(text, "# TYPE edge_balancer_{name} {kind}");
+        for cell in &fleet.cells {
+            let _ =
+                writeln!(text, "edge_balancer_{name}{{cell=\"{}\"}} {}", escaped(&cell.name), figure(cell));
+        }
+    }
+    let _ = writeln!(text, "# TYPE edge_balancer_cell_moves_waiting gauge");
+    let _ = writeln!(text, "edge_balancer_cell_moves_waiting {}", fleet.moves);
+}
+
 /// A label's value, as the text form wants it.
 fn escaped(label: &str) -> String {
     label.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
@@ -164,7 +196,7 @@
     fn figures_start_at_zero_and_outlive_their_class() {
         let metrics = Arc::new(Metrics::default());
         metrics.show(&names(&["chat", "a\"b\\c"]));
-        let fleet = Fleet { known: 9, skipped: 2 };
+        let fleet = Fleet { known: 9, skipped: 2, cells: Vec::new(), moves: 0 };
         let text = metrics.render(&fleet);
         for line in [
             "edge_balancer_passed_total{category=\"chat\"} 0",
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -147,6 +147,18 @@
         "local",
         "resource",
         "deadline_ms",
+        "no_server",
+        "borrow_most",
+        "retry_after_ms",
+        "moves_per_second",
+        "least_servers",
+        "most_servers",
+        "weight",
+        "servers",
+        "quarantine",
+        "canary",
+        "key",
+        "cell",
     ] {
         assert!(all.lines().any(|l| l.starts_with(&format!("{key} = "))), "{key} is not there");
     }
