Add an emulator with the relay's own decisions, and play a poisoned site against cells

Need: how far a poisoned site reaches cannot be seen on a handful of sockets, and designs are to be tried at sizes that no socket test holds.

Change: crates/lab has a discrete-event model on a virtual clock (servers with speeds, warm-up, group costs and falls; a late list; clients that retry and come back; noisy probes) in which each relay runs the real Balancer for each cell of the real CellMap. `jaspermoor-lab sim` plays one fleet, cells and small shards on the same seeds, calm and poisoned, in parallel; its last line is a digest over all that happened, the same for any number of jobs.

Ruled out: driving the blocking facade in the model, since it owns a wall clock; that is the virtual clock's part.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod relay;
 pub mod rules;
 pub mod scram;
+pub mod sim;
 pub mod stream;
 pub mod xmpp_client;
 pub mod xmpp_server;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 use argh::FromArgs;
 use jaspermoor_lab::certs::{self, Authority, Valid};
 use jaspermoor_lab::discovery::{read_list, Discovery};
+use jaspermoor_lab::sim::poison::{self, Experiment};
 use jaspermoor_lab::xmpp_server::{Fault, Server, Setup};
 use jaspermoor_lab::{bench, demo, line, relay};
 use std::error::Error;
@@ -28,6 +29,7 @@
     Backend(Backend),
     Cert(Cert),
     Bench(Bench),
+    Sim(Sim),
 }
 
 /// Starts a relay, discovery, three servers and clients, drains one server half-way and checks the rules.
@@ -115,6 +117,40 @@
     idle: usize,
 }
 
+/// Plays cells against one fleet and small shards on a virtual clock, with the relay's own decisions: one site turns
+/// heavy for a while. The last line is a digest of all that happened.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sim")]
+struct Sim {
+    /// the first seed (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how many seeds (default 5)
+    #[argh(option, default = "5")]
+    seeds: u64,
+    /// servers (default 24)
+    #[argh(option, default = "24")]
+    servers: usize,
+    /// relays (default 3)
+    #[argh(option, default = "3")]
+    relays: usize,
+    /// servers of a cell (default 6)
+    #[argh(option, default = "6")]
+    cell: usize,
+    /// sites for each server (default 2)
+    #[argh(option, default = "2")]
+    sites: usize,
+    /// mean load asked over what all servers can do (default 0.6)
+    #[argh(option, default = "0.6")]
+    load: f64,
+    /// how many times heavier the site becomes (default 12)
+    #[argh(option, default = "12.0")]
+    factor: f64,
+    /// threads (default 4); no result depends on it
+    #[argh(option, default = "4")]
+    jobs: usize,
+}
+
 type Failure = Box<dyn Error>;
 
 /// A directory of this process's own.
@@ -204,6 +240,19 @@
             print!("{}", result?);
             Ok(true)
         }
+        Command::Sim(s) => {
+            let Sim { seed, seeds, servers, relays, cell, sites, load, factor, jobs } = s;
+            if servers == 0 || relays == 0 || seeds == 0 || !(0.01..=10.0).contains(&load) || factor < 0.0 {
+                return Err(
+                    "servers, relays and seeds must be at least 1, the load between 0.01 and 10".into()
+                );
+            }
+            print!(
+                "{}",
+                poison::run(&Experiment { seed, seeds, servers, relays, cell, sites, load, factor, jobs })
+            );
+            Ok(true)
+        }
         Command::Bench(b) => Err(format!("'{}' is not measured; xmpp is", b.what).into()),
     }
 }
--- a/src/cells/map.rs
+++ b/src/cells/map.rs
@@ -120,6 +120,12 @@
         map
     }
 
+    /// So many cells of one weight and nothing else set, for experiments; at least one and at most [`MOST`].
+    pub fn of_hash(cells: usize) -> CellMap {
+        let cell = |n| Cell { name: format!("c{n}"), weight: 1, apart: false, canary: false };
+        CellMap::new((0..cells.clamp(1, MOST)).map(cell).collect(), NoServer::Refuse, 0, usize::MAX)
+    }
+
     /// The map that `[cells]` sets, checked.
     pub fn of(file: &OperatorFile, c: &operator::Cells) -> Result<CellMap, OperatorError> {
         let error = |key: String, what: String| Err(file.error(&format!("cells.{key}"), what));
