Let a ban go with its server to another cell, and take out a cell key that did nothing

Cause: when a server changed its cell its ban stayed in the old cell's balancer, which the call back did not reach: a server that came home again was left unused for good. `canary` was read, shown and acted on nowhere.

Change: the old cell's balancer drops the ban with the server, the new one takes it; a cell that holds nothing forgets the server instead of draining it.

Measured: a new test bans two servers, gives them away, calls them back and takes them home; it is served there. All tests of cells, the command line and the library pass. With one cell none of these lines is reached.

--- a/src/cells/map.rs
+++ b/src/cells/map.rs
@@ -28,7 +28,6 @@
     name: String,
     weight: u32,
     apart: bool,
-    canary: bool,
 }
 
 /// Why a site is where it is.
@@ -107,7 +106,7 @@
 impl Default for CellMap {
     /// One cell that has everything.
     fn default() -> Self {
-        let cell = Cell { name: "all".into(), weight: 1, apart: false, canary: false };
+        let cell = Cell { name: "all".into(), weight: 1, apart: false };
         CellMap::new(vec![cell], NoServer::Refuse, 0, usize::MAX)
     }
 }
@@ -122,7 +121,7 @@
 
     /// So many cells of one weight and nothing else set, for experiments; at least one and at most [`MOST`].
     pub fn of_hash(cells: usize) -> CellMap {
-        let cell = |n| Cell { name: format!("c{n}"), weight: 1, apart: false, canary: false };
+        let cell = |n| Cell { name: format!("c{n}"), weight: 1, apart: false };
         CellMap::new((0..cells.clamp(1, MOST)).map(cell).collect(), NoServer::Refuse, 0, usize::MAX)
     }
 
@@ -144,7 +143,7 @@
                 );
             }
             let (name, weight) = (cell.name.clone(), cell.weight);
-            cells.push(Cell { name, weight, apart: cell.quarantine, canary: cell.canary });
+            cells.push(Cell { name, weight, apart: cell.quarantine });
         }
         if cells.iter().all(|cell| cell.apart) {
             return error("cell".into(), "each is for quarantine: sites would have no home".into());
@@ -203,11 +202,6 @@
         self.cells.get(cell).map_or("", |cell| &cell.name)
     }
 
-    /// Whether a cell takes new releases first.
-    pub fn canary(&self, cell: usize) -> bool {
-        self.cells.get(cell).is_some_and(|cell| cell.canary)
-    }
-
     /// A server's cell; no other server changes it.
     pub fn of_server(&self, server: ServerId) -> usize {
         let by_hash =
@@ -290,9 +284,8 @@
             let slots = self.slots.iter().filter(|slot| usize::from(**slot) == n).count();
             let pins = self.pins.values().filter(|pin| **pin == n).count();
             let apart = if cell.apart { ", set apart" } else { "" };
-            let canary = if cell.canary { ", new releases first" } else { "" };
             lines.push(format!(
-                "cell {}: {:.1}% of sites by hash, {pins} pinned, {} servers{apart}{canary}: {}",
+                "cell {}: {:.1}% of sites by hash, {pins} pinned, {} servers{apart}: {}",
                 cell.name,
                 100.0 * slots as f64 / SLOTS as f64,
                 servers.len(),
@@ -367,12 +360,7 @@
     use super::*;
 
     fn map(names: &[(&str, u32, bool)], no_server: NoServer) -> CellMap {
-        let cell = |&(name, weight, apart): &(&str, u32, bool)| Cell {
-            name: name.into(),
-            weight,
-            apart,
-            canary: false,
-        };
+        let cell = |&(name, weight, apart): &(&str, u32, bool)| Cell { name: name.into(), weight, apart };
         CellMap::new(names.iter().map(cell).collect(), no_server, 2, 60)
     }
 
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -106,9 +106,6 @@
     /// Whether only sites that are pinned to it live there.
     #[serde(default)]
     pub quarantine: bool,
-    /// Whether it takes new releases first.
-    #[serde(default)]
-    pub canary: bool,
 }
 
 fn one() -> u32 {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -521,10 +521,17 @@
         self.cells = cells;
         // A new part begins with the list as it is; others hear what has changed.
         let mut news: Vec<Vec<Member>> = vec![Vec::new(); self.parts.len()];
+        let mut banned = Vec::new();
         for (server, (member, at)) in &mut self.members {
             let to = self.by_cell[self.cells.map.of_server(*server)];
             if to != *at {
-                news[*at].push(Member { state: MemberState::Draining, ..member.clone() });
+                if self.by_hand.contains(server) {
+                    banned.push((*at, *server));
+                }
+                // Where nothing stands there is nothing to drain.
+                let holds = self.parts[*at].figures.holds > 0;
+                let state = if holds { MemberState::Draining } else { MemberState::Gone };
+                news[*at].push(Member { state, ..member.clone() });
                 news[to].push(member.clone());
                 *at = to;
             }
@@ -534,6 +541,10 @@
             let kind = if at < known { ListKind::Delta } else { ListKind::Full };
             self.handle(at, now, Event::Members { kind, members }, calls);
         }
+        // A ban goes with its server: the call back will not reach the old cell, to which it may come again.
+        for (at, server) in banned {
+            self.handle(at, now, Event::ByHand(server, false), calls);
+        }
         for server in self.by_hand.clone() {
             let at = self.part_of(server);
             self.handle(at, now, Event::ByHand(server, true), calls);
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -265,3 +265,23 @@
     assert!(plan.contains("site 0000000000000005: a to b") && plan.contains("sites: 0.0%"), "{plan}");
     let _ = &fleet.discovery;
 }
+
+/// A ban goes with its server: called back in another cell, it may serve when it comes home again.
+#[test]
+fn a_ban_does_not_stay_behind_in_the_cell_that_its_server_left() {
+    let fleet = fleet("ban", FILE, |_| {});
+    let given = FILE.replace("\"s-1\", \"s-2\"", "").replace("\"s-3\"", "\"s-1\", \"s-2\", \"s-3\"");
+    let call = |id: &str, verb: &str| {
+        assert_eq!(fleet.relay.call("POST", &format!("/control/backends/{id}/{verb}")).unwrap().0, 200);
+    };
+    ["s-1", "s-2"].iter().for_each(|id| call(id, "offline"));
+    for (n, (file, verb)) in [(given.as_str(), "online"), (FILE, "")].into_iter().enumerate() {
+        fleet.relay.reload_operator(file).unwrap();
+        until("the reload", || (fleet.relay.figure("loads_total") == Some(n as u64 + 1)).then_some(()));
+        if !verb.is_empty() {
+            ["s-1", "s-2"].iter().for_each(|id| call(id, verb));
+        }
+    }
+    let answer = fleet.open("home", 5).1;
+    assert!(answer.starts_with("UP "), "{answer}");
+}
