Look for room along the jumps before placing, and pace what the whole fleet spends

Faulty lines: probe() paced by servers alone, prober serial (platform/probe.rs); plan() on few arrivals; under_cap() with the own count where under one connection a server is held; members() asking at once and retrying within 2 s; credited() at 0.6 of capacity over the whole warm-up, where the rule speaks of 2.5 in 3 s.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -97,8 +97,10 @@
         };
         watcher.run(&watch_orders);
     })?;
-    let (core, names) = (relay.core.clone(), config.names.clone());
-    spawn("probe", move || probe::run(&probe_orders, &core.directory, &core.decisions, &names))?;
+    for _ in 0..probe::PROBERS {
+        let (core, names, orders) = (relay.core.clone(), config.names.clone(), probe_orders.clone());
+        spawn("probe", move || probe::run(&orders, &core.directory, &core.decisions, &names))?;
+    }
     let shared = relay.clone();
     spawn("forward", move || shared.forwarder.run())?;
     if let Some(addr) = config.admin {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,53 +10,52 @@
 use crate::slots::{fraction, lay, own_key, slot, Random, NOBODY, SLOTS};
 use std::collections::{BTreeMap, BTreeSet};
 
-// ---- Tunables -------------------------------------------------------------------------------------
-
 /// Points of a server of usual size on the array: they even out the arcs (virtual bins of the paper).
 const POINTS: f32 = 48.0;
 /// Headroom over the mean (ε) of the own counts: they are small, and groups are meant to sit together.
 const EPSILON: f32 = 2.0;
-/// Floor of the cap: below it, rounding and not load would send keys away from home.
-const CAP_FLOOR: f32 = 1.0;
-/// Bound on the jumps of one placement.
+/// Bound on the jumps of one placement, and the servers that the fallback samples.
 const JUMPS: u32 = 16;
-/// Servers looked at by the fallback; a sample, so that the cost does not grow with the fleet.
 const SAMPLE: usize = 8;
-/// What a group costs each server that holds any of it, in connections.
+/// What a group costs each server that holds any of it, in connections; headroom (ε) of the plan of groups.
 const GROUP_COST: f32 = 2.0;
-/// Headroom (ε) of the plan, by which the fleet's groups are placed.
 const PLAN_EPSILON: f32 = 0.25;
+/// Fewer arrivals say nothing of shares, and other relays see others: all go by the same jumps until then.
+const PLAN_LEAST: u32 = 32;
 /// The plan is made anew when so much more has been seen since.
 const PLAN_GROWTH: f32 = 1.15;
-/// ... or, while servers warm up, when it is this old.
-const PLAN_WARMING: Micros = 4 * SECOND;
-/// Arrivals remembered for the groups' shares; then all counts are halved (exponential decay).
+/// Arrivals remembered, then all counts are halved; and those that count as seen before any.
 const SEEN_MOST: u32 = 1024;
-/// Arrivals that count as seen before any: keeps one early arrival from looking like a large group.
 const SEEN_PRIOR: f32 = 8.0;
-/// Slow start: pace at which a cold server fills, as a multiple of the mean load over the warm-up.
+/// Slow start: a cold server fills at this multiple of the mean load over the warm-up, or where reports tell
+/// more, within the rule's time, by this share of what the rule leaves beyond one capacity.
 const SLOW_START: f32 = 1.5;
-/// ... and at least of what it can hold by reports: a process that has just started holds nothing yet.
-const SLOW_FILL: f32 = 0.6;
+const SLOW_FILL: f32 = 0.8;
 /// Time in which a cap that was cut grows back to its whole (additive increase).
 const RECOVER: Micros = 12 * SECOND;
-/// Outlier ejection after so many failures in a row.
+/// Outlier ejection after so many failures in a row; the first time, doubled up to eight times, and jittered.
 const STRIKES: u32 = 3;
-/// First ejection time; doubles each time up to eight times this, and is jittered.
 const EJECT: Micros = 4 * SECOND;
 /// Shares of the shortest message aim from which a delay note cuts a server's cap, and moves connections.
 const DELAY_SIGN: f32 = 0.4;
 const DELAY_MOVE: f32 = 0.6;
 /// Share of the own connections moved off a strained server a second, times delay over aim.
 const MOVE_SHARE: f32 = 0.25;
-/// Each server is probed about this often for its load over its capacity, which counts until it is stale.
-const PROBE_EVERY: Micros = SECOND * 3 / 2;
+/// The fleet probes each server this often for its load over its capacity, which counts until it is stale.
+const PROBE_EVERY: Micros = SECOND / 2;
 const REPORT_STALE: Micros = 5 * SECOND;
-/// A server takes keys of its own zone first up to NEAR_LOAD of its capacity, and any that find it by
-/// their jumps up to FULL_LOAD or OVER_MEAN times the mean of all, whichever is more.
+/// A request looks for room along its first LOOK_AT servers, LOOK_BOTH at a time: a load told longer than
+/// LOOK_STALE ago is probed anew, and all that waits no longer than LOOK_WAIT.
+const LOOK_AT: usize = 8;
+const LOOK_BOTH: usize = 2;
+const LOOK_STALE: Micros = SECOND * 3 / 2;
+const LOOK_WAIT: Micros = SECOND / 10;
+/// A server takes keys of its own zone first up to NEAR_LOAD of its capacity, all keys up to FULL_LOAD;
+/// where little is known, keys share by their hashes what is left from SOFT under BRIM on.
 const NEAR_LOAD: f32 = 0.6;
-const FULL_LOAD: f32 = 0.8;
-const OVER_MEAN: f32 = 1.3;
+const FULL_LOAD: f32 = 0.9;
+const BRIM: f32 = 1.0;
+const SOFT: f32 = 0.3;
 /// From MOVE_FROM on it gives some away, down to MOVE_TO, while the fleet's mean is under MOVE_ROOM.
 const MOVE_FROM: f32 = 0.9;
 const MOVE_TO: f32 = 0.75;
@@ -76,18 +75,16 @@
 /// Retry budget: further attempts that a request earns for all, and how many may be saved up.
 const RETRY_SHARE: f32 = 0.3;
 const RETRY_SAVED: f32 = 4.0;
-/// Wait before a held request looks again for a server.
-const HOLD: Micros = SECOND / 20;
 /// Advised wait of a refused client: about a set-up, long enough that its next try meets other counts.
 const RETRY_AFTER: Micros = SECOND * 2 / 5;
-/// Backoff of a failed call for the list, doubled up to eight times this, jittered.
+/// Backoff of a failed call for the list, at least so much a balancer of the fleet, doubled up to eight times
+/// this and jittered; the first call comes within one share: the service takes few calls a second.
 const ASK_BACKOFF: Micros = SECOND / 4;
+const ASK_SHARE: Micros = SECOND / 20;
 /// A server called back by hand is used again within this.
 const BACK_WITHIN: Micros = 3 * SECOND;
 /// Time over which connections are moved off a server that drains or is full.
-const MOVE_SPAN: Micros = SECOND;
-
-// ---- State -----------------------------------------------------------------------------------------
+const MOVE_SPAN: Micros = 2 * SECOND;
 
 const TIMER_DEADLINE: u64 = 1 << 32;
 const TIMER_HOLD: u64 = 2 << 32;
@@ -106,31 +103,28 @@
     zone: u16,
     cell: u16,
     size: f32,
-    /// Whether the list has it as ready; `ready` is that and not taken out by hand.
     listed: bool,
     ready: bool,
     gone: bool,
-    /// When this proxy was told that it is no longer ready.
     told: Micros,
     started: Option<Micros>,
-    /// When it was called back by hand, and when it is to be used again at the latest.
     back: Option<Micros>,
     due: Option<Micros>,
-    /// Sends that a cold server has earned.
     credit: f32,
     credit_at: Micros,
-    /// Own attempts and connections there.
     held: u32,
     strikes: u32,
     ejections: u32,
     ejected_until: Micros,
-    /// When its cap was last cut to nothing; it grows back from then.
     cut_at: Option<Micros>,
     /// Load over capacity and connections as last reported, when, and own sends that are not yet in it.
     load: f32,
     active: f32,
     load_at: Option<Micros>,
     since: f32,
+    /// When a request last had it probed, and when a probe last ended.
+    looked_at: Option<Micros>,
+    probed_at: Option<Micros>,
 }
 
 #[derive(Clone, Copy, Default, PartialEq)]
@@ -165,22 +159,16 @@
     servers: Vec<Server>,
     index: BTreeMap<ServerId, usize>,
     ready: Vec<usize>,
-    /// Servers taken out by hand.
     by_hand: BTreeSet<ServerId>,
     ready_slots: Vec<u32>,
     known_slots: Vec<u32>,
-    /// Sum of the sizes of the ready servers.
     sizes: f32,
-    /// Own attempts and connections (n).
     held: u32,
     pending: BTreeMap<RequestId, Pending>,
-    /// Arrivals by group.
     seen: BTreeMap<u64, u32>,
     seen_all: u32,
     planned_at: u32,
-    planned_when: Micros,
     homes: Homes,
-    homes_known: Homes,
     admitted: f32,
     late_notes: u32,
     late_share: f32,
@@ -209,8 +197,7 @@
         }
     }
 
-    /// Takes one event and adds what is to be done, in order. `now` never goes back. An event that
-    /// names something unknown changes nothing.
+    /// Takes one event and adds what is to be done. One that names something unknown changes nothing.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Out) -> Result<(), Unknown> {
         self.now = now;
         match event {
@@ -224,24 +211,22 @@
             Event::Outcome { id, outcome, last, .. } => return self.ended(id, outcome, last, out),
             Event::Vanished(id) => self.vanished(id),
             Event::Timer(token) => self.timer(token, out),
-            Event::Probed { server, report, .. } => self.probed(server, &report, out),
+            Event::Probed { server, outcome, report } => self.probed(server, outcome, &report, out),
             Event::LoadNote(..) | Event::Peer(..) => {}
         }
         Ok(())
     }
 
-    /// The terms of a request's class as they are now; it keeps them.
     fn class(&self, request: &Request) -> Class {
         self.settings.classes.get(request.class).or(self.settings.classes.last()).copied().unwrap_or_default()
     }
 
-    // ---- Members -----------------------------------------------------------------------------------
-
     fn members(&mut self, kind: ListKind, members: Vec<Member>, out: &mut Out) {
+        let share = ASK_SHARE * u64::from(self.settings.balancers.max(1));
         if kind == ListKind::Failed {
             // A failed call or a dropped subscription: ask anew, and not in step with the others.
             self.watching = false;
-            let wait = ASK_BACKOFF << self.ask_failures.min(3);
+            let wait = ASK_BACKOFF.max(share) << self.ask_failures.min(3);
             self.ask_failures += 1;
             out.push(Action::Timer(self.now + wait / 2 + self.rng.0.rand_range(0..wait), TIMER_ASK));
             return;
@@ -254,7 +239,7 @@
         if kind != ListKind::Cached {
             self.ask_failures = 0;
         } else if self.settings.list_on_request {
-            self.ask(out);
+            out.push(Action::Timer(self.now + self.rng.0.rand_range(0..share), TIMER_ASK));
         }
         let mut left = Vec::new();
         if kind != ListKind::Delta {
@@ -295,7 +280,6 @@
         s.size = if m.size.is_finite() && m.size > 0.0 { m.size } else { 1.0 };
     }
 
-    /// The place of a server. One that no list has named yet counts as gone.
     fn entry(&mut self, id: ServerId) -> usize {
         let next = self.servers.len();
         let i = *self.index.entry(id).or_insert(next);
@@ -313,7 +297,6 @@
         }
     }
 
-    /// Keeps of a server what it is, and nothing of how it was.
     fn forget(&mut self, i: usize, credit: f32) {
         let Server { id, zone, cell, size, listed, ready, gone, held, told, started, due, .. } =
             self.servers[i];
@@ -339,16 +322,12 @@
         self.rebuild();
     }
 
-    /// Subscribes to the list.
     fn ask(&mut self, out: &mut Out) {
         if !std::mem::replace(&mut self.watching, true) {
             out.push(Action::Watch(true));
         }
     }
 
-    // ---- Slot table --------------------------------------------------------------------------------
-
-    /// Forgets servers that are gone and hold nothing, and lays the slots anew. Only a list brings this.
     fn rebuild(&mut self) {
         self.servers.retain(|s| !s.gone || s.held > 0);
         self.index = self.servers.iter().enumerate().map(|(i, s)| (s.id, i)).collect();
@@ -356,11 +335,10 @@
         self.sizes = self.ready.iter().map(|&i| self.servers[i].size).sum();
         // The unit is a power of two, so that one server more or less does not change all points.
         let unit = (self.sizes / self.ready.len().max(1) as f32).log2().round().exp2();
-        let points = |s: &Server| match self.settings.weights {
-            Weights::Nominal => (POINTS * s.size / unit).round().clamp(1.0, 8.0 * POINTS) as u32,
-            // Live sizes change all the time: homes must not move with them.
-            Weights::None | Weights::Live => POINTS as u32,
-        };
+        // Live sizes change all the time: homes must not move with them.
+        let nominal =
+            |s: &Server| if self.settings.weights == Weights::Nominal { s.size / unit } else { 1.0 };
+        let points = |s: &Server| (POINTS * nominal(s)).round().clamp(1.0, 8.0 * POINTS) as u32;
         let all = || self.servers.iter().enumerate().map(|(i, s)| (i as u32, s));
         let of = |(i, s): (u32, &Server)| (i, s.id, points(s));
         lay(&mut self.ready_slots, &all().filter(|(_, s)| s.ready).map(of).collect::<Vec<_>>());
@@ -416,15 +394,10 @@
     }
 
     fn replan(&mut self) {
-        (self.planned_at, self.planned_when) = (self.seen_all, self.now);
+        self.planned_at = self.seen_all;
         self.homes = self.plan(&self.ready_slots);
-        self.homes_known = match self.servers.iter().any(|s| !s.ready && !s.gone) {
-            true => self.plan(&self.known_slots),
-            false => self.homes.clone(),
-        };
     }
 
-    /// Counts an arrival for its group's share.
     fn count(&mut self, group: u64) {
         if group == 0 {
             return;
@@ -444,27 +417,20 @@
         }
     }
 
-    // ---- Cap ---------------------------------------------------------------------------------------
-
-    /// n/k: what a server of that size would hold if all held alike.
     fn mean(&self, size: f32) -> f32 {
         self.held as f32 * size / self.sizes.max(f32::MIN_POSITIVE)
     }
 
     /// C = ⌈(1 + ε)·n/k⌉, by size, with a floor; below it where the server is cold or shows strain.
     fn cap(&self, s: &Server) -> f32 {
-        ((1.0 + EPSILON) * self.mean(s.size)).ceil().max(CAP_FLOOR) * self.scale(s)
+        ((1.0 + EPSILON) * self.mean(s.size)).ceil().max(1.0) * self.scale(s)
     }
 
-    /// The share of its cap that a server may use now.
     fn scale(&self, s: &Server) -> f32 {
         let whole = s.cut_at.map_or(1.0, |at| self.now.saturating_sub(at) as f32 / RECOVER as f32);
         whole.min(1.0).min(self.warmth(s))
     }
 
-    // ---- Warm-up -----------------------------------------------------------------------------------
-
-    /// The share of its capacity that a server surely has.
     fn warmth(&self, s: &Server) -> f32 {
         let Some(started) = s.started.max(s.back) else { return 1.0 };
         let age = self.now.saturating_sub(started) as f32;
@@ -472,21 +438,19 @@
         (start + (1.0 - start) * age / (self.settings.warm_within as f32).max(1.0)).min(1.0)
     }
 
-    /// Whether a server may be sent something as far as its warm-up goes: all balancers together stay within
-    /// what a cold one can do, each earning its share of the mean load from a random point on.
+    /// Whether its warm-up lets a server be sent something: each balancer earns its share.
     fn credited(&mut self, i: usize) -> bool {
         let (warmth, size) = (self.warmth(&self.servers[i]), self.servers[i].size);
         let all = if self.alone > 0.0 { size / self.alone / self.settings.balancers as f32 } else { 0.0 };
-        let pace = (SLOW_FILL * all).max(SLOW_START * self.mean(size)) * warmth;
-        let pace = pace / (self.settings.warm_within as f32).max(1.0);
+        let fill =
+            SLOW_FILL * (self.settings.overload_factor - 1.0).max(0.0) * all / self.settings.fall as f32;
+        let pace = fill.max(SLOW_START * self.mean(size) / self.settings.warm_within as f32) * warmth;
         let s = &mut self.servers[i];
         s.credit = (s.credit + self.now.saturating_sub(s.credit_at) as f32 * pace).min(1.0);
         s.credit_at = self.now;
         warmth >= 1.0 || s.credit >= 1.0
     }
 
-    // ---- Health ------------------------------------------------------------------------------------
-
     fn failed(&mut self, i: usize, outcome: Outcome) {
         let jitter = self.rng.0.rand_range(0..EJECT);
         let s = &mut self.servers[i];
@@ -508,7 +472,6 @@
         (self.servers[i].strikes, self.servers[i].ejections) = (0, 0);
     }
 
-    /// Messages take long at a server: it takes less, and gives some of what it has to others.
     fn delay(&mut self, id: RequestId, server: ServerId, took: Micros, out: &mut Out) -> Result<(), Unknown> {
         let aims = self.settings.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > 0);
         let share = took as f32 / aims.min().unwrap_or(SECOND / 10) as f32;
@@ -531,17 +494,12 @@
         Ok(())
     }
 
-    /// Once a second: a fresh plan while servers warm up, and how many clients may be served when the fleet
-    /// cannot serve all. A jam feeds itself (late messages, drops, set-ups anew) and ends only with less
+    /// Once a second: how many clients are served when the fleet cannot serve all. A jam ends only with less
     /// load. All proxies turn away the same clients, so those that stay are served well.
     fn pace(&mut self) {
         if self.now < self.second + SECOND {
             return;
         }
-        let cold = |&i: &usize| self.warmth(&self.servers[i]) < 1.0;
-        if self.now > self.planned_when + PLAN_WARMING && self.ready.iter().any(cold) {
-            self.replan();
-        }
         let seconds = ((self.now - self.second) as f32 / SECOND as f32).min(30.0);
         // Averaged, so that one short pause of many servers does not look like a jam.
         let in_use = self.servers.iter().filter(|s| s.held > 0).count().max(1);
@@ -554,14 +512,10 @@
         }
     }
 
-    /// Whether this client is among those turned away now.
     fn shed(&self, q: &Request) -> bool {
         self.admitted < 1.0 && fraction(own_key(q), SHED_SALT) >= self.admitted
     }
 
-    // ---- Load reports ------------------------------------------------------------------------------
-
-    /// Probes the next server in turn, where probes tell the load.
     fn probe(&mut self, out: &mut Out) {
         if !self.settings.may_probe || !self.settings.columns.contains(&Column::Load) {
             return;
@@ -569,14 +523,53 @@
         let n = self.ready.len().max(1);
         self.probes += 1;
         out.extend(self.ready.get(self.probes % n).map(|&i| Action::Probe(self.servers[i].id)));
-        let wait = PROBE_EVERY / n as u64;
+        let wait = PROBE_EVERY * u64::from(self.settings.balancers.max(3)) / n as u64;
         out.push(Action::Timer(self.now + wait / 2 + self.rng.0.rand_range(0..wait), TIMER_PROBE));
     }
 
-    fn probed(&mut self, server: ServerId, report: &[f32], out: &mut Out) {
+    fn probed(&mut self, server: ServerId, outcome: Outcome, report: &[f32], out: &mut Out) {
+        let Some(&i) = self.index.get(&server) else { return };
+        self.servers[i].probed_at = Some(self.now);
+        if matches!(outcome, Outcome::ConnectFailed | Outcome::Timeout) {
+            self.failed(i, outcome);
+        }
+        self.reported(i, report, out);
+        let looks = |p: &&Pending| p.phase == Phase::Held && p.tried.is_empty();
+        let waiting: Vec<_> = self.pending.values().filter(looks).map(|p| p.request.id).collect();
+        waiting.into_iter().for_each(|id| self.timer(TIMER_HOLD | u64::from(id.0), out));
+    }
+
+    /// Probes those of a request's first servers whose load is not known; whether it waits for the answers.
+    fn look(&mut self, p: &Pending, out: &mut Out) -> bool {
+        if !self.settings.may_probe || !self.settings.columns.contains(&Column::Load) {
+            return false;
+        }
+        if !p.tried.is_empty() || self.now + p.request.left >= p.deadline + LOOK_WAIT {
+            return false;
+        }
+        let (mut list, _) = self.jumps(p);
+        list.sort_by_key(|&i| !self.planned() || self.servers[i].zone != self.settings.zone);
+        let fresh = |s: &Server| s.probed_at.is_some_and(|at| self.now < at + LOOK_STALE);
+        let room = |s: &Server| fresh(s) && self.load(s).is_some_and(|load| load < NEAR_LOAD);
+        let before = list.iter().position(|&i| room(&self.servers[i])).unwrap_or(list.len());
+        list.truncate(before.min(LOOK_AT));
+        list.retain(|&i| !fresh(&self.servers[i]));
+        list.truncate(LOOK_BOTH);
+        for &i in &list {
+            let s = &mut self.servers[i];
+            if s.looked_at.is_none_or(|at| self.now >= at + LOOK_WAIT) {
+                s.looked_at = Some(self.now);
+                out.push(Action::Probe(s.id));
+            }
+        }
+        !list.is_empty()
+    }
+
+    fn reported(&mut self, i: usize, report: &[f32], out: &mut Out) {
         let column = |kind| self.settings.columns.iter().position(|&c| c == kind);
         let value = |kind| column(kind).and_then(|c| report.get(c).copied());
-        let (Some(&i), Some(load)) = (self.index.get(&server), value(Column::Load)) else { return };
+        let Some(load) = value(Column::Load) else { return };
+        let server = self.servers[i].id;
         let s = &mut self.servers[i];
         let news = load != s.load || s.load_at.is_none();
         // A report was made some time ago: half of what was sent since the last one is not in it.
@@ -595,15 +588,12 @@
         }
     }
 
-    /// A server's load over its capacity by its last report and own sends since; none where not known.
     fn load(&self, s: &Server) -> Option<f32> {
         let fresh = s.load_at.is_some_and(|at| self.now < at + REPORT_STALE);
-        fresh.then(|| s.load + s.since * self.unit / s.size / self.warmth(s))
+        let all = (self.settings.balancers as f32 / 3.0).max(1.0);
+        fresh.then(|| s.load + s.since * all * self.unit / s.size / self.warmth(s))
     }
 
-    // ---- Placement ---------------------------------------------------------------------------------
-
-    /// Chooses a server for a request; none if no server may take it.
     fn place(&mut self, p: &Pending) -> Option<usize> {
         let own = own_key(&p.request);
         let key = if p.request.group != 0 { p.request.group } else { own };
@@ -612,24 +602,40 @@
         if first.is_some() {
             return first;
         }
-        let usable = |this: &mut Self, list: Vec<usize>| -> Vec<usize> {
-            list.into_iter().filter(|&i| i < this.servers.len() && this.usable(i, p)).collect()
-        };
-        let homes = usable(self, self.order(&self.homes, key, own));
-        let jumps = (0..JUMPS).map(|jump| self.ready_slots[slot(key, jump)] as usize).collect();
-        let jumps = usable(self, jumps);
+        let (list, homes) = self.jumps(p);
         let fits = |i: &&usize| self.under_cap(**i, own);
         // A zone's own servers first, by the same jumps, while they are known to have room.
-        let own_zone = |i: &&usize| self.servers[**i].zone == self.settings.zone;
+        let own_zone = |i: &&usize| self.planned() && self.servers[**i].zone == self.settings.zone;
         let room = |i: &&usize| self.load(&self.servers[**i]).is_some_and(|load| load < NEAR_LOAD);
-        let near = homes.iter().chain(&jumps).filter(own_zone).filter(room).find(fits);
-        let far = jumps.iter().filter(room).find(fits);
+        let near = list.iter().filter(own_zone).filter(room).find(fits);
+        let far = list.iter().filter(room).find(fits);
         // Jumping on from strained homes would make further servers pay for the group: a jam feeds itself.
-        let stay = homes.first().filter(|_| self.late_share >= STAY_FROM);
-        let found = near.or(homes.iter().find(fits)).or(far).or(stay).or(jumps.iter().find(fits)).copied();
+        let stay = list.first().filter(|_| self.planned() && self.late_share >= STAY_FROM);
+        let found =
+            near.or(list[..homes].iter().find(fits)).or(far).or(stay).or(list.iter().find(fits)).copied();
         found.or_else(|| self.fallback(own, p))
     }
 
+    /// Whether so much was seen that the own estimates of groups and loads are better than none.
+    fn planned(&self) -> bool {
+        self.seen_all >= PLAN_LEAST
+    }
+
+    /// The servers that a request may use: its group's homes, so many, and then as its key jumps.
+    fn jumps(&mut self, p: &Pending) -> (Vec<usize>, usize) {
+        let own = own_key(&p.request);
+        let key = if p.request.group != 0 { p.request.group } else { own };
+        let mut list = self.order(&self.homes, key, own);
+        list.retain(|&i| self.usable(i, p));
+        let homes = list.len();
+        for owner in (0..JUMPS).map(|jump| self.ready_slots[slot(key, jump)] as usize).collect::<Vec<_>>() {
+            if owner < self.servers.len() && !list.contains(&owner) && self.usable(owner, p) {
+                list.push(owner);
+            }
+        }
+        (list, homes)
+    }
+
     /// A server called back by hand that is to be used again by now; it has earned that whatever its credit.
     fn due(&mut self, p: &Pending) -> Option<usize> {
         let due = |s: &Server| s.held == 0 && s.due.is_some_and(|at| at <= self.now);
@@ -640,7 +646,8 @@
 
     /// A group's homes in this client's order: weighted rendezvous, so that one more moves only its own.
     fn order(&self, homes: &Homes, group: u64, own: u64) -> Vec<usize> {
-        let Some(list) = homes.get(&group) else { return Vec::new() };
+        let list = homes.get(&group).filter(|_| self.planned());
+        let Some(list) = list else { return Vec::new() };
         let near = |i: usize| if self.servers[i].zone == self.settings.zone { NEAR } else { 1.0 };
         let score =
             |i: usize, share: f32| -(1.0 - fraction(own, self.servers[i].id.0)).ln() / share / near(i);
@@ -649,9 +656,8 @@
         order.into_iter().map(|(_, i)| i).collect()
     }
 
-    /// Where a mid-flow connection most likely lives: hashed over ready and draining servers.
     fn holder(&mut self, key: u64, own: u64) -> Option<usize> {
-        let mut order = self.order(&self.homes_known, key, own);
+        let mut order = self.order(&self.homes, key, own);
         order.push(self.known_slots[slot(key, 0)] as usize);
         order.into_iter().find(|&i| match self.servers.get(i) {
             // Most of a burst is set up anew: a cold server takes its share only (one was pushed over).
@@ -661,7 +667,6 @@
         })
     }
 
-    /// Whether a send to this server is allowed and wise: it is not ejected.
     fn usable(&mut self, i: usize, p: &Pending) -> bool {
         self.now >= self.servers[i].ejected_until && self.lawful(i, p)
     }
@@ -679,36 +684,33 @@
         new && same && self.credited(i)
     }
 
-    /// A whole cap admits as in the paper; of a cut one, the keys share what is left.
     fn under_cap(&self, i: usize, own: u64) -> bool {
         let s = &self.servers[i];
-        let full = FULL_LOAD.max(OVER_MEAN * self.mean_load);
-        s.held as f32 + fraction(own, s.id.0) < self.cap(s) && self.load(s).is_none_or(|load| load < full)
+        let share = fraction(own, s.id.0);
+        match self.load(s) {
+            Some(load) if self.planned() => load < FULL_LOAD,
+            Some(load) => load + SOFT * share < BRIM && share * self.warmth(s) < self.scale(s),
+            None => s.held as f32 + share < self.cap(s),
+        }
     }
 
-    /// The least loaded of a sample: those under their cap first, the ejected last, but of all that
-    /// may be used (the panic threshold: when all seem bad, health says nothing).
+    /// The least loaded of a sample, the ejected last: when all seem bad, health says nothing.
     fn fallback(&mut self, own: u64, p: &Pending) -> Option<usize> {
-        let mut best: Option<((bool, bool), f32, usize)> = None;
-        for k in 0..SAMPLE.min(self.ready.len()) {
-            let all = self.ready.len() <= SAMPLE;
-            let at = if all { k } else { self.rng.0.rand_range(0..self.ready.len() as u64) as usize };
-            let i = self.ready[at];
-            if !self.lawful(i, p) {
-                continue;
-            }
+        let n = self.ready.len();
+        let pick = |k: usize| if n > SAMPLE { self.rng.0.rand_range(0..n as u64) as usize } else { k };
+        let mut sample: Vec<usize> = (0..SAMPLE.min(n)).map(pick).map(|k| self.ready[k]).collect();
+        sample.retain(|&i| self.lawful(i, p) && (self.planned() || self.under_cap(i, own)));
+        let rank = |i: usize| {
             let s = &self.servers[i];
             // One that fails some is better than one without room, unless it cannot be reached.
             let room = s.load_at.is_some() && s.load < NEAR_LOAD;
             let over = (self.now < s.ejected_until && !room, !self.under_cap(i, own));
             // A new server counts at the others' mean until it holds something.
             let fresh = s.held == 0 && s.started.is_some();
-            let load = if fresh { self.mean(1.0) } else { s.held as f32 / s.size } / self.scale(s).max(0.05);
-            if best.is_none_or(|(worse, more, _)| (over, load) < (worse, more)) {
-                best = Some((over, load, i));
-            }
-        }
-        best.map(|(_, _, i)| i)
+            let load = if fresh { self.mean(1.0) } else { s.held as f32 / s.size };
+            (over, load / self.scale(s).max(0.05))
+        };
+        sample.into_iter().min_by(|&a, &b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal))
     }
 
     /// How many listed servers get nothing new now, as the list, hands or their health say.
@@ -716,8 +718,6 @@
         self.servers.iter().filter(|s| !s.gone && (!s.ready || now < s.ejected_until)).count()
     }
 
-    // ---- Attempts and deadlines --------------------------------------------------------------------
-
     fn arrived(&mut self, request: Request, out: &mut Out) {
         if !request.again {
             self.count(request.group);
@@ -730,7 +730,6 @@
         self.advance(Pending { request, class, deadline, ..Pending::default() }, out);
     }
 
-    /// One that stands where the others have been told to move is told so as well.
     fn stands(&mut self, i: usize, id: RequestId, out: &mut Out) {
         let s = &self.servers[i];
         if !self.settings.passes_through && !s.ready && !s.gone {
@@ -754,7 +753,6 @@
         self.held += 1;
     }
 
-    /// Sends a held request on, keeps holding it, or ends it.
     fn advance(&mut self, mut p: Pending, out: &mut Out) {
         self.pace();
         let class = p.class;
@@ -776,7 +774,9 @@
         if late || spent || broke || !may_repeat || (self.shed(&p.request) && !p.request.mid_flow) {
             return self.answer(&mut p, out);
         }
-        if let Some(i) = self.place(&p) {
+        if self.look(&p, out) {
+            out.push(Action::Timer(self.now + LOOK_WAIT, TIMER_HOLD | u64::from(p.request.id.0)));
+        } else if let Some(i) = self.place(&p) {
             self.take(i);
             self.retries =
                 if again { self.retries - 1.0 } else { (self.retries + RETRY_SHARE).min(RETRY_SAVED) };
@@ -788,27 +788,23 @@
             p.tried.push(s.id);
             out.push(Action::Send { id: p.request.id, server: s.id, until });
         } else if p.tried.is_empty() {
-            out.push(Action::Timer(self.now + HOLD, TIMER_HOLD | u64::from(p.request.id.0)));
+            out.push(Action::Timer(self.now + LOOK_WAIT, TIMER_HOLD | u64::from(p.request.id.0)));
         } else {
             return self.answer(&mut p, out);
         }
         self.pending.insert(p.request.id, p);
     }
 
-    /// The one final answer: a refusal where that promises nothing false, else a failure.
     fn answer(&self, p: &mut Pending, out: &mut Out) {
         if p.answered {
             return;
         }
         p.answered = true;
         let maybe_ran = p.ran.is_some() || p.phase == Phase::Out;
-        let harmless = match p.class.effect {
-            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Unsafe => !maybe_ran,
-        };
+        let repeats = matches!(p.class.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let id = p.request.id;
         let wait = RETRY_AFTER.min(self.settings.max_retry_after);
-        out.push(if harmless { Action::Refuse(id, wait) } else { Action::Fail(id) });
+        out.push(if repeats || !maybe_ran { Action::Refuse(id, wait) } else { Action::Fail(id) });
     }
 
     fn first(&mut self, id: RequestId, out: &mut Out) -> Result<(), Unknown> {
@@ -884,8 +880,6 @@
         }
     }
 
-    // ---- Moves -------------------------------------------------------------------------------------
-
     fn relocate(&mut self, id: RequestId, out: &mut Out) {
         let standing = |p: &&mut Pending| p.phase == Phase::Up && !p.moving;
         let Some(p) = self.pending.get_mut(&id).filter(standing) else { return };
@@ -893,8 +887,7 @@
         out.push(Action::Move(id));
     }
 
-    /// Which connection leaves a strained server: one whose client is turned away now or whose group has its
-    /// homes elsewhere (the last of a group takes its cost along), else the one that was named.
+    /// Which connection leaves a strained server: one turned away now, or with its group's homes elsewhere.
     fn leaver(&self, i: usize, named: RequestId) -> RequestId {
         let stray =
             |q: &Request| self.homes.get(&q.group).is_some_and(|h| h.iter().all(|&(home, _)| home != i));
--- a/src/net/admit.rs
+++ b/src/net/admit.rs
@@ -3,15 +3,16 @@
 
 use crate::config::Limits;
 use crate::ops::admin::CALLERS;
+use crate::platform::probe::PROBERS;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Descriptors for all that is no client's: standard streams, listener, signals, discovery, a probe,
-/// the configuration while it is read.
-const RESERVE: usize = 16;
+/// Descriptors for all that is no client's: standard streams, listener, signals, discovery, the
+/// configuration while it is read, and the probes that may be out.
+const RESERVE: usize = 15 + PROBERS;
 /// Memory that a connection may need that is served: two stacks as far as they are used, two buffers.
 const PER_REQUEST: usize = 48 * 1024;
 /// The same for one that has not asked yet: one of each.
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -56,9 +56,15 @@
 
 /// Makes one attempt. When it has failed, its socket is closed before this returns.
 pub fn attempt(a: &Attempt) -> Result<Up, Failed> {
+    let began = a.core.decisions.now();
     let result = dial_and_wait(a);
-    if result.is_err() {
-        a.session.release();
+    let ms = (a.core.decisions.now() - began) / 1_000;
+    match &result {
+        Ok(_) => tracing::debug!(id = %a.session.name(), server = a.server.0, ms, "attempt is up"),
+        Err((outcome, _)) => {
+            tracing::debug!(id = %a.session.name(), server = a.server.0, ms, ?outcome, "attempt failed");
+            a.session.release();
+        }
     }
     result
 }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -271,6 +271,8 @@
     let flow: Arc<dyn Flow> = session.clone();
     let pick = core.decisions.pick(order.request().clone(), flow, |id| session.takes_id(id));
     let id = pick.id;
+    let asked = order.request();
+    tracing::debug!(id = %session.name(), group = asked.group, key = asked.key, again = asked.again, "request");
     // It may have left before its id was known.
     if session.client_ended() {
         core.decisions.vanish(id);
--- a/src/platform/probe.rs
+++ b/src/platform/probe.rs
@@ -15,10 +15,14 @@
 /// The longest wait for each step of a probe.
 const LIMIT: Duration = Duration::from_millis(250);
 
+/// Threads that probe: a zone that is lost and says nothing must not hold up the probes of the living.
+pub const PROBERS: usize = 6;
+
 /// Carries out probes, one after another.
 pub fn run(orders: &Receiver<ServerId>, directory: &Directory, decisions: &Decisions, names: &Names) {
     for server in orders {
         let (outcome, report) = probe(server, directory, names);
+        tracing::debug!(server = server.0, ?outcome, ?report, "probe");
         decisions.probed(server, outcome, report);
     }
 }
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,164 @@
+//! What many relays do together: their balancers side by side, at virtual time, without a word between them.
+
+mod common;
+
+use common::*;
+use jaspermoor::api::*;
+use std::collections::BTreeSet;
+
+/// So many balancers of one fleet, each with the same list and a seed of its own.
+fn fleet(n: u32, servers: u64, settings: &Settings) -> Vec<Proxy> {
+    let relay = |seed| {
+        let mut proxy = Proxy::new(Settings { balancers: n, ..settings.clone() }, seed);
+        proxy.list(ListKind::Full, (1..=servers).map(ready).collect());
+        proxy
+    };
+    (1..=u64::from(n)).map(relay).collect()
+}
+
+fn with_probes() -> Settings {
+    Settings { may_probe: true, columns: vec![Column::Active, Column::Load], ..Settings::default() }
+}
+
+/// How many probes a balancer that nobody asks anything makes in a time.
+fn probes(settings: Settings, servers: u64, seed: u64, time: Micros) -> usize {
+    let mut proxy = Proxy::new(settings, seed);
+    let mut actions = proxy.list(ListKind::Full, (1..=servers).map(ready).collect());
+    let (end, mut count) = (proxy.now + time, 0);
+    loop {
+        count += actions.iter().filter(|a| matches!(a, Action::Probe(_))).count();
+        // Each probe asks for the timer of the next.
+        let Some(&(at, token)) = timers(&actions).last() else { return count };
+        if at > end {
+            return count;
+        }
+        proxy.now = at;
+        actions = proxy.fire(token);
+    }
+}
+
+#[test]
+fn a_hundred_relays_probe_no_more_together_than_three() {
+    let sum = |n: u32, servers: u64| -> usize {
+        let settings = Settings { balancers: n, ..with_probes() };
+        (1..=u64::from(n)).map(|seed| probes(settings.clone(), servers, seed, 60 * SECOND)).sum()
+    };
+    let few = sum(3, 9);
+    assert!((950..1200).contains(&few), "each of 9 servers about twice a second, not {few}");
+    for (relays, servers) in [(100, 9), (100, 60)] {
+        // What a relay may probe at once at its start comes on top.
+        let most = few * servers as usize / 9 * 5 / 4 + relays as usize;
+        let many = sum(relays, servers);
+        assert!((few / 2..most).contains(&many), "{relays} relays, {servers} servers: {many}, three {few}");
+    }
+}
+
+#[test]
+fn relays_that_see_a_handful_of_requests_agree_on_each_groups_server() {
+    let mut fleet = fleet(100, 9, &Settings::default());
+    let mut homes = vec![BTreeSet::new(); 10];
+    // Each sees four requests, of other groups than its neighbour: shares of so few say nothing.
+    for (n, proxy) in fleet.iter_mut().enumerate() {
+        for id in 0..4u32 {
+            let group = (n * 7 + id as usize * id as usize) % 10;
+            let server = proxy.connect(request(id + 1, (n * 4) as u64 + u64::from(id), 500 + group as u64));
+            homes[group].insert(server.unwrap());
+            // It ends at once: what is held is not what this is about.
+            proxy.end(id + 1, server.unwrap(), Outcome::Ok, true);
+        }
+    }
+    assert!(homes.iter().all(|servers| servers.len() == 1), "homes of each group: {homes:?}");
+    // They do not agree by sending all to one.
+    assert!(homes.iter().flatten().collect::<BTreeSet<_>>().len() > 4);
+}
+
+/// Six in ten servers cold at once were left idle while the warm ones jammed; too much at once breaks the rule.
+#[test]
+fn a_hundred_relays_fill_a_cold_server_within_the_rule_and_no_slower_than_need_be() {
+    let settings = Settings { overload_factor: 2.5, fall: 3 * SECOND, ..with_probes() };
+    for n in [3, 100] {
+        let mut fleet = fleet(n, 2, &settings);
+        let begin = fleet[0].now;
+        let tell = |proxy: &mut Proxy, server: u64, active: f32, load: f32| {
+            let (server, report) = (ServerId(server), vec![active, load]);
+            proxy.feed(Event::Probed { server, outcome: Outcome::Ok, report })
+        };
+        for proxy in &mut fleet {
+            proxy.list(ListKind::Delta, vec![Member { started: Some(begin), ..ready(3) }]);
+        }
+        let mut sends = Vec::new();
+        // All clients of the fleet come again and again: 200 requests a second, whoever takes them.
+        for step in 0..1_200u32 {
+            let now = begin + u64::from(step) * SECOND / 200;
+            let proxy = &mut fleet[(step % n) as usize];
+            proxy.now = now;
+            // A hundred connections fill a warm server; the cold one seems to hold nothing all the time.
+            let mut actions = tell(proxy, 1, 95.0, 0.95 + step as f32 / 1e6);
+            actions.extend(tell(proxy, 2, 95.0, 0.95 + step as f32 / 1e6));
+            actions.extend(tell(proxy, 3, 0.0, step as f32 / 1e9));
+            actions
+                .extend(proxy.request(Request { left: SECOND / 4, ..request(step + 1, u64::from(step), 0) }));
+            for action in actions {
+                let Action::Send { id, server, .. } = action else { continue };
+                sends.extend((server == ServerId(3)).then_some(now));
+                proxy.end(id.0, server, Outcome::Ok, true);
+            }
+        }
+        // It starts at a fifth of a hundred connections, and warms to 0.44 of them in these 6 s.
+        let within =
+            |from: Micros| sends.iter().filter(|&&at| (from..from + settings.fall).contains(&at)).count();
+        for second in 0..4 {
+            let warmth = 0.2 + 0.8 * second as f32 / 20.0;
+            let count = within(begin + second * SECOND) as f32;
+            // The least capacity in that time sets the most that the rule allows.
+            assert!(count < 2.5 * warmth * 100.0, "{n} relays: {count} in 3 s from second {second}");
+        }
+        assert!(within(begin) >= 15, "{n} relays: {} in 3 s, for 50 that the rule allows", within(begin));
+    }
+}
+
+/// Calls of all at once overbooked the service for good: most relays never had a list again.
+#[test]
+fn a_hundred_relays_that_start_together_call_for_the_list_in_turn() {
+    let settings = Settings { balancers: 100, list_on_request: true, ..Settings::default() };
+    let (mut first, mut again) = (Vec::new(), Vec::new());
+    for seed in 0..100 {
+        let mut proxy = Proxy::new(settings.clone(), seed);
+        let begin = proxy.now;
+        let (at, token) = timers(&proxy.list(ListKind::Cached, vec![ready(1)]))[0];
+        proxy.now = at;
+        assert_eq!(proxy.fire(token), [Action::Watch(true)]);
+        first.push(at - begin);
+        let (next, _) = timers(&proxy.list(ListKind::Failed, Vec::new()))[0];
+        again.push(next - at);
+        // A request is served from the list that it has, before discovery has said anything.
+        assert_eq!(proxy.connect(request(1, seed, 0)), Some(ServerId(1)));
+    }
+    let most = |times: &[Micros]| (0..20).map(|s| times.iter().filter(|&&t| t / SECOND == s).count()).max();
+    assert!(most(&first) <= Some(35), "first calls in one second: {:?}", most(&first));
+    assert!(most(&again) <= Some(35), "second calls in one second: {:?}", most(&again));
+}
+
+/// With a handful of requests each, a relay's periodic reports are older than the load of a server: before it
+/// places a request it looks, and goes on along the same jumps until it finds room.
+#[test]
+fn a_relay_looks_along_the_jumps_for_room_before_it_places() {
+    let mut proxy = Proxy::new(Settings { balancers: 100, ..with_probes() }, 5);
+    proxy.list(ListKind::Full, (1..=9).map(ready).collect());
+    let home = proxy.connect(request(1, 1, 7)).unwrap();
+    proxy.now += 10 * SECOND;
+    let probes = |actions: &[Action]| -> Vec<ServerId> {
+        actions.iter().filter_map(|a| if let Action::Probe(s) = a { Some(*s) } else { None }).collect()
+    };
+    let (mut asked, mut placed) = (probes(&proxy.feed(Event::Request(request(2, 2, 7)))), None);
+    for n in 0..9 {
+        let Some(&server) = asked.get(n) else { break };
+        // All but the sixth that it asks are full.
+        let report = vec![20.0, if n == 5 { 0.1 } else { 1.2 }];
+        let actions = proxy.feed(Event::Probed { server, outcome: Outcome::Ok, report });
+        asked.extend(probes(&actions));
+        placed = placed.or(sent(&actions));
+    }
+    assert_eq!(asked[0], home, "the home comes first");
+    assert_eq!(placed, asked.get(5).copied(), "{asked:?}");
+}
