Go on to the next server after a refused dial where no load is told

Seen: a refused dial was answered BUSY although another backend was there (tests/relay.rs, every run): the fallback's filter by under_cap() took out servers whose load nobody had told, by the own count alone. Now only a server that is known to be full is left out.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -604,7 +604,6 @@
         }
         let (list, homes) = self.jumps(p);
         let fits = |i: &&usize| self.under_cap(**i, own);
-        // A zone's own servers first, by the same jumps, while they are known to have room.
         let own_zone = |i: &&usize| self.planned() && self.servers[**i].zone == self.settings.zone;
         let room = |i: &&usize| self.load(&self.servers[**i]).is_some_and(|load| load < NEAR_LOAD);
         let near = list.iter().filter(own_zone).filter(room).find(fits);
@@ -616,7 +615,7 @@
         found.or_else(|| self.fallback(own, p))
     }
 
-    /// Whether so much was seen that the own estimates of groups and loads are better than none.
+    /// Whether the own estimates of groups and loads are better than none.
     fn planned(&self) -> bool {
         self.seen_all >= PLAN_LEAST
     }
@@ -699,15 +698,17 @@
         let n = self.ready.len();
         let pick = |k: usize| if n > SAMPLE { self.rng.0.rand_range(0..n as u64) as usize } else { k };
         let mut sample: Vec<usize> = (0..SAMPLE.min(n)).map(pick).map(|k| self.ready[k]).collect();
-        sample.retain(|&i| self.lawful(i, p) && (self.planned() || self.under_cap(i, own)));
+        let told = |s: &Server| !self.planned() && self.load(s).is_some();
+        sample.retain(|&i| !told(&self.servers[i]) || self.under_cap(i, own));
+        sample.retain(|&i| self.lawful(i, p));
         let rank = |i: usize| {
             let s = &self.servers[i];
             // One that fails some is better than one without room, unless it cannot be reached.
             let room = s.load_at.is_some() && s.load < NEAR_LOAD;
             let over = (self.now < s.ejected_until && !room, !self.under_cap(i, own));
             // A new server counts at the others' mean until it holds something.
-            let fresh = s.held == 0 && s.started.is_some();
-            let load = if fresh { self.mean(1.0) } else { s.held as f32 / s.size };
+            let new = s.held == 0 && s.started.is_some();
+            let load = if new { self.mean(1.0) } else { s.held as f32 / s.size };
             (over, load / self.scale(s).max(0.05))
         };
         sample.into_iter().min_by(|&a, &b| rank(a).partial_cmp(&rank(b)).unwrap_or(std::cmp::Ordering::Equal))
@@ -896,7 +897,6 @@
         candidates.find(|p| self.shed(&p.request) || stray(&p.request)).map_or(named, |p| p.request.id)
     }
 
-    /// Moves this share of a server's connections, spread over time so that they do not return together.
     fn evacuate(&mut self, server: ServerId, share: f32, out: &mut Out) {
         for p in self.pending.values().filter(|p| p.server == server && p.phase == Phase::Up) {
             let at = self.now + self.rng.0.rand_range(0..MOVE_SPAN);
