Bound calls for the list by ask_within, and set one timer a held request

Faulty lines: members() and advance() in src/logic.rs, answer()'s constant wait, the loop in cli/serve.rs. Now turns and backoffs end within ask_within, an empty list asks at once, a held request has one timer, a move takes its turn, the advice is spread by half either way, and the prober is a type whose step limit a test can set. plan() and order() no longer take what they were always given; the fallback samples LOOK_AT servers.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -16,7 +16,7 @@
 use jaspermoor::ops::bans::Bans;
 use jaspermoor::platform::directory::Directory;
 use jaspermoor::platform::discovery::{Source, Watcher};
-use jaspermoor::platform::probe;
+use jaspermoor::platform::probe::{self, Prober};
 use jaspermoor::platform::takeover::Heir;
 use jaspermoor::sys::spawn;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -97,10 +97,8 @@
         };
         watcher.run(&watch_orders);
     })?;
-    for _ in 0..probe::PROBERS {
-        let (core, names, orders) = (relay.core.clone(), config.names.clone(), probe_orders.clone());
-        spawn("probe", move || probe::run(&orders, &core.directory, &core.decisions, &names))?;
-    }
+    let (directory, decisions, names) = (directory.clone(), decisions.clone(), config.names.clone());
+    Prober { orders: probe_orders, directory, decisions, names, limit: probe::LIMIT }.start()?;
     let shared = relay.clone();
     spawn("forward", move || shared.forwarder.run())?;
     if let Some(addr) = config.admin {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,5 +1,4 @@
 //! The decisions of jaspermoor. Their interface (settings, events, actions) is in src/api.rs.
-//!
 //! The rule is RJ-CH, "Revisiting Consistent Hashing with Bounded Loads" (Chen, Coleman, Shrivastava):
 //! a key goes to the owner of slot h(key, 0), then h(key, 1), and so on, until a server is under its cap.
 
@@ -14,15 +13,13 @@
 const POINTS: f32 = 48.0;
 /// Headroom over the mean (ε) of the own counts: they are small, and groups are meant to sit together.
 const EPSILON: f32 = 2.0;
-/// Bound on the jumps of one placement, and the servers that the fallback samples.
+/// Bound on the jumps of one placement.
 const JUMPS: u32 = 16;
-const SAMPLE: usize = 8;
 /// What a group costs each server that holds any of it, in connections; headroom (ε) of the plan of groups.
 const GROUP_COST: f32 = 2.0;
 const PLAN_EPSILON: f32 = 0.25;
-/// Fewer arrivals say nothing of shares, and other relays see others: all go by the same jumps until then.
+/// Fewer arrivals say nothing of shares: all go by the same jumps; a plan is made anew at such growth.
 const PLAN_LEAST: u32 = 32;
-/// The plan is made anew when so much more has been seen since.
 const PLAN_GROWTH: f32 = 1.15;
 /// Arrivals remembered, then all counts are halved; and those that count as seen before any.
 const SEEN_MOST: u32 = 1024;
@@ -45,7 +42,7 @@
 const PROBE_EVERY: Micros = SECOND / 2;
 const REPORT_STALE: Micros = 5 * SECOND;
 /// A request looks for room along its first LOOK_AT servers, LOOK_BOTH at a time: a load told longer than
-/// LOOK_STALE ago is probed anew, and all that waits no longer than LOOK_WAIT.
+/// LOOK_STALE ago is probed anew, for no longer than LOOK_WAIT. The fallback samples LOOK_AT of all.
 const LOOK_AT: usize = 8;
 const LOOK_BOTH: usize = 2;
 const LOOK_STALE: Micros = SECOND * 3 / 2;
@@ -75,15 +72,14 @@
 /// Retry budget: further attempts that a request earns for all, and how many may be saved up.
 const RETRY_SHARE: f32 = 0.3;
 const RETRY_SAVED: f32 = 4.0;
-/// Advised wait of a refused client: about a set-up, long enough that its next try meets other counts.
+/// Advised wait of a refused client, give or take a half: long enough that its next try meets other counts.
 const RETRY_AFTER: Micros = SECOND * 2 / 5;
 /// Backoff of a failed call for the list, at least so much a balancer of the fleet, doubled up to eight times
 /// this and jittered; the first call comes within one share: the service takes few calls a second.
 const ASK_BACKOFF: Micros = SECOND / 4;
 const ASK_SHARE: Micros = SECOND / 20;
-/// A server called back by hand is used again within this.
+/// A server called back by hand is used again within this; one that drains or is full is left over that.
 const BACK_WITHIN: Micros = 3 * SECOND;
-/// Time over which connections are moved off a server that drains or is full.
 const MOVE_SPAN: Micros = 2 * SECOND;
 
 const TIMER_DEADLINE: u64 = 1 << 32;
@@ -146,6 +142,7 @@
     server: ServerId,
     sent_at: Micros,
     tried: Vec<ServerId>,
+    wakes: Micros,
     /// First attempt that may have run: when it was sent, to which zone and cell.
     ran: Option<(Micros, u16, u16)>,
 }
@@ -222,27 +219,30 @@
     }
 
     fn members(&mut self, kind: ListKind, members: Vec<Member>, out: &mut Out) {
-        let share = ASK_SHARE * u64::from(self.settings.balancers.max(1));
+        // Who has not asked within `ask_within` counts as told: no turn may be longer.
+        let within = self.settings.ask_within.max(2);
+        let share = (ASK_SHARE * u64::from(self.settings.balancers.max(1))).min(within / 2);
         if kind == ListKind::Failed {
             // A failed call or a dropped subscription: ask anew, and not in step with the others.
             self.watching = false;
-            let wait = ASK_BACKOFF.max(share) << self.ask_failures.min(3);
+            let wait = (ASK_BACKOFF.max(share) << self.ask_failures.min(3)).min(within);
             self.ask_failures += 1;
             out.push(Action::Timer(self.now + wait / 2 + self.rng.0.rand_range(0..wait), TIMER_ASK));
             return;
         }
-        if kind == ListKind::Moved {
-            // A backoff for the old place says nothing of the new one.
-            (self.watching, self.ask_failures) = (false, 0);
-            return self.ask(out);
-        }
+        let moved = kind == ListKind::Moved;
+        // A backoff for the old place says nothing of the new one.
+        self.watching &= !moved;
         if kind != ListKind::Cached {
             self.ask_failures = 0;
-        } else if self.settings.list_on_request {
-            out.push(Action::Timer(self.now + self.rng.0.rand_range(0..share), TIMER_ASK));
+        }
+        if moved || (kind == ListKind::Cached && self.settings.list_on_request) {
+            // Who knows no server has nothing to serve from meanwhile.
+            let turn = if members.is_empty() && self.ready.is_empty() { 1 } else { share };
+            out.push(Action::Timer(self.now + self.rng.0.rand_range(0..turn), TIMER_ASK));
         }
         let mut left = Vec::new();
-        if kind != ListKind::Delta {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
             let named: BTreeSet<ServerId> = members.iter().map(|m| m.server).collect();
             for i in 0..self.servers.len() {
                 if !named.contains(&self.servers[i].id) {
@@ -349,7 +349,7 @@
     /// RJ-CH for the whole fleet, as far as one proxy can tell: the groups seen here, by their shares here,
     /// are placed by the jumps of their keys on servers under the cap: one group may outgrow a server, and
     /// each costs its servers anew. First homes come before second ones: they hardly depend on estimates.
-    fn plan(&self, slots: &[u32]) -> Homes {
+    fn plan(&self) -> Homes {
         let mut homes = Homes::new();
         let cost = GROUP_COST / (self.held as f32 * self.settings.balancers as f32).max(1.0);
         let groups = self.ready.len().max(self.seen.len()) as f32;
@@ -365,7 +365,7 @@
                 let own = homes.entry(*group).or_default();
                 let mut best: Option<(f32, usize)> = None;
                 for _ in 0..JUMPS {
-                    let owner = slots[slot(*group, *attempt)] as usize;
+                    let owner = self.ready_slots[slot(*group, *attempt)] as usize;
                     *attempt += 1;
                     let Some(able) = able.get(owner) else { return homes };
                     if own.iter().any(|&(i, _)| i == owner) {
@@ -395,7 +395,7 @@
 
     fn replan(&mut self) {
         self.planned_at = self.seen_all;
-        self.homes = self.plan(&self.ready_slots);
+        self.homes = self.plan();
     }
 
     fn count(&mut self, group: u64) {
@@ -541,10 +541,8 @@
 
     /// Probes those of a request's first servers whose load is not known; whether it waits for the answers.
     fn look(&mut self, p: &Pending, out: &mut Out) -> bool {
-        if !self.settings.may_probe || !self.settings.columns.contains(&Column::Load) {
-            return false;
-        }
-        if !p.tried.is_empty() || self.now + p.request.left >= p.deadline + LOOK_WAIT {
+        let told = self.settings.may_probe && self.settings.columns.contains(&Column::Load);
+        if !told || !p.tried.is_empty() || self.now + p.request.left >= p.deadline + LOOK_WAIT {
             return false;
         }
         let (mut list, _) = self.jumps(p);
@@ -569,7 +567,6 @@
         let column = |kind| self.settings.columns.iter().position(|&c| c == kind);
         let value = |kind| column(kind).and_then(|c| report.get(c).copied());
         let Some(load) = value(Column::Load) else { return };
-        let server = self.servers[i].id;
         let s = &mut self.servers[i];
         let news = load != s.load || s.load_at.is_none();
         // A report was made some time ago: half of what was sent since the last one is not in it.
@@ -584,7 +581,7 @@
         (self.unit, self.alone, self.mean_load) =
             (work / active.max(1.0), work / loads.max(1.0), work / sizes);
         if news && load > MOVE_FROM && self.mean_load < MOVE_ROOM {
-            self.evacuate(server, (load - MOVE_TO) / load, out);
+            self.evacuate(self.servers[i].id, (load - MOVE_TO) / load, out);
         }
     }
 
@@ -624,7 +621,7 @@
     fn jumps(&mut self, p: &Pending) -> (Vec<usize>, usize) {
         let own = own_key(&p.request);
         let key = if p.request.group != 0 { p.request.group } else { own };
-        let mut list = self.order(&self.homes, key, own);
+        let mut list = self.order(key, own);
         list.retain(|&i| self.usable(i, p));
         let homes = list.len();
         for owner in (0..JUMPS).map(|jump| self.ready_slots[slot(key, jump)] as usize).collect::<Vec<_>>() {
@@ -644,9 +641,8 @@
     }
 
     /// A group's homes in this client's order: weighted rendezvous, so that one more moves only its own.
-    fn order(&self, homes: &Homes, group: u64, own: u64) -> Vec<usize> {
-        let list = homes.get(&group).filter(|_| self.planned());
-        let Some(list) = list else { return Vec::new() };
+    fn order(&self, group: u64, own: u64) -> Vec<usize> {
+        let Some(list) = self.homes.get(&group).filter(|_| self.planned()) else { return Vec::new() };
         let near = |i: usize| if self.servers[i].zone == self.settings.zone { NEAR } else { 1.0 };
         let score =
             |i: usize, share: f32| -(1.0 - fraction(own, self.servers[i].id.0)).ln() / share / near(i);
@@ -656,7 +652,7 @@
     }
 
     fn holder(&mut self, key: u64, own: u64) -> Option<usize> {
-        let mut order = self.order(&self.homes, key, own);
+        let mut order = self.order(key, own);
         order.push(self.known_slots[slot(key, 0)] as usize);
         order.into_iter().find(|&i| match self.servers.get(i) {
             // Most of a burst is set up anew: a cold server takes its share only (one was pushed over).
@@ -696,8 +692,8 @@
     /// The least loaded of a sample, the ejected last: when all seem bad, health says nothing.
     fn fallback(&mut self, own: u64, p: &Pending) -> Option<usize> {
         let n = self.ready.len();
-        let pick = |k: usize| if n > SAMPLE { self.rng.0.rand_range(0..n as u64) as usize } else { k };
-        let mut sample: Vec<usize> = (0..SAMPLE.min(n)).map(pick).map(|k| self.ready[k]).collect();
+        let pick = |k: usize| if n > LOOK_AT { self.rng.0.rand_range(0..n as u64) as usize } else { k };
+        let mut sample: Vec<usize> = (0..LOOK_AT.min(n)).map(pick).map(|k| self.ready[k]).collect();
         let told = |s: &Server| !self.planned() && self.load(s).is_some();
         sample.retain(|&i| !told(&self.servers[i]) || self.under_cap(i, own));
         sample.retain(|&i| self.lawful(i, p));
@@ -775,9 +771,8 @@
         if late || spent || broke || !may_repeat || (self.shed(&p.request) && !p.request.mid_flow) {
             return self.answer(&mut p, out);
         }
-        if self.look(&p, out) {
-            out.push(Action::Timer(self.now + LOOK_WAIT, TIMER_HOLD | u64::from(p.request.id.0)));
-        } else if let Some(i) = self.place(&p) {
+        let found = if self.look(&p, out) { None } else { self.place(&p) };
+        if let Some(i) = found {
             self.take(i);
             self.retries =
                 if again { self.retries - 1.0 } else { (self.retries + RETRY_SHARE).min(RETRY_SAVED) };
@@ -789,7 +784,11 @@
             p.tried.push(s.id);
             out.push(Action::Send { id: p.request.id, server: s.id, until });
         } else if p.tried.is_empty() {
-            out.push(Action::Timer(self.now + LOOK_WAIT, TIMER_HOLD | u64::from(p.request.id.0)));
+            // One timer at a time, however many probes let it look again meanwhile.
+            if p.wakes <= self.now {
+                p.wakes = self.now + LOOK_WAIT;
+                out.push(Action::Timer(p.wakes, TIMER_HOLD | u64::from(p.request.id.0)));
+            }
         } else {
             return self.answer(&mut p, out);
         }
@@ -804,7 +803,8 @@
         let maybe_ran = p.ran.is_some() || p.phase == Phase::Out;
         let repeats = matches!(p.class.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let id = p.request.id;
-        let wait = RETRY_AFTER.min(self.settings.max_retry_after);
+        let spread = 0.5 + fraction(own_key(&p.request), self.now);
+        let wait = ((RETRY_AFTER as f32 * spread) as Micros).min(self.settings.max_retry_after);
         out.push(if repeats || !maybe_ran { Action::Refuse(id, wait) } else { Action::Fail(id) });
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -162,3 +162,39 @@
     assert_eq!(asked[0], home, "the home comes first");
     assert_eq!(placed, asked.get(5).copied(), "{asked:?}");
 }
+
+/// Who has not asked for `ask_within` counts as told of all changes: in a very large fleet a turn took longer.
+#[test]
+fn no_relay_waits_for_its_turn_longer_than_it_may_go_unasked() {
+    let settings = Settings { balancers: 5_000, list_on_request: true, ..Settings::default() };
+    for (known, most) in [(vec![ready(1)], settings.ask_within / 2), (vec![], 0)] {
+        for seed in 0..50 {
+            let mut proxy = Proxy::new(settings.clone(), seed);
+            let (first, _) = timers(&proxy.list(ListKind::Cached, known.clone()))[0];
+            assert!(first <= proxy.now + most, "{} us, {} known", first - proxy.now, known.len());
+            // After a failure four times as long is allowed.
+            for _ in 0..8 {
+                let (again, _) = timers(&proxy.list(ListKind::Failed, Vec::new()))[0];
+                assert!(again < proxy.now + 4 * settings.ask_within);
+            }
+        }
+    }
+}
+
+/// Each answer to a probe lets the waiting requests look again; each such look once set a timer for good.
+#[test]
+fn a_held_request_has_one_timer_however_many_probes_are_answered() {
+    let cold = Member { started: Some(1_000 * SECOND), ..ready(1) };
+    let mut proxy = Proxy::new(Settings { balancers: 100, ..with_probes() }, 5);
+    proxy.list(ListKind::Full, vec![cold]);
+    // Nothing may be sent yet to the one server there is.
+    let mut held = 0;
+    for n in 0..100u64 {
+        let actions = match n {
+            0 => proxy.feed(Event::Request(request(1, 1, 0))),
+            _ => proxy.feed(Event::Probed { server: ServerId(1), outcome: Outcome::Error, report: vec![] }),
+        };
+        held += timers(&actions).iter().filter(|(_, token)| token >> 32 == 2).count();
+    }
+    assert_eq!(held, 1);
+}
