--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -7,20 +7,18 @@
 use jaspermoor::cells::Cells;
 use jaspermoor::config::operator::OperatorFile;
 use jaspermoor::config::Config;
-use jaspermoor::decide::{run_timers, Decisions, Orders};
+use jaspermoor::decide::{Decisions, Orders};
 use jaspermoor::log::{self, log, Format};
-use jaspermoor::net::client::{adopt_standing, Relay, Speaks};
 use jaspermoor::net::core::{Core, Xmpp};
+use jaspermoor::net::engine::{Engine, Speaks};
 use jaspermoor::net::listen::Door;
 use jaspermoor::ops::admin::{Admin, Staffed};
 use jaspermoor::ops::bans::Bans;
 use jaspermoor::platform::directory::Directory;
 use jaspermoor::platform::discovery::{Source, Watcher};
-use jaspermoor::platform::probe::{self, Prober};
-use jaspermoor::platform::takeover::Heir;
-use jaspermoor::sys::spawn;
+use jaspermoor::sys::{spawn, STACK};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
+use signal_hook::iterator::{Handle, Signals};
 use std::path::PathBuf;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
@@ -81,28 +79,46 @@
     let decisions = Decisions::new(config.settings.clone(), config.seed, cached, Orders { watch, probe });
     // Before the first request: no site is placed by another map.
     decisions.cells(cells);
-    let relay = Relay::new(&config, decisions.clone(), directory.clone())?;
+    let core = Core::new(&config, decisions, directory);
+    core.adopt_xmpp(xmpp);
+    let mut engine = Engine::new(core.clone(), config.names.clone(), probe_orders)?;
+    engine.open(door.clone(), Speaks::Line)?;
+    if let (true, Some(dir)) = (door.held, &config.shared) {
+        if let Err(e) = engine.share(dir.clone()) {
+            log(&format!("takeover: connections of an older process cannot be taken over: {e}"));
+        }
+    }
+    if let Some(x) = operator.as_ref().and_then(|file| file.operator.xmpp.as_ref()) {
+        for (key, addr, speaks) in
+            [("listen", x.listen, Speaks::Xmpp), ("listen_tls", x.listen_tls, Speaks::XmppTls)]
+        {
+            let Some(addr) = addr else { continue };
+            let door =
+                Door::open_beside(addr).map_err(|e| format!("xmpp.{key}: cannot listen on {addr}: {e}"))?;
+            let under = if speaks == Speaks::Xmpp { "STARTTLS" } else { "TLS" };
+            log(&format!("{}: speaks XMPP under {under} on {}", config.name, door.addr()?));
+            engine.open(Arc::new(door), speaks)?;
+        }
+    }
 
-    let timers = decisions.clone();
-    spawn("timers", move || run_timers(&timers))?;
-    let (core, at, version) = (relay.core.clone(), source.clone(), config.known_version);
+    // All threads that there will ever be, beside this one, which takes signals and reads files at a reload: nothing
+    // that comes later hangs on a thread which the machine may not have.
+    //
+    // Discovery: a dial and a read that wait, and lists of thousands of servers to parse, which must not hold up
+    // lines.
+    let (shared, at, version) = (core.clone(), source.clone(), config.known_version);
     let names = config.names.clone();
-    spawn("watch", move || {
+    spawn("watch", STACK, move || {
         let watcher = Watcher {
             source: &at,
             names: &names,
-            directory: &core.directory,
-            decisions: &core.decisions,
+            directory: &shared.directory,
+            decisions: &shared.decisions,
             version,
         };
         watcher.run(&watch_orders);
     })?;
-    let (directory, decisions, names) = (directory.clone(), decisions.clone(), config.names.clone());
-    Prober { orders: probe_orders, directory, decisions, names, limit: probe::LIMIT }.start()?;
-    let shared = relay.clone();
-    spawn("forward", move || shared.forwarder.run())?;
     if let Some(addr) = config.admin {
-        let core = &relay.core;
         let staffed = Staffed {
             decisions: core.decisions.clone(),
             directory: core.directory.clone(),
@@ -112,60 +128,44 @@
         let admin = Admin::open(addr, staffed, Bans::new(config.shared.clone()))
             .map_err(|e| format!("admin: cannot listen on {addr}: {e}"))?;
         log(&format!("{}: answers staff on {}", config.name, admin.addr()?));
-        spawn("admin", move || admin.run())?;
-    }
-    if let (true, Some(dir)) = (door.held, &config.shared) {
-        match Heir::open(dir) {
-            Ok(heir) => {
-                let shared = relay.clone();
-                spawn("takeover", move || {
-                    heir.run(|parcel, client, backend| adopt_standing(&shared, parcel, client, backend))
-                })?;
-            }
-            Err(e) => log(&format!("takeover: connections of an older process cannot be taken over: {e}")),
-        }
-    }
-    relay.core.adopt_xmpp(xmpp);
-    let mut beside = Vec::new();
-    if let Some(x) = operator.as_ref().and_then(|file| file.operator.xmpp.as_ref()) {
-        for (key, addr, speaks) in
-            [("listen", x.listen, Speaks::Xmpp), ("listen_tls", x.listen_tls, Speaks::XmppTls)]
-        {
-            let Some(addr) = addr else { continue };
-            let door =
-                Door::open_beside(addr).map_err(|e| format!("xmpp.{key}: cannot listen on {addr}: {e}"))?;
-            let (door, shared) = (Arc::new(door), relay.clone());
-            let under = if speaks == Speaks::Xmpp { "STARTTLS" } else { "TLS" };
-            log(&format!("{}: speaks XMPP under {under} on {}", config.name, door.addr()?));
-            beside.push(door.clone());
-            spawn("accept-xmpp", move || shared.accept(&door, speaks))?;
-        }
+        // Staff are answered within a second whatever the clients do, and bans are files.
+        spawn("admin", STACK, move || admin.run())?;
     }
-    let (shared, entry) = (relay.clone(), door.clone());
-    spawn("accept", move || shared.accept(&entry, Speaks::Line))?;
-    log(&format!("{}: serves on {address}", config.name));
-    let core = relay.core.clone();
-    // A thread of its own: signals are still taken while the relay stops.
-    let (stop, stopped) = bounded::<()>(1);
-    let (handle, dir) = (signals.handle(), config.shared.clone());
-    spawn("drain", move || {
-        if stopped.recv().is_ok() {
-            beside.drain(..).for_each(|door| door.close());
-            relay.drain(&door, dir.as_deref());
-            handle.close();
-        }
+    let (control, handle) = (engine.handle(), signals.handle());
+    spawn("serve", ENGINE_STACK, move || {
+        // Ends the process whichever way this thread ends: one that takes clients and serves none is worse.
+        let _ended = Ended(handle);
+        engine.run();
     })?;
+    log(&format!("{}: serves on {address}", config.name));
+    let mut stopping = false;
     for signal in signals.forever() {
         if signal == SIGHUP {
             reload(&mut config, &source, &core, operator.as_ref());
-        } else if stop.try_send(()).is_ok() {
+        } else if !std::mem::replace(&mut stopping, true) {
+            control.stop();
             log(&format!("{}: signal {signal}, moving the standing connections", config.name));
         }
     }
+    if !stopping {
+        return Err(format!("{}: the thread that serves has failed", config.name).into());
+    }
     log(&format!("{}: stopped", config.name));
     Ok(())
 }
 
+/// Stack of the thread that serves: it parses lists' news and does TLS handshakes; only what is used is taken.
+const ENGINE_STACK: usize = 1024 * 1024;
+
+/// Ends the wait for signals when it is dropped.
+struct Ended(Handle);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        self.0.close();
+    }
+}
+
 /// Reads the configuration and the operator file once more, as one, takes over their settings and follows
 /// discovery to where it is now. Where either cannot be used nothing changes.
 fn reload(config: &mut Config, source: &Source, core: &Core, operator: Option<&OperatorFile>) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,10 +8,11 @@
 };
 use crate::cells::{Cells, Placed};
 use crate::logic::Balancer;
-use crossbeam_channel::{bounded, Receiver, Sender};
+use crate::sys::Wake;
+use crossbeam_channel::{bounded, Receiver, Sender, TryRecvError};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The longest sleep between two looks at the timers.
@@ -42,6 +43,8 @@
 /// What the decisions can ask of a request or connection that is under way. Called with no lock
 /// held; must not block.
 pub trait Flow: Send + Sync {
+    /// A verdict waits on its pick. Who blocks there need not hear of it.
+    fn verdict(&self) {}
     /// Stop waiting for this attempt.
     fn give_up(&self, attempt: u16);
     /// End the open connection politely.
@@ -132,6 +135,7 @@
 
 /// What is left to do once the lock is free.
 enum Call {
+    Verdict(Arc<dyn Flow>),
     GiveUp(Arc<dyn Flow>, u16),
     Relocate(Arc<dyn Flow>),
     Log(String),
@@ -141,6 +145,8 @@
 pub struct Decisions {
     inner: Mutex<Inner>,
     sooner: Condvar,
+    /// Called where the first timer has become another one.
+    wake: OnceLock<Wake>,
     started: Instant,
     epoch: Micros,
 }
@@ -168,6 +174,7 @@
                 orders,
             }),
             sooner: Condvar::new(),
+            wake: OnceLock::new(),
             started: Instant::now(),
             epoch: epoch.as_micros() as Micros,
         });
@@ -175,6 +182,12 @@
         decisions
     }
 
+    /// From now on this is called where an earlier timer is set: for a driver that waits elsewhere than in
+    /// [`Decisions::tick`]. Once.
+    pub fn wakes(&self, wake: Wake) {
+        let _ = self.wake.set(wake);
+    }
+
     /// Microseconds of Unix time, steady within a process: what lists say of starts can be compared.
     pub fn now(&self) -> Micros {
         self.epoch + self.started.elapsed().as_micros() as Micros
@@ -202,12 +215,15 @@
         let first = inner.timers.peek().map(|t| t.0 .0);
         what(&mut inner, now, &mut calls);
         // The ticker sleeps until the first timer: it must hear of an earlier one.
-        if inner.timers.peek().map(|t| t.0 .0) != first {
+        let sooner = inner.timers.peek().map(|t| t.0 .0) != first;
+        if sooner {
             self.sooner.notify_one();
         }
         drop(inner);
+        self.wake.get().filter(|_| sooner).iter().for_each(|wake| wake());
         for call in calls {
             match call {
+                Call::Verdict(flow) => flow.verdict(),
                 Call::GiveUp(flow, attempt) => flow.give_up(attempt),
                 Call::Relocate(flow) => flow.relocate(),
                 Call::Log(line) => crate::log::log(&line),
@@ -236,10 +252,10 @@
                 self.feed(inner, at, Event::Request(Request { id, ..request }));
             }
             // No balancer hears of it: its cell has nobody.
-            None => {
+            None => self.act(inner, |inner, _, calls| {
                 let wait = inner.cells.retry_after;
-                inner.finish(id, Verdict::Refuse(wait));
-            }
+                inner.finish(id, Verdict::Refuse(wait), calls);
+            }),
         }
         Pick { id, verdicts }
     }
@@ -294,8 +310,11 @@
         let Some(entry) = inner.entries.get_mut(&id).filter(|e| !e.answered) else { return };
         entry.answered = true;
         let _ = entry.verdicts.try_send(Verdict::Gone);
-        let at = entry.at;
-        self.feed(inner, at, Event::Vanished(id));
+        let (at, flow) = (entry.at, entry.flow.clone());
+        self.act(inner, |inner, now, calls| {
+            calls.push(Call::Verdict(flow));
+            inner.handle(at, now, Event::Vanished(id), calls);
+        });
     }
 
     /// Whether a request is still owed its answer.
@@ -377,21 +396,28 @@
 
     /// Fires the timers that are due and sleeps until the next one, or until an earlier one is set.
     pub fn tick(&self) {
+        let (inner, due) = self.fired();
+        let wait = due.map_or(IDLE, |at| Duration::from_micros(at.saturating_sub(self.now())).min(IDLE));
+        drop(self.sooner.wait_timeout(inner, wait));
+    }
+
+    /// Fires the timers that are due; when the next one is.
+    pub fn fire(&self) -> Option<Micros> {
+        self.fired().1
+    }
+
+    fn fired(&self) -> (MutexGuard<'_, Inner>, Option<Micros>) {
         loop {
             let mut inner = self.lock();
-            let now = self.now();
             let due = inner.timers.peek().map(|t| t.0 .0);
-            if due.is_some_and(|at| at <= now) {
-                let (at, token) = inner.timers.pop().map_or((0, 0), |t| (t.0 .1, t.0 .2));
-                match at {
-                    MOVES => self.act(inner, Inner::move_one),
-                    at => self.feed(inner, at, Event::Timer(token)),
-                }
-                continue;
+            if due.is_none_or(|at| at > self.now()) {
+                return (inner, due);
+            }
+            let (at, token) = inner.timers.pop().map_or((0, 0), |t| (t.0 .1, t.0 .2));
+            match at {
+                MOVES => self.act(inner, Inner::move_one),
+                at => self.feed(inner, at, Event::Timer(token)),
             }
-            let wait = due.map_or(IDLE, |at| Duration::from_micros(at - now).min(IDLE));
-            drop(self.sooner.wait_timeout(inner, wait));
-            return;
         }
     }
 }
@@ -408,6 +434,15 @@
     pub fn verdict(&self) -> Verdict {
         self.verdicts.recv().unwrap_or(Verdict::Gone)
     }
+
+    /// The next verdict, where there is one.
+    pub fn try_verdict(&self) -> Option<Verdict> {
+        match self.verdicts.try_recv() {
+            Ok(verdict) => Some(verdict),
+            Err(TryRecvError::Empty) => None,
+            Err(TryRecvError::Disconnected) => Some(Verdict::Gone),
+        }
+    }
 }
 
 impl Part {
@@ -601,9 +636,10 @@
                 e.attempts += 1;
                 e.server = server;
                 let _ = e.verdicts.try_send(Verdict::Attempt { server, until, number });
+                calls.push(Call::Verdict(e.flow.clone()));
             }
-            Action::Refuse(id, wait) => self.finish(id, Verdict::Refuse(wait)),
-            Action::Fail(id) => self.finish(id, Verdict::Fail),
+            Action::Refuse(id, wait) => self.finish(id, Verdict::Refuse(wait), calls),
+            Action::Fail(id) => self.finish(id, Verdict::Fail, calls),
             Action::Cancel(id, attempt) => {
                 let flow = self.entries.get(&id).map(|e| e.flow.clone());
                 calls.extend(flow.map(|f| Call::GiveUp(f, attempt)));
@@ -626,7 +662,7 @@
         }
     }
 
-    fn finish(&mut self, id: RequestId, verdict: Verdict) {
+    fn finish(&mut self, id: RequestId, verdict: Verdict, calls: &mut Vec<Call>) {
         let Some(e) = self.entries.get_mut(&id).filter(|e| !e.answered) else { return };
         e.answered = true;
         let figures = &mut self.parts[e.at].figures;
@@ -636,13 +672,7 @@
             Verdict::Attempt { .. } | Verdict::Gone => {}
         }
         let _ = e.verdicts.try_send(verdict);
-    }
-}
-
-/// Drives the timers for good.
-pub fn run_timers(decisions: &Decisions) -> ! {
-    loop {
-        decisions.tick();
+        calls.push(Call::Verdict(e.flow.clone()));
     }
 }
 
--- a/src/net/admit.rs
+++ b/src/net/admit.rs
@@ -3,7 +3,7 @@
 
 use crate::config::Limits;
 use crate::ops::admin::CALLERS;
-use crate::platform::probe::PROBERS;
+use crate::platform::probe::PROBES;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -12,7 +12,7 @@
 
 /// Descriptors for all that is no client's: standard streams, listener, signals, discovery, the
 /// configuration while it is read, and the probes that may be out.
-const RESERVE: usize = 15 + PROBERS;
+const RESERVE: usize = 15 + PROBES;
 /// Memory that a connection may need that is served: two stacks as far as they are used, two buffers.
 const PER_REQUEST: usize = 48 * 1024;
 /// The same for one that has not asked yet: one of each.
@@ -136,6 +136,11 @@
 }
 
 impl Guest {
+    /// The connection's number.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     /// It has asked something.
     pub fn asked(&self) {
         if let Some(w) = self.admission.lock().waiting.get_mut(&self.number) {
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -1,179 +1,309 @@
-//! The side of the backends: one attempt at a time, up to the answer.
+//! The side of the backends: one attempt at a time, up to the answer, as a machine that is called when its socket is
+//! ready or its time is up and never waits.
+//!
+//! Guards against: an attempt that is still out when the next begins (its socket is closed before it says how it
+//! ended), a first byte to a backend that has left meanwhile, and one silent machine holding up everybody else.
 
 use crate::api::{Micros, Outcome, RequestId, ServerId};
+use crate::config::listing::Endpoint;
 use crate::front::buffer::Buffer;
 use crate::front::{Exchange, Order, Passage, Step};
 use crate::log::log;
 use crate::net::core::Core;
 use crate::net::link::Link;
+use crate::net::poll::{dial, Interest};
 use crate::net::session::Session;
 use crate::sys::timed_out;
 use socket2::SockRef;
 use std::net::TcpStream;
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// The longest wait for the `UP` of a connection that was open before the run.
 pub const ADOPT: Micros = 35_000_000;
 /// The longest wait for the dial of such a connection.
-const ADOPT_DIAL: Duration = Duration::from_secs(2);
+const ADOPT_DIAL: Micros = 2_000_000;
 
 /// An attempt that did not come up: its outcome, and a load report where one came.
 pub type Failed = (Outcome, Vec<f32>);
 
-fn failed<T>(outcome: Outcome) -> Result<T, Failed> {
-    Err((outcome, Vec::new()))
+fn failed<T>(outcome: Outcome) -> Option<Result<T, Failed>> {
+    Some(Err((outcome, Vec::new())))
 }
 
-/// One attempt of a session's request.
-pub struct Attempt<'a> {
+/// A connection that is up: the backend's side, what came on it so far, and the machine that goes on.
+pub struct Up {
+    /// The backend's side.
+    pub link: Link,
+    /// What has come for the client.
+    pub inbox: Buffer,
+    /// What may go on.
+    pub passage: Box<dyn Passage>,
+}
+
+/// Whose attempt it is.
+#[derive(Clone, Copy)]
+pub struct Ground<'a> {
     /// What all connections share.
     pub core: &'a Core,
-    /// Whose it is.
+    /// The client's.
     pub session: &'a Session,
     /// What the client asked for.
     pub order: &'a dyn Order,
     /// The request.
     pub id: RequestId,
-    /// Where to.
-    pub server: ServerId,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum At {
+    /// The backend's address is not known yet.
+    Seeking,
+    /// The dial is under way, up to that time.
+    Dialing(Micros),
+    /// TLS is negotiated.
+    Securing,
+    /// The exchange goes on.
+    Talking,
+    /// It is over.
+    Over,
+}
+
+/// One attempt of a session's request.
+pub struct Attempt {
+    server: ServerId,
     /// When to stop waiting.
-    pub until: Micros,
+    until: Micros,
     /// Its number among those of the request.
     pub number: u16,
+    /// When it began.
+    pub began: Micros,
+    endpoint: Option<Endpoint>,
+    at: At,
+    link: Option<Link>,
+    exchange: Option<Box<dyn Exchange>>,
+    inbox: Buffer,
+    /// What is still to be sent, whether the link takes no more for now, and whether it is the request.
+    out: Vec<u8>,
+    blocked: bool,
+    asking: bool,
+    /// Whether the request's last byte is out, and whether anything is.
+    asked: bool,
+    said: bool,
 }
 
-/// A connection that is up: the backend's side, what came on it so far, and the machine that goes on.
-pub struct Up {
-    /// The backend's side.
-    pub link: Link,
-    /// What has come for the client.
-    pub inbox: Buffer,
-    /// What may go on.
-    pub passage: Box<dyn Passage>,
-}
-
-/// Makes one attempt. When it has failed, its socket is closed before this returns.
-pub fn attempt(a: &Attempt) -> Result<Up, Failed> {
-    let began = a.core.decisions.now();
-    let result = dial_and_wait(a);
-    let ms = (a.core.decisions.now() - began) / 1_000;
-    match &result {
-        Ok(_) => tracing::debug!(id = %a.session.name(), server = a.server.0, ms, "attempt is up"),
-        Err((outcome, _)) => {
-            tracing::debug!(id = %a.session.name(), server = a.server.0, ms, ?outcome, "attempt failed");
-            a.session.release();
+impl Attempt {
+    /// One that has not begun.
+    pub fn new(order: &dyn Order, server: ServerId, until: Micros, number: u16, now: Micros) -> Attempt {
+        Attempt {
+            server,
+            until,
+            number,
+            began: now,
+            endpoint: None,
+            at: At::Seeking,
+            link: None,
+            exchange: Some(order.exchange()),
+            inbox: Buffer::default(),
+            out: Vec::new(),
+            blocked: false,
+            asking: false,
+            asked: false,
+            said: false,
         }
     }
-    result
-}
 
-fn dial_and_wait(a: &Attempt) -> Result<Up, Failed> {
-    let Attempt { core, session, order, id, .. } = *a;
-    let left = || core.decisions.left(a.until);
-    let adopted = order.at().is_some();
-    let endpoint = match adopted {
-        false => core.directory.endpoint(a.server),
-        true => core.directory.await_endpoint(a.server, left()),
-    };
-    let Some(endpoint) = endpoint else { return failed(Outcome::Moot) };
-    let dial = if adopted { ADOPT_DIAL } else { core.terms().dial_timeout }.min(left());
-    if dial.is_zero() {
-        return failed(Outcome::Moot);
+    /// Its socket, and what is waited for there.
+    pub fn waits(&self) -> Option<(&Arc<TcpStream>, Interest)> {
+        let socket = &self.link.as_ref()?.socket;
+        let held = self.link.as_ref().is_some_and(Link::holds_back);
+        let interest = match self.at {
+            At::Dialing(_) => Interest { read: false, write: true },
+            _ => Interest { read: true, write: self.blocked || held },
+        };
+        Some((socket, interest))
     }
-    // The dial has its own limit; a connection that comes up after it is closed unused.
-    let mut addr = endpoint.addr;
-    if let Some(port) = core.port(order.front()) {
-        addr.set_port(port);
+
+    /// Whether it waits for a list that names its backend.
+    pub fn seeks(&self) -> bool {
+        self.at == At::Seeking
+    }
+
+    /// When it must be called though nothing has happened.
+    pub fn due(&self) -> Micros {
+        match self.at {
+            At::Dialing(by) => by.min(self.until),
+            _ => self.until,
+        }
     }
-    let Ok(stream) = TcpStream::connect_timeout(&addr, dial) else {
-        return failed(Outcome::ConnectFailed);
-    };
-    let stream = Arc::new(stream);
-    if !session.hold(&stream, a.number) {
-        return failed(Outcome::Cancelled);
+
+    /// Goes on as far as is possible now; `ready` says that its socket is. None while it is out. When it has
+    /// failed, its socket is closed before this returns.
+    pub fn go(&mut self, g: Ground, ready: bool) -> Option<Result<Up, Failed>> {
+        let result = self.step(g, ready)?;
+        let (id, server, now) = (g.session.name(), self.server.0, g.core.decisions.now());
+        let ms = now.saturating_sub(self.began) / 1_000;
+        self.at = At::Over;
+        match &result {
+            Ok(_) => tracing::debug!(%id, server, ms, "attempt is up"),
+            Err((outcome, _)) => {
+                tracing::debug!(%id, server, ms, ?outcome, "attempt failed");
+                self.link = None;
+                g.session.release();
+            }
+        }
+        Some(result)
     }
-    let mut link = Link::plain(stream.clone());
-    let mut exchange: Box<dyn Exchange> = order.exchange();
-    let mut inbox = Buffer::default();
-    // Whether the request's last byte is out, and whether anything is.
-    let (mut asked, mut said) = (false, false);
-    // Before the request's last byte nothing can have run, whatever happens.
-    let broke = |asked: bool| match (asked, session.called_off(a.number)) {
-        (_, true) => failed(Outcome::Cancelled),
-        (true, false) => failed(Outcome::Reset),
-        (false, false) => failed(Outcome::ConnectFailed),
-    };
-    loop {
-        let wait = left();
-        if wait.is_zero() {
-            return failed(match (asked, said) {
-                (true, _) => Outcome::Timeout,
-                (false, true) => Outcome::ConnectFailed,
-                (false, false) => Outcome::Moot,
-            });
+
+    fn step(&mut self, g: Ground, ready: bool) -> Option<Result<Up, Failed>> {
+        if g.session.called_off(self.number) {
+            return failed(Outcome::Cancelled);
+        }
+        let now = g.core.decisions.now();
+        match self.at {
+            At::Over => None,
+            At::Seeking => self.dial(g, now),
+            At::Dialing(by) => {
+                let socket = &self.link.as_ref()?.socket;
+                match (ready, socket.take_error()) {
+                    (true, Ok(None)) => {}
+                    (true, _) => return failed(Outcome::ConnectFailed),
+                    // A connection that comes up after its time is closed unused.
+                    (false, _) if now >= by => return failed(Outcome::ConnectFailed),
+                    (false, _) => return None,
+                }
+                self.at = At::Talking;
+                self.talk(g)
+            }
+            At::Securing | At::Talking => self.talk(g),
         }
-        let step = exchange.step(&mut inbox, wait.as_micros() as Micros);
-        // During the dial, or a negotiation, the backend may have left, or the request may have been
-        // answered: once more, right before each first byte of something new.
-        let new = matches!(step, Step::Ask(_) | Step::Say(_) | Step::Secure(_));
-        if new && !adopted && (!core.directory.takes_new(a.server) || !core.decisions.owed(id)) {
+    }
+
+    /// Begins the dial, once the backend's address is known.
+    fn dial(&mut self, g: Ground, now: Micros) -> Option<Result<Up, Failed>> {
+        let adopted = g.order.at().is_some();
+        let Some(endpoint) = g.core.directory.endpoint(self.server) else {
+            // The list that a relay starts with may be stale; one that was chosen now has left.
+            return if adopted && now < self.until { None } else { failed(Outcome::Moot) };
+        };
+        let most = if adopted { ADOPT_DIAL } else { g.core.terms().dial_timeout.as_micros() as Micros };
+        if now >= self.until || most == 0 {
             return failed(Outcome::Moot);
         }
-        match step {
-            Step::Read => {}
-            Step::Say(bytes) => {
-                said = true;
-                if send(&mut link, &bytes, wait).is_err() {
-                    return broke(false);
+        let mut addr = endpoint.addr;
+        if let Some(port) = g.core.port(g.order.front()) {
+            addr.set_port(port);
+        }
+        self.endpoint = Some(endpoint);
+        let Ok(stream) = dial(addr) else { return failed(Outcome::ConnectFailed) };
+        let stream = Arc::new(stream);
+        if !g.session.hold(&stream, self.number) {
+            return failed(Outcome::Cancelled);
+        }
+        self.link = Some(Link::plain(stream));
+        self.at = At::Dialing(self.until.min(now + most));
+        None
+    }
+
+    /// How it ends where the link breaks: before the request's last byte nothing can have run.
+    fn broke(&self, g: Ground) -> Option<Result<Up, Failed>> {
+        failed(match (self.asked, g.session.called_off(self.number)) {
+            (_, true) => Outcome::Cancelled,
+            (true, false) => Outcome::Reset,
+            (false, false) => Outcome::ConnectFailed,
+        })
+    }
+
+    fn talk(&mut self, g: Ground) -> Option<Result<Up, Failed>> {
+        let Ground { core, order, .. } = g;
+        let adopted = order.at().is_some();
+        loop {
+            let now = core.decisions.now();
+            if now >= self.until {
+                return failed(match (self.asked, self.said) {
+                    (true, _) => Outcome::Timeout,
+                    (false, true) => Outcome::ConnectFailed,
+                    (false, false) => Outcome::Moot,
+                });
+            }
+            let link = self.link.as_mut()?;
+            if self.at == At::Securing {
+                match link.shake() {
+                    Ok(true) => self.at = At::Talking,
+                    Ok(false) => return None,
+                    Err(e) => {
+                        log(&format!("backend {}: no TLS: {e}", self.name()));
+                        return self.broke(g);
+                    }
                 }
+                continue;
             }
-            Step::Ask(bytes) => {
-                if send(&mut link, &bytes, wait).is_err() {
-                    return broke(false);
+            if !self.out.is_empty() || self.blocked {
+                match link.write_some(&self.out) {
+                    Ok((n, blocked)) => {
+                        self.out.drain(..n);
+                        self.blocked = blocked;
+                    }
+                    Err(_) => return self.broke(g),
+                }
+                if self.blocked {
+                    return None;
                 }
-                core.metrics.tries.fetch_add(1, Relaxed);
-                asked = true;
+                if std::mem::take(&mut self.asking) {
+                    core.metrics.tries.fetch_add(1, Relaxed);
+                    self.asked = true;
+                }
+            }
+            let step = self.exchange.as_mut()?.step(&mut self.inbox, self.until - now);
+            // During the dial, or a negotiation, the backend may have left, or the request may have been
+            // answered: once more, right before each first byte of something new.
+            let new = matches!(step, Step::Ask(_) | Step::Say(_) | Step::Secure(_));
+            if new && !adopted && (!core.directory.takes_new(self.server) || !core.decisions.owed(g.id)) {
+                return failed(Outcome::Moot);
             }
-            Step::Secure(domain) => {
-                said = true;
-                let Some(tls) = core.xmpp().and_then(|xmpp| xmpp.tls.client(&domain)) else {
-                    return failed(Outcome::Moot);
-                };
-                if let Err(e) = stream.set_nodelay(true).and_then(|()| link.secure(tls, left)) {
-                    log(&format!("backend {}: no TLS for {domain}: {e}", endpoint.name));
-                    return broke(false);
+            match step {
+                Step::Read => {}
+                Step::Say(bytes) => {
+                    (self.said, self.out) = (true, bytes);
+                    continue;
+                }
+                Step::Ask(bytes) => {
+                    (self.asking, self.out) = (true, bytes);
+                    continue;
+                }
+                Step::Secure(domain) => {
+                    let Some(tls) = core.xmpp().and_then(|xmpp| xmpp.tls.client(&domain)) else {
+                        return failed(Outcome::Moot);
+                    };
+                    self.said = true;
+                    self.link.as_mut()?.secure(tls);
+                    self.at = At::Securing;
+                    continue;
+                }
+                Step::Up => {
+                    let (link, passage) = (self.link.take()?, self.exchange.take()?.passage());
+                    return Some(Ok(Up { link, inbox: std::mem::take(&mut self.inbox), passage }));
+                }
+                Step::Not(Outcome::Error | Outcome::Reset, _) if !self.asked => return self.broke(g),
+                Step::Not(outcome, report) => return Some(Err((outcome, report))),
+                Step::Nonsense(what) => {
+                    log(&format!("backend {}: {what} in place of an answer", self.name()));
+                    return failed(if self.asked { Outcome::Error } else { Outcome::ConnectFailed });
                 }
-                continue;
             }
-            Step::Up => return Ok(Up { link, inbox, passage: exchange.passage() }),
-            Step::Not(Outcome::Error | Outcome::Reset, _) if !asked => return broke(false),
-            Step::Not(outcome, report) => return Err((outcome, report)),
-            Step::Nonsense(what) => {
-                log(&format!("backend {}: {what} in place of an answer", endpoint.name));
-                return failed(if asked { Outcome::Error } else { Outcome::ConnectFailed });
+            match self.link.as_mut()?.fill(&mut self.inbox) {
+                Ok(n) if n > 0 => {}
+                Err(e) if timed_out(&e) => return None,
+                _ => return self.broke(g),
             }
         }
-        let wait = left();
-        if wait.is_zero() {
-            continue;
-        }
-        match link.set_read_timeout(wait).and_then(|()| link.fill(&mut inbox)) {
-            Err(e) if timed_out(&e) => {}
-            Ok(n) if n > 0 => {}
-            _ => return broke(asked),
-        }
     }
-}
 
-fn send(link: &mut Link, bytes: &[u8], wait: Duration) -> std::io::Result<()> {
-    link.socket.set_nodelay(true)?;
-    link.socket.set_write_timeout(Some(wait))?;
-    link.write_all(bytes)
+    fn name(&self) -> &str {
+        self.endpoint.as_ref().map_or("", |endpoint| &endpoint.name)
+    }
 }
 
 /// Makes the closing of a socket a reset.
 pub fn reset(stream: &TcpStream) {
-    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = SockRef::from(stream).set_linger(Some(std::time::Duration::ZERO));
 }
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -8,7 +8,7 @@
 use crate::front::xmpp::terms;
 use crate::front::Rules;
 use crate::net::admit::Admission;
-use crate::net::session::Sessions;
+use crate::net::session::Woken;
 use crate::net::tls::Tls;
 use crate::ops::metrics::Metrics;
 use crate::platform::directory::Directory;
@@ -102,8 +102,8 @@
     pub open: Arc<AtomicBool>,
     /// Memory that the buffers of standing connections hold for long units.
     pub held: Held,
-    /// The requests and connections under way.
-    pub sessions: Arc<Sessions>,
+    /// The requests and connections of which the decisions have news.
+    pub woken: Arc<Woken>,
 }
 
 impl Core {
@@ -121,7 +121,7 @@
             metrics,
             held: Held::new(config.limits.memory_mb),
             open: Arc::default(),
-            sessions: Arc::default(),
+            woken: Arc::default(),
         })
     }
 
--- /dev/null
+++ b/src/net/engine.rs
@@ -0,0 +1,575 @@
+//! The one thread that serves: it takes clients in, drives every connection, attempt and probe, fires the timers of
+//! the decisions, takes over what an older process passes on, and at the end moves what stands.
+//!
+//! All of them are machines that never wait; the only wait is [`Poller::wait`], and the only clock that of the
+//! decisions. So a relay needs no further thread whatever its load: with a thread for each first line, dial and
+//! probe, a machine with hundreds of relays ran out of them, and clients were dropped without a word.
+//!
+//! Guards against: a silent machine that holds up others (nothing here blocks), a crowd at the door that holds up
+//! those who are served (a turn takes in so many), and an event that is taken for another socket's (see `conn`).
+
+use crate::api::{Micros, Outcome, ServerId};
+use crate::config::listing::server_id;
+use crate::config::Names;
+use crate::front::line::Lines;
+use crate::log::log;
+use crate::net::conn::{Backend, Conn, Phase, NUMBER_SHIFT};
+use crate::net::core::Core;
+use crate::net::forward::LOOK;
+pub use crate::net::greet::Speaks;
+use crate::net::link::Link;
+use crate::net::listen::Door;
+use crate::net::poll::{dial, Events, Interest, Poller, Ready};
+use crate::net::session::{Account, Session};
+use crate::platform::probe::{self, Probe, PROBES};
+use crate::platform::takeover::{Heir, Older, Passed, Rest, Successor};
+use crate::sys::{timed_out, Wake};
+use crossbeam_channel::Receiver;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How long connections go on coming after the signal to stop, in microseconds: the platform's front takes 0.4 s.
+const STILL_COMING: Micros = 450_000;
+/// The longest deadline that the platform waits for before it kills, and what it adds, in microseconds.
+const KILL_DEADLINE: Micros = 3_000_000;
+const KILL_AFTER: Micros = 700_000;
+/// How often the relay that stops moves some of what stands, in microseconds, and by when it is done before the kill.
+const DRAIN_STEP: Micros = 25_000;
+const DRAIN_SPARE: Micros = 200_000;
+/// Clients and passed connections taken in a turn: the others wait in their queues while those here are served.
+const TURN: usize = 32;
+/// Wait of a full relay before it looks at its doors again, in microseconds, and of one without descriptors.
+const FULL: Micros = 1_000;
+const SHORT: Micros = 5_000;
+
+/// What a token that is no connection's names. The side's place in a token says which.
+const PROBE: u64 = 2;
+const OTHER: u64 = 3;
+const SIDES: u64 = 3;
+const HEIR: u64 = 0;
+/// From here on doors, and links from older processes.
+const DOORS: u64 = 16;
+const OLDER: u64 = 1024;
+
+const READ: Interest = Interest { read: true, write: false };
+const WRITE: Interest = Interest { read: false, write: true };
+
+fn other(n: u64) -> u64 {
+    n << NUMBER_SHIFT | OTHER
+}
+
+struct Entry {
+    door: Arc<Door>,
+    speaks: Speaks,
+    /// Whether its clients are waited for just now.
+    watched: bool,
+    closed: bool,
+}
+
+/// A relay that stops.
+struct Drain {
+    start: Micros,
+    /// By when all that stands has been told to move, and when it must be over.
+    moved_by: Micros,
+    kill: Micros,
+    still_coming: Micros,
+    next: Micros,
+    successor: Option<Successor>,
+}
+
+/// What other threads may ask of the one that serves.
+pub struct Handle {
+    stop: AtomicBool,
+    wake: Wake,
+}
+
+impl Handle {
+    /// Stop: move what stands, and return.
+    pub fn stop(&self) {
+        self.stop.store(true, Relaxed);
+        (self.wake)();
+    }
+}
+
+/// All that one relay drives.
+pub struct Engine {
+    core: Arc<Core>,
+    poller: Poller,
+    handle: Arc<Handle>,
+    conns: BTreeMap<u64, Box<Conn>>,
+    /// When connections and probes must be called though nothing happens: once each, by their tokens.
+    due: BTreeSet<(Micros, u64)>,
+    /// Connections that wait for a list which names their backend, and the list that they know.
+    seeking: BTreeSet<u64>,
+    list: u64,
+    doors: Vec<Entry>,
+    /// When closed doors are looked at again.
+    paused: Option<Micros>,
+    heir: Option<Heir>,
+    older: BTreeMap<u64, Older>,
+    next_older: u64,
+    orders: Receiver<ServerId>,
+    names: Names,
+    probes: BTreeMap<u64, Probe>,
+    next_probe: u64,
+    probe_limit: Micros,
+    /// The directory that the processes of this relay share.
+    shared: Option<PathBuf>,
+    drain: Option<Drain>,
+    looked: Micros,
+}
+
+impl Engine {
+    /// One that serves nobody yet; `orders` are the probes that the decisions ask for.
+    pub fn new(core: Arc<Core>, names: Names, orders: Receiver<ServerId>) -> io::Result<Engine> {
+        let poller = Poller::new()?;
+        let wake = poller.wake();
+        core.decisions.wakes(wake.clone());
+        core.directory.wakes(wake.clone());
+        core.woken.wakes(wake.clone());
+        let looked = core.decisions.now();
+        Ok(Engine {
+            core,
+            handle: Arc::new(Handle { stop: AtomicBool::new(false), wake }),
+            poller,
+            conns: BTreeMap::new(),
+            due: BTreeSet::new(),
+            seeking: BTreeSet::new(),
+            list: 0,
+            doors: Vec::new(),
+            paused: None,
+            heir: None,
+            older: BTreeMap::new(),
+            next_older: OLDER,
+            orders,
+            names,
+            probes: BTreeMap::new(),
+            next_probe: 0,
+            probe_limit: probe::LIMIT,
+            shared: None,
+            drain: None,
+            looked,
+        })
+    }
+
+    /// What other threads may ask of it.
+    pub fn handle(&self) -> Arc<Handle> {
+        self.handle.clone()
+    }
+
+    /// Takes in clients at this door, which speak so.
+    pub fn open(&mut self, door: Arc<Door>, speaks: Speaks) -> io::Result<()> {
+        let token = other(DOORS + self.doors.len() as u64);
+        self.poller.watch(&door, token, None, Some(READ))?;
+        self.doors.push(Entry { door, speaks, watched: true, closed: false });
+        Ok(())
+    }
+
+    /// Takes over what older processes pass on in this directory, and passes on there what stands at the end.
+    pub fn share(&mut self, dir: PathBuf) -> io::Result<()> {
+        let heir = Heir::open(&dir)?;
+        self.shared = Some(dir);
+        self.poller.watch(&heir, other(HEIR), None, Some(READ))?;
+        self.heir = Some(heir);
+        Ok(())
+    }
+
+    /// Serves until it has been told to stop and nothing stands any more, or the platform is about to kill.
+    pub fn run(mut self) {
+        self.poller.own();
+        self.core.open.store(true, Relaxed);
+        let (mut events, mut ready) = (Events::default(), Vec::new());
+        loop {
+            let timer = self.core.decisions.fire();
+            self.woken();
+            self.start_probes();
+            self.listed();
+            self.late();
+            if self.handle.stop.load(Relaxed) && self.drained() {
+                return;
+            }
+            self.look();
+            self.resume();
+            // What this turn has given itself to do comes before the wait.
+            let limit = if self.poller.again() { Duration::ZERO } else { self.limit(timer) };
+            self.poller.wait(limit, &mut events, &mut ready);
+            for ready in ready.drain(..) {
+                self.ready(ready);
+            }
+        }
+    }
+
+    /// How long nothing is due.
+    fn limit(&self, timer: Option<Micros>) -> Duration {
+        let next = self.looked + LOOK;
+        let drain = self.drain.as_ref().map(|drain| drain.next);
+        let due = self.due.first().map(|&(at, _)| at);
+        let next = [timer, drain, due, self.paused].into_iter().flatten().fold(next, Micros::min);
+        self.core.decisions.left(next)
+    }
+
+    fn ready(&mut self, Ready { token, read, write }: Ready) {
+        let number = token >> NUMBER_SHIFT;
+        match token & SIDES {
+            PROBE => self.probe_ready(number, true),
+            OTHER if number == HEIR => self.older_came(),
+            OTHER if number >= OLDER => self.passed_on(number),
+            OTHER => self.knocked((number - DOORS) as usize),
+            _ => self.with(number, |conn| conn.ready(token, read, write)),
+        }
+    }
+
+    /// Does something with a connection, and waits for what it needs then.
+    fn with(&mut self, number: u64, work: impl FnOnce(&mut Conn)) {
+        let Some(conn) = self.conns.get_mut(&number) else { return };
+        work(conn);
+        let (before, token) = (conn.due, number << NUMBER_SHIFT);
+        let stays = conn.settle(&self.poller);
+        let (after, seeks) = (conn.due, conn.seeks());
+        if !stays {
+            self.conns.remove(&number);
+        }
+        let after = after.filter(|_| stays);
+        if before != after {
+            before.iter().for_each(|&at| _ = self.due.remove(&(at, token)));
+            after.iter().for_each(|&at| _ = self.due.insert((at, token)));
+        }
+        if seeks && stays {
+            self.seeking.insert(number);
+        } else {
+            self.seeking.remove(&number);
+        }
+        if !stays {
+            // Its room is free again.
+            self.paused = self.paused.map(|_| 0);
+        }
+    }
+
+    fn enter(&mut self, conn: Conn) {
+        let number = conn.number;
+        self.conns.insert(number, Box::new(conn));
+        self.with(number, |_| {});
+    }
+
+    /// What the decisions have news of.
+    fn woken(&mut self) {
+        for number in self.core.woken.take() {
+            self.with(number, Conn::woken);
+        }
+    }
+
+    /// A list has come: whoever waits for its backend looks again.
+    fn listed(&mut self) {
+        let version = self.core.directory.version();
+        if std::mem::replace(&mut self.list, version) != version {
+            for number in std::mem::take(&mut self.seeking) {
+                self.with(number, Conn::late);
+            }
+        }
+    }
+
+    /// Calls those whose time is up.
+    fn late(&mut self) {
+        let now = self.core.decisions.now();
+        let late: Vec<(Micros, u64)> = self.due.range(..=(now, u64::MAX)).copied().collect();
+        for (at, token) in late {
+            let number = token >> NUMBER_SHIFT;
+            if token & SIDES == PROBE {
+                self.probe_ready(number, false);
+            } else if self.conns.get(&number).is_some_and(|conn| conn.due == Some(at)) {
+                self.with(number, Conn::late);
+            }
+        }
+    }
+
+    /// Looks at what only time shows.
+    fn look(&mut self) {
+        let now = self.core.decisions.now();
+        if now < self.looked + LOOK {
+            return;
+        }
+        self.looked = now;
+        let numbers: Vec<u64> = self.conns.keys().copied().collect();
+        numbers.into_iter().for_each(|number| self.with(number, Conn::look));
+    }
+
+    // Doors.
+
+    /// Clients wait at a door.
+    fn knocked(&mut self, n: usize) {
+        for _ in 0..TURN {
+            let Some(entry) = self.doors.get(n).filter(|entry| !entry.closed) else { return };
+            let (door, speaks) = (entry.door.clone(), entry.speaks);
+            // What cannot be taken in now waits in the listener's queue.
+            if !self.core.admission.room() {
+                return self.pause(FULL);
+            }
+            match door.next() {
+                Ok(client) => self.take_in(client, speaks),
+                Err(e) if timed_out(&e) => return,
+                Err(e) => {
+                    log(&format!("accept: {e}"));
+                    return self.pause(SHORT);
+                }
+            }
+        }
+    }
+
+    fn take_in(&mut self, client: std::net::TcpStream, speaks: Speaks) {
+        let guest = self.core.admission.guest(client);
+        if let Some(conn) = Conn::greet(&self.core, guest, speaks) {
+            self.enter(conn);
+        }
+    }
+
+    /// Leaves all doors alone for so long.
+    fn pause(&mut self, wait: Micros) {
+        self.paused = Some(self.core.decisions.now() + wait);
+        self.watch_doors(false);
+    }
+
+    fn resume(&mut self) {
+        if self.paused.is_some_and(|until| self.core.decisions.now() >= until) {
+            self.paused = None;
+            self.watch_doors(true);
+        }
+    }
+
+    fn watch_doors(&mut self, on: bool) {
+        for (n, entry) in self.doors.iter_mut().enumerate() {
+            let on = on && !entry.closed;
+            let of = |on: bool| on.then_some(READ);
+            match self.poller.watch(&entry.door, other(DOORS + n as u64), of(entry.watched), of(on)) {
+                Ok(()) => entry.watched = on,
+                Err(e) => log(&format!("accept: a door is not watched: {e}")),
+            }
+        }
+    }
+
+    // Probes.
+
+    fn start_probes(&mut self) {
+        while self.probes.len() < PROBES {
+            let Ok(server) = self.orders.try_recv() else { return };
+            // It may have been told to leave since the probe was asked for.
+            let directory = &self.core.directory;
+            let Some(endpoint) = directory.endpoint(server).filter(|_| directory.takes_new(server)) else {
+                self.probed(server, Outcome::Moot, Vec::new());
+                continue;
+            };
+            let now = self.core.decisions.now();
+            let (n, token) = (self.next_probe, self.next_probe << NUMBER_SHIFT | PROBE);
+            let begun = dial(endpoint.addr).and_then(|stream| {
+                self.poller.watch(&stream, token, None, Some(WRITE))?;
+                Ok(Probe::new(server, stream, now, self.probe_limit))
+            });
+            match begun {
+                Ok(probe) => {
+                    self.next_probe += 1;
+                    self.due.insert((probe.by, token));
+                    self.probes.insert(n, probe);
+                }
+                Err(_) => self.probed(server, Outcome::ConnectFailed, Vec::new()),
+            }
+        }
+    }
+
+    fn probe_ready(&mut self, n: u64, ready: bool) {
+        let Some(probe) = self.probes.get_mut(&n) else { return };
+        let (before, dialled, token) = (probe.by, probe.dials(), n << NUMBER_SHIFT | PROBE);
+        let found = probe.go(self.core.decisions.now(), ready, &self.names);
+        self.due.remove(&(before, token));
+        let Some((outcome, report)) = found else {
+            self.due.insert((probe.by, token));
+            if dialled != probe.dials() {
+                let _ = self.poller.watch(&probe.stream, token, Some(WRITE), Some(READ));
+            }
+            return;
+        };
+        let server = probe.server;
+        self.probes.remove(&n);
+        self.probed(server, outcome, report);
+    }
+
+    fn probed(&self, server: ServerId, outcome: Outcome, report: Vec<f32>) {
+        tracing::debug!(server = server.0, ?outcome, ?report, "probe");
+        self.core.decisions.probed(server, outcome, report);
+    }
+
+    // Other processes of this relay.
+
+    fn older_came(&mut self) {
+        let Some(heir) = &self.heir else { return };
+        match heir.next() {
+            Ok(older) => {
+                let n = self.next_older;
+                self.next_older += 1;
+                if self.poller.watch(&older, other(n), None, Some(READ)).is_ok() {
+                    self.older.insert(n, older);
+                }
+            }
+            Err(e) if timed_out(&e) || e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => log(&format!("takeover: {e}")),
+        }
+    }
+
+    fn passed_on(&mut self, n: u64) {
+        let Some(mut older) = self.older.remove(&n) else { return };
+        let mut passed = Vec::new();
+        let rest = older.receive(TURN, &mut |p| passed.push(p));
+        if rest == Rest::Later {
+            self.older.insert(n, older);
+        }
+        passed.into_iter().for_each(|passed| self.adopt_standing(passed));
+    }
+
+    /// Takes a connection over that has come up in another process of this relay.
+    fn adopt_standing(&mut self, (parcel, client, backend): Passed) {
+        let core = self.core.clone();
+        let set = client.set_nonblocking(true).and_then(|()| backend.set_nonblocking(true));
+        if let Err(e) = set {
+            return log(&format!("takeover: {e}"));
+        }
+        let guest = core.admission.guest(client);
+        let mut conn = Conn::new(&core, guest.number(), guest.stream.clone());
+        let account = Account {
+            front: "line",
+            name: parcel.name.clone(),
+            class: parcel.class.clone(),
+            backend: parcel.backend.clone(),
+            attempts: parcel.attempts,
+            began: Instant::now()
+                .checked_sub(Duration::from_millis(parcel.age_ms))
+                .unwrap_or_else(Instant::now),
+            tally: Some(core.metrics.begin(&parcel.class)),
+        };
+        let Ok(place) = guest.request(&parcel.name) else {
+            let whole = parcel.down.iter().rposition(|&b| b == b'\n').map_or(0, |at| at + 1);
+            conn.last = [&parcel.down[..whole], b"MOVE\r\n"].concat();
+            conn.guest = Some(guest);
+            conn.close();
+            account.log("no-descriptors");
+            return self.enter(conn);
+        };
+        let (keys, backend) = ((parcel.key, parcel.group), Arc::new(backend));
+        let session = Session::new(&core.woken, keys, place, false, Some(backend.clone()));
+        drop(guest);
+        // One that has vanished here goes on under any: the decisions look at nothing but its aims.
+        let class = core.terms().rules.classes.index(&parcel.class).unwrap_or(0);
+        let server = server_id(&parcel.backend);
+        let id = core.decisions.adopt(Conn::standing_request(class, keys), server, session.clone());
+        // Only lines go from one process to another.
+        let backend = Backend { link: Link::plain(backend), id, server, passage: Box::new(Lines) };
+        conn.take_over(account, session, backend, parcel);
+        self.enter(conn);
+    }
+
+    // The end.
+
+    /// Moves the standing connections in a paced way; true once none is left, or when the platform is about to kill.
+    /// Where the platform holds the listening socket, new clients are left to the process that takes over;
+    /// elsewhere they are served as long as they come.
+    fn drained(&mut self) -> bool {
+        let now = self.core.decisions.now();
+        let Some(mut drain) = self.drain.take() else {
+            self.drain = Some(self.begin_drain(now));
+            return false;
+        };
+        if now < drain.next {
+            self.drain = Some(drain);
+            return false;
+        }
+        drain.next = now + DRAIN_STEP;
+        let over = self.step(&mut drain, now);
+        self.drain = Some(drain);
+        over
+    }
+
+    fn begin_drain(&mut self, now: Micros) -> Drain {
+        let held = self.doors.iter().any(|entry| entry.door.held);
+        for n in 0..self.doors.len() {
+            let entry = &mut self.doors[n];
+            if entry.speaks == Speaks::Line && !entry.door.held {
+                continue;
+            }
+            entry.closed = true;
+            if entry.speaks == Speaks::Line {
+                self.core.open.store(false, Relaxed);
+            } else {
+                self.last_clients(n);
+            }
+        }
+        self.watch_doors(self.paused.is_none());
+        let longest = self.core.terms().rules.classes.longest();
+        let kill = longest.min(KILL_DEADLINE) + KILL_AFTER;
+        let still_coming = if held { 0 } else { STILL_COMING };
+        Drain {
+            start: now,
+            // All told to move by then: time enough for the ends and for answers that are still owed.
+            moved_by: (kill * 3 / 5).max(still_coming + DRAIN_STEP),
+            kill,
+            still_coming,
+            next: now + DRAIN_STEP,
+            successor: self.shared.as_deref().filter(|_| held).and_then(Successor::find),
+        }
+    }
+
+    /// This door's socket is the process's own, and goes with it: who waits there would be reset.
+    fn last_clients(&mut self, n: usize) {
+        let (door, speaks) = (self.doors[n].door.clone(), self.doors[n].speaks);
+        while self.core.admission.room() {
+            let Ok(client) = door.next() else { return };
+            self.take_in(client, speaks);
+        }
+    }
+
+    fn step(&mut self, drain: &mut Drain, time: Micros) -> bool {
+        let now = time.saturating_sub(drain.start);
+        if now + DRAIN_SPARE >= drain.kill {
+            return true;
+        }
+        let stands = |conn: &Conn| {
+            let session = conn.session.as_ref().filter(|s| conn.phase == Phase::Up && s.stands());
+            session.map(|s| (conn.number, s.clone()))
+        };
+        let standing = self.conns.values().filter_map(|conn| stands(conn));
+        // What cannot change process is moved, whoever takes over.
+        let (mut standing, fixed): (Vec<_>, Vec<_>) = standing.partition(|(_, s)| s.portable());
+        if let Some(to) = &drain.successor {
+            let mut result = Ok(());
+            for (number, _) in &standing {
+                self.with(*number, |conn| result = conn.hand_over(to));
+                if result.is_err() {
+                    break;
+                }
+            }
+            match result {
+                // What could not be given away right now is tried again, up to half the time.
+                Ok(()) if now < drain.kill / 2 => standing.clear(),
+                Ok(()) => {}
+                Err(e) if timed_out(&e) && now < drain.kill / 2 => standing.clear(),
+                Err(e) => {
+                    log(&format!("takeover: the successor takes no more: {e}"));
+                    drain.successor = None;
+                }
+            }
+        }
+        if now < drain.still_coming {
+            return false;
+        }
+        let steps = (drain.moved_by.saturating_sub(now) as f32 / DRAIN_STEP as f32).max(1.0);
+        standing.extend(fixed);
+        let share = (standing.len() as f32 / steps).ceil() as usize;
+        standing.iter().take(share).for_each(|(_, session)| crate::decide::Flow::relocate(&**session));
+        // Those that have yet to ask are waited for where nobody else would hear them.
+        let last = match drain.still_coming {
+            0 => self.core.admission.guests() == 0,
+            _ => now > 2 * STILL_COMING,
+        };
+        last && self.core.admission.requests() == 0
+    }
+}
--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -1,294 +1,38 @@
-//! Passes lines on, both ways, for all connections: one thread that waits for whichever socket is ready.
+//! Passes lines on, both ways, and ends connections: what a connection does once it is up.
 //!
 //! Threads that wait in reads were measured here first, two for each connection. The platform stops and
 //! continues a process that is over its share of the processor, and each time all of them wake: with 300
 //! threads the waking alone kept the process over its share for good, and lines were held back for seconds.
 
-use crate::api::{Micros, Outcome, RequestId, ServerId};
-use crate::front::buffer::{Buffer, MAX_LINE};
-use crate::front::line::Lines;
-use crate::front::{Away, News, Parting, Passage};
+use crate::api::{Micros, Outcome};
+use crate::front::buffer::Buffer;
+use crate::front::{Away, News, Parting};
 use crate::log::log;
-use crate::net::attempt::{reset, Up};
-use crate::net::core::Core;
-use crate::net::greet::LINGER;
-use crate::net::link::Link;
+use crate::net::attempt::reset;
+use crate::net::conn::{end, Backend, Conn, End, Phase};
 use crate::net::session::{Account, Session};
 use crate::platform::takeover::{self, Parcel, Successor};
-use crate::sys::{lock, timed_out};
-use rustix::event::epoll::{self, EventData, EventFlags};
-use rustix::fd::OwnedFd;
-use std::collections::BTreeMap;
+use crate::sys::timed_out;
 use std::io::{self, ErrorKind, Read};
-use std::net::{Shutdown, TcpStream};
+use std::net::Shutdown;
 use std::sync::atomic::Ordering::Relaxed;
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
-
-/// How often connections on which nothing happens are looked at.
-const LOOK: Duration = Duration::from_millis(200);
-/// The longest wait for a client that takes no bytes.
-const STUCK: Duration = Duration::from_secs(5);
+use std::sync::Arc;
+
+/// How often connections on which nothing happens are looked at, in microseconds.
+pub const LOOK: Micros = 200_000;
+/// The longest wait for a client that takes no bytes, in microseconds.
+const STUCK: Micros = 5_000_000;
+/// How long a client that has had its last word may go on before it is cut off, in microseconds. To close a socket
+/// with input unread would reset the connection, and the reset can destroy an answer that is not read yet.
+const LINGER: Micros = 1_000_000;
 /// What is thrown away at a time of a client that has had its last word; more waits for the next look, so
 /// that one that sends at full speed does not take the processor from the others.
 const PIECE: usize = 8192;
 
-/// The backend's side of a connection that is up.
-struct Backend {
-    link: Link,
-    /// The connection as the decisions know it.
-    id: RequestId,
-    server: ServerId,
-    passage: Box<dyn Passage>,
-}
-
-/// How a connection that was up has ended.
-struct End {
-    outcome: Outcome,
-    report: Vec<f32>,
-    reason: &'static str,
-}
-
-fn end(outcome: Outcome, reason: &'static str) -> End {
-    End { outcome, report: Vec::new(), reason }
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Phase {
-    /// The request waits for its answer; what the client sends waits too.
-    Placing,
-    /// The connection is up.
-    Up,
-    /// The client gets its last words since then; true once it has them.
-    Closing(Instant, bool),
-    Done,
-}
-
-struct Conn {
-    core: Arc<Core>,
-    session: Arc<Session>,
-    client: Link,
-    phase: Phase,
-    account: Option<Account>,
-    backend: Option<Backend>,
-    /// From the client to the backend, and the other way.
-    up: Buffer,
-    down: Buffer,
-    /// How many bytes at the front of either may go on.
-    up_passed: usize,
-    down_passed: usize,
-    /// Whether the backend owes an answer to what is to go on.
-    asks: bool,
-    /// By when the client is owed its final answer; none once it has it.
-    answer_by: Option<Micros>,
-    /// Up to when the backend may finish what it sends, or its client be answered, before it is moved.
-    finish_by: Option<Micros>,
-    /// Whether the backend was told to finish.
-    parting: bool,
-    /// Memory of its buffers that is counted with that of all.
-    held: usize,
-    /// How it ends once what may go on has gone on, and the last words.
-    over: Option<(Vec<u8>, End)>,
-    /// Last words for the client.
-    last: Vec<u8>,
-    farewell: Option<End>,
-    /// When the oldest unanswered line of the client was passed on.
-    asked: Option<Micros>,
-    client_ended: Option<Instant>,
-    up_blocked: bool,
-    down_blocked: Option<Instant>,
-    flooded: bool,
-    /// What is waited for on either socket; none once it is not watched.
-    watched: [Option<EventFlags>; 2],
-}
-
-/// All connections whose requests are under way.
-pub struct Forwarder {
-    core: Arc<Core>,
-    epoll: OwnedFd,
-    conns: Mutex<BTreeMap<u64, Arc<Mutex<Conn>>>>,
-}
-
-impl Forwarder {
-    /// One with no connections.
-    pub fn new(core: Arc<Core>) -> io::Result<Forwarder> {
-        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
-        Ok(Forwarder { core, epoll, conns: Mutex::default() })
-    }
-
-    /// Watches a client whose request is being placed. `up` is what it has sent after its request.
-    pub fn watch(&self, session: &Arc<Session>, client: Link, up: Buffer) {
-        let conn = Conn {
-            core: self.core.clone(),
-            session: session.clone(),
-            client,
-            phase: Phase::Placing,
-            account: None,
-            backend: None,
-            up,
-            down: Buffer::default(),
-            up_passed: 0,
-            down_passed: 0,
-            asks: false,
-            answer_by: None,
-            finish_by: None,
-            parting: false,
-            held: 0,
-            over: None,
-            last: Vec::new(),
-            farewell: None,
-            asked: None,
-            client_ended: None,
-            up_blocked: false,
-            down_blocked: None,
-            flooded: false,
-            watched: [None, None],
-        };
-        let _ = session.client.set_nonblocking(true);
-        let conn = Arc::new(Mutex::new(conn));
-        lock(&self.conns).insert(session.number(), conn.clone());
-        self.settle(&mut lock(&conn));
-    }
-
-    fn with(&self, number: u64, work: impl FnOnce(&mut Conn)) {
-        let conn = lock(&self.conns).get(&number).cloned();
-        if let Some(conn) = conn {
-            let mut conn = lock(&conn);
-            work(&mut conn);
-            self.settle(&mut conn);
-        }
-    }
-
-    /// Gives a client the final answer that is no connection; nothing where it is gone.
-    pub fn answer(&self, session: &Session, account: Account, words: Vec<u8>, reason: &'static str) {
-        self.with(session.number(), |conn| {
-            account.log(reason);
-            conn.last = words;
-            conn.close();
-        });
-    }
-
-    /// Takes over a connection that has come up. `answer_by` is when its client is owed its final answer.
-    pub fn stand(
-        &self,
-        session: &Session,
-        account: Account,
-        (id, server): (RequestId, ServerId),
-        up: Up,
-        answer_by: Micros,
-    ) {
-        self.with(session.number(), |conn| {
-            let Up { link, inbox, passage } = up;
-            let _ = link.socket.set_nonblocking(true);
-            if passage.answered() {
-                account.tally.iter().for_each(|tally| tally.passed());
-            } else {
-                conn.answer_by = Some(answer_by);
-            }
-            let lines = passage.portable();
-            (conn.backend, conn.down) = (Some(Backend { link, id, server, passage }), inbox);
-            if !lines {
-                conn.core.metrics.xmpp.sessions.fetch_add(1, Relaxed);
-                conn.up.make_roomy();
-                conn.down.make_roomy();
-            }
-            (conn.account, conn.phase) = (Some(account), Phase::Up);
-            conn.flush_down();
-            conn.flush_up();
-        });
-    }
-
-    /// Gives a standing connection to the process that takes over, unless it is about to end here. An error
-    /// is one of the link; the connection is kept then.
-    pub fn hand_over(&self, number: u64, to: &Successor) -> io::Result<()> {
-        let mut result = Ok(());
-        self.with(number, |conn| result = conn.hand_over(to));
-        result
-    }
-
-    /// Goes on with a connection that stood in another process.
-    pub fn take_over(
-        &self,
-        session: &Arc<Session>,
-        account: Account,
-        (backend, id, server): (Arc<TcpStream>, RequestId, ServerId),
-        parcel: Parcel,
-    ) {
-        self.watch(session, Link::plain(session.client.clone()), Buffer::holding(parcel.up));
-        self.with(session.number(), |conn| {
-            let now = conn.core.decisions.now();
-            conn.asked = parcel.asked_ms.map(|ms| now.saturating_sub(ms * 1_000));
-            // Only lines go from one process to another.
-            let (link, passage) = (Link::plain(backend), Box::new(Lines));
-            conn.backend = Some(Backend { link, id, server, passage });
-            (conn.down, conn.down_passed) = (Buffer::holding(parcel.down), parcel.seen);
-            (conn.account, conn.phase) = (Some(account), Phase::Up);
-            conn.flush_down();
-            conn.flush_up();
-        });
-    }
-
-    /// Serves all connections for good.
-    pub fn run(&self) -> ! {
-        let mut events = epoll::EventVec::with_capacity(64);
-        let mut looked = Instant::now();
-        loop {
-            let left = LOOK.saturating_sub(looked.elapsed()).as_millis() as i32;
-            match epoll::wait(&self.epoll, &mut events, left.max(1)) {
-                Ok(()) | Err(rustix::io::Errno::INTR) => {}
-                Err(e) => {
-                    log(&format!("forward: {e}"));
-                    std::thread::sleep(LOOK);
-                }
-            }
-            for event in events.iter() {
-                let (token, flags) = (event.data.u64(), event.flags);
-                self.with(token / 2, |conn| match token % 2 {
-                    0 => conn.client_ready(flags),
-                    _ => conn.backend_ready(flags),
-                });
-            }
-            events.clear();
-            if looked.elapsed() >= LOOK {
-                looked = Instant::now();
-                let numbers: Vec<u64> = lock(&self.conns).keys().copied().collect();
-                numbers.into_iter().for_each(|number| self.with(number, Conn::look));
-            }
-        }
-    }
-
-    /// Waits for what the connection now needs, or forgets it.
-    fn settle(&self, conn: &mut Conn) {
-        conn.count_memory();
-        let number = conn.session.number();
-        let wanted = conn.wanted();
-        let backend = conn.backend.as_ref().map(|b| b.link.socket.clone());
-        let sockets = [Some(conn.client.socket.clone()), backend];
-        for (side, socket) in sockets.iter().enumerate() {
-            let (Some(socket), now) = (socket, &mut conn.watched[side]) else {
-                // A socket that was let go of is closed, and so is no longer watched.
-                conn.watched[side] = None;
-                continue;
-            };
-            let data = EventData::new_u64(number * 2 + side as u64);
-            let _ = match (*now, wanted[side]) {
-                (None, Some(flags)) => epoll::add(&self.epoll, socket, data, flags),
-                (Some(old), Some(flags)) if old != flags => epoll::modify(&self.epoll, socket, data, flags),
-                (Some(_), None) => epoll::delete(&self.epoll, socket),
-                _ => Ok(()),
-            };
-            *now = wanted[side];
-        }
-        if conn.phase == Phase::Done {
-            lock(&self.conns).remove(&number);
-        }
-    }
-}
-
 impl Conn {
     /// Counts what its buffers hold; whoever asks for more when there is none left gives up its place. Lines are
     /// short and not counted.
-    fn count_memory(&mut self) {
+    pub fn count_memory(&mut self) {
         let lines = self.backend.as_ref().is_none_or(|b| b.passage.portable());
         let now = if lines { 0 } else { self.up.room() + self.down.room() };
         let before = std::mem::replace(&mut self.held, now);
@@ -299,47 +43,27 @@
         }
     }
 
-    /// What is waited for on the client's socket and the backend's.
-    fn wanted(&self) -> [Option<EventFlags>; 2] {
-        let flag = |on: bool, flag: EventFlags| if on { flag } else { EventFlags::empty() };
-        let client_in = self.client_ended.is_none()
-            && !self.parting
-            && match self.phase {
-                Phase::Placing => self.up.rest().len() < MAX_LINE,
-                Phase::Up => !self.up_blocked,
-                Phase::Closing(..) => !self.flooded,
-                Phase::Done => false,
-            };
-        let client_out = self.down_blocked.is_some();
-        // Once a client has ended there is nothing to be heard from it but, with nothing wanted, errors
-        // again and again.
-        let client = self.phase != Phase::Done && (self.client_ended.is_none() || client_out);
-        let client = client.then(|| flag(client_in, EventFlags::IN) | flag(client_out, EventFlags::OUT));
-        let backend = (self.phase == Phase::Up)
-            .then(|| flag(!client_out, EventFlags::IN) | flag(self.up_blocked, EventFlags::OUT));
-        [client, backend]
-    }
-
     /// The connection as another process needs it, with both sockets; here it is done then. It goes on
     /// without a word to either side: nothing may be shut down here after that.
-    fn hand_over(&mut self, to: &Successor) -> io::Result<()> {
+    pub fn hand_over(&mut self, to: &Successor) -> io::Result<()> {
         let (Phase::Up, None, None) = (self.phase, self.client_ended, &self.farewell) else { return Ok(()) };
         let (Some(backend), Some(account)) = (&self.backend, &self.account) else { return Ok(()) };
         let (backend, id) = (backend.link.socket.clone(), backend.id);
         if !self.backend.as_ref().is_some_and(|b| b.passage.portable()) {
             return Ok(());
         }
+        let Some(session) = &self.session else { return Ok(()) };
         let bytes = self.up.rest().len() + self.down.rest().len();
-        if bytes > takeover::MAX_BYTES || !self.session.give_away() {
+        if bytes > takeover::MAX_BYTES || !session.give_away() {
             return Ok(());
         }
-        let now = self.core.decisions.now();
+        let now = self.now();
         let parcel = Parcel {
             name: account.name.clone(),
             class: account.class.clone(),
             backend: account.backend.clone(),
-            key: self.session.keys.0,
-            group: self.session.keys.1,
+            key: session.keys.0,
+            group: session.keys.1,
             attempts: account.attempts,
             age_ms: account.began.elapsed().as_millis() as u64,
             asked_ms: self.asked.map(|at| now.saturating_sub(at) / 1_000),
@@ -348,7 +72,7 @@
             down: self.down.rest().to_vec(),
         };
         if let Err(e) = to.send(&parcel, &self.client.socket, &backend) {
-            self.session.keep(&backend);
+            session.keep(&backend);
             return Err(e);
         }
         account.log("handed-over");
@@ -360,24 +84,38 @@
         Ok(())
     }
 
-    fn client_ready(&mut self, flags: EventFlags) {
-        if flags.contains(EventFlags::OUT) && self.down_blocked.is_some() {
+    /// Goes on with a connection that stood in another process.
+    pub fn take_over(&mut self, account: Account, session: Arc<Session>, backend: Backend, parcel: Parcel) {
+        let now = self.now();
+        self.asked = parcel.asked_ms.map(|ms| now.saturating_sub(ms * 1_000));
+        self.up = Buffer::holding(parcel.up);
+        (self.down, self.down_passed) = (Buffer::holding(parcel.down), parcel.seen);
+        (self.session, self.account) = (Some(session), Some(account));
+        (self.backend, self.phase) = (Some(backend), Phase::Up);
+        self.flush_down();
+        self.flush_up();
+    }
+
+    /// The client's socket is ready.
+    pub fn client_ready(&mut self, read: bool, write: bool) {
+        if write && self.down_blocked.is_some() {
             self.flush_down();
         }
-        if flags.intersects(EventFlags::IN | EventFlags::HUP | EventFlags::ERR) {
+        if read {
             match self.phase {
                 Phase::Placing | Phase::Up => self.read_client(),
                 Phase::Closing(..) => self.discard(),
-                Phase::Done => {}
+                Phase::Hearing | Phase::Done => {}
             }
         }
     }
 
-    fn backend_ready(&mut self, flags: EventFlags) {
-        if self.phase == Phase::Up && self.up_blocked && flags.contains(EventFlags::OUT) {
+    /// The backend's socket is ready.
+    pub fn backend_ready(&mut self, read: bool, write: bool) {
+        if self.phase == Phase::Up && self.up_blocked && write {
             self.flush_up();
         }
-        if self.phase == Phase::Up && flags.intersects(EventFlags::IN | EventFlags::HUP | EventFlags::ERR) {
+        if self.phase == Phase::Up && read {
             self.read_backend();
         }
     }
@@ -393,13 +131,14 @@
             Err(e) if timed_out(&e) => return,
             ended => ended,
         };
-        self.client_ended = Some(Instant::now());
+        self.client_ended = Some(self.now());
         match (self.phase, ended) {
             (Phase::Placing, _) => {
-                // It left before its answer. An attempt that is out is ended, and reported by its thread.
-                if let Some(id) = self.session.client_has_ended() {
+                // It left before its answer. An attempt that is out is ended, and reported.
+                if let Some(id) = self.session.as_ref().and_then(|session| session.client_has_ended()) {
                     self.core.decisions.vanish(id);
                 }
+                self.place(false);
             }
             (_, Err(_)) => self.reset_both(end(Outcome::Cancelled, "client-reset")),
             _ => self.flush_up(),
@@ -434,7 +173,7 @@
         };
         match self.farewell.take() {
             Some(farewell) if !self.parting => self.part(farewell, true),
-            _ if self.parting || self.session.moving() => self.move_away(),
+            _ if self.parting || self.moving() => self.move_away(),
             None if !mirrors && self.client_ended.is_none() => {
                 let words = backend.passage.words(Away::Gone);
                 self.leave(words, gone);
@@ -444,7 +183,7 @@
     }
 
     /// Passes on to the backend what the client has sent.
-    fn flush_up(&mut self) {
+    pub fn flush_up(&mut self) {
         let Some(backend) = &mut self.backend else { return };
         let mut blocked = std::mem::take(&mut self.up_blocked);
         loop {
@@ -457,7 +196,7 @@
                 // What came before it goes on first.
                 Err(_) if self.up_passed > 0 => {}
                 Err(fault) => {
-                    log(&format!("client {}: {}", self.session.name(), fault.what));
+                    log(&format!("client {}: {}", self.name(), fault.what));
                     return self.leave(fault.words, end(Outcome::Cancelled, fault.reason));
                 }
             }
@@ -493,7 +232,7 @@
 
     /// Passes on to the client what the backend has sent, and hears what it means; after the end of the
     /// backend, passes on the last words.
-    fn flush_down(&mut self) {
+    pub fn flush_down(&mut self) {
         if let Phase::Closing(since, false) = self.phase {
             match self.client.write_some(&self.last) {
                 Ok((n, blocked)) => {
@@ -501,7 +240,7 @@
                     self.down_blocked = blocked.then_some(since);
                     if !blocked {
                         self.client.end_sending();
-                        self.phase = Phase::Closing(Instant::now(), true);
+                        self.phase = Phase::Closing(self.now(), true);
                     }
                 }
                 Err(_) => self.phase = Phase::Done,
@@ -518,7 +257,7 @@
                 Ok(n) => fresh = n,
                 Err(_) if self.down_passed > 0 => {}
                 Err(fault) => {
-                    log(&format!("backend of {}: {}", self.session.name(), fault.what));
+                    log(&format!("backend of {}: {}", self.name(), fault.what));
                     return self.leave(fault.words, end(Outcome::Reset, fault.reason));
                 }
             }
@@ -537,11 +276,12 @@
                     News::Finished => finished = true,
                 }
             }
+            let now = self.core.decisions.now();
             match self.client.write_some(&self.down.rest()[..self.down_passed]) {
                 Ok((n, blocked)) => {
                     self.down.consume(n);
                     self.down_passed -= n;
-                    self.down_blocked = blocked.then(|| self.down_blocked.unwrap_or_else(Instant::now));
+                    self.down_blocked = blocked.then(|| self.down_blocked.unwrap_or(now));
                 }
                 Err(_) => return self.reset_both(end(Outcome::Cancelled, "client-reset")),
             }
@@ -622,8 +362,9 @@
         self.close();
     }
 
-    fn close(&mut self) {
-        self.phase = Phase::Closing(Instant::now(), false);
+    /// Gives the client its last words and ends the connection.
+    pub fn close(&mut self) {
+        self.phase = Phase::Closing(self.now(), false);
         if self.client_ended.is_some() && self.last.is_empty() {
             self.phase = Phase::Done;
         } else {
@@ -644,7 +385,7 @@
     /// Tells the decisions and the log how the connection ended, and lets go of its backend.
     fn report(&mut self, end: End) {
         if let Some(Backend { link, id, passage, .. }) = self.backend.take() {
-            self.session.release();
+            self.session.iter().for_each(|session| session.release());
             drop(link);
             if !passage.portable() {
                 self.core.metrics.xmpp.sessions.fetch_sub(1, Relaxed);
@@ -675,23 +416,24 @@
     }
 
     /// What only time shows.
-    fn look(&mut self) {
+    pub fn look(&mut self) {
         let now = self.core.decisions.now();
         if let Some(backend) = self.backend.as_mut().filter(|b| !b.passage.portable()) {
             self.up.rest_room();
             self.down.rest_room();
             backend.passage.rest();
         }
-        let stuck = self.down_blocked.is_some_and(|since| since.elapsed() > STUCK);
+        let past = |since: Micros, limit: Micros| now > since + limit;
+        let stuck = self.down_blocked.is_some_and(|since| past(since, STUCK));
         match self.phase {
-            Phase::Closing(since, true) if since.elapsed() > LINGER => self.phase = Phase::Done,
+            Phase::Closing(since, true) if past(since, LINGER) => self.phase = Phase::Done,
             Phase::Closing(..) if stuck => self.phase = Phase::Done,
             Phase::Closing(..) if self.flooded => {
                 self.flooded = false;
                 self.discard();
             }
             Phase::Up if stuck => self.reset_both(end(Outcome::Cancelled, "client-stuck")),
-            Phase::Up if self.client_ended.is_some_and(|at| at.elapsed() > LINGER) => {
+            Phase::Up if self.client_ended.is_some_and(|at| past(at, LINGER)) => {
                 self.part(end(Outcome::Cancelled, "client-left"), true);
             }
             // A machine that vanished says nothing and keeps its connections open: only what stays unanswered
@@ -701,12 +443,12 @@
                 self.leave(words.unwrap_or_default(), end(Outcome::Reset, "backend-silent"));
             }
             // Two looks before it is due: the next one might be too late.
-            Phase::Up if self.answer_by.is_some_and(|by| now + 2 * LOOK.as_micros() as Micros >= by) => {
+            Phase::Up if self.answer_by.is_some_and(|by| now + 2 * LOOK >= by) => {
                 let late = if self.asked.is_some() { Outcome::Timeout } else { Outcome::Cancelled };
                 let words = self.backend.as_ref().map(|b| b.passage.words(Away::Late));
                 self.leave(words.unwrap_or_default(), end(late, "answer-late"));
             }
-            Phase::Up if self.session.departs() => self.depart(now),
+            Phase::Up if self.session.as_ref().is_some_and(|session| session.departs()) => self.depart(now),
             _ => {}
         }
     }
--- a/src/net/greet.rs
+++ b/src/net/greet.rs
@@ -1,110 +1,207 @@
-//! The first words of a connection, and its last ones: up to the request, and an answer that reaches the
-//! client although it may still be sending.
+//! The first words of a connection, up to the request.
+//!
+//! Guards against: a client that says nothing, half a line, or floods; a TLS handshake that stalls. Each costs a
+//! place and no thread, and holds up nobody.
 
 use crate::api::Micros;
-use crate::front::buffer::Buffer;
-use crate::front::{Greeter, Next, Order, Short};
+use crate::front::line::Greeting;
+use crate::front::xmpp::greeting;
+use crate::front::{Greeter, Next, Short};
+use crate::log::log;
 use crate::net::admit::Guest;
+use crate::net::conn::{Conn, Hearing, Phase};
 use crate::net::core::Core;
-use crate::net::link::Link;
+use crate::net::session::Account;
 use crate::sys::timed_out;
-use std::io::{ErrorKind, Read};
-use std::net::TcpStream;
 use std::sync::atomic::Ordering::Relaxed;
-use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::sync::Arc;
 
-/// The longest wait for a client to take its answer.
-const ANSWER: Duration = Duration::from_secs(1);
-/// How long a client that has had its last word may go on before it is cut off.
-pub const LINGER: Duration = Duration::from_secs(1);
-/// Wait between two full reads of what is thrown away: a client that sends at full speed must not take
-/// the processor from the others.
-const PACE: Duration = Duration::from_millis(2);
+/// The longest wait for a client to take its answer, in microseconds.
+const ANSWER: Micros = 1_000_000;
 
-/// Hears a client up to its request; what is left in the buffer came after it. An error is the reason for the
-/// log; none where the log need not know.
-pub fn hear(
-    guest: &Guest,
-    link: &mut Link,
-    greeter: &mut dyn Greeter,
-    core: &Core,
-) -> Result<(Box<dyn Order>, Buffer), &'static str> {
-    let client = &*guest.stream;
-    let set = client.set_nodelay(true).and_then(|()| client.set_write_timeout(Some(ANSWER)));
-    set.map_err(|_| "socket-error")?;
-    let mut inbox = Buffer::default();
-    loop {
-        let now = core.decisions.now();
-        match greeter.next(&mut inbox, now, &core.terms().rules) {
-            Next::Read => {}
-            Next::Say(bytes) => {
-                guest.asked();
-                link.write_all(&bytes).map_err(|_| "")?;
-                continue;
-            }
-            Next::Secure(domain) => {
-                secure(link, core, Some(&domain), greeter.until())?;
-                greeter.secured(core.decisions.now());
-                continue;
-            }
-            Next::Place(order) => return Ok((order, inbox)),
-            Next::End(last, reason) => {
-                say(link, &last);
-                part(client);
-                return Err(reason);
-            }
-        }
-        let left = core.decisions.left(greeter.until());
-        if left.is_zero() {
-            let (last, reason) = greeter.cut_short(&inbox, Short::Late);
-            if !last.is_empty() {
-                say(link, &last);
-                part(client);
-            }
-            return Err(reason);
-        }
-        match link.set_read_timeout(left).and_then(|()| link.fill(&mut inbox)) {
-            Ok(n) if n > 0 => {}
-            Err(e) if timed_out(&e) => {}
-            _ => return Err(greeter.cut_short(&inbox, Short::Ended).1),
-        }
-    }
+/// What is spoken at a door.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Speaks {
+    /// The line protocol.
+    Line,
+    /// XMPP that begins in clear.
+    Xmpp,
+    /// XMPP that begins with TLS.
+    XmppTls,
 }
 
-/// Puts a client's link under TLS, up to that time.
-pub fn secure(link: &mut Link, core: &Core, domain: Option<&str>, until: Micros) -> Result<(), &'static str> {
-    let tls = core.xmpp().and_then(|xmpp| xmpp.tls.server(domain)).ok_or("no-tls")?;
-    let done = link.secure(tls, || core.decisions.left(until));
-    let _ = link.socket.set_write_timeout(Some(ANSWER));
-    done.map_err(|e| {
-        core.metrics.xmpp.tls_failures.fetch_add(1, Relaxed);
-        if timed_out(&e) {
-            "tls-late"
+impl Speaks {
+    fn front(self) -> &'static str {
+        if self == Speaks::Line {
+            "line"
         } else {
-            "tls-failed"
+            "xmpp"
         }
-    })
+    }
 }
 
-/// Gives the client its last word.
-pub fn say(link: &mut Link, words: &[u8]) {
-    let _ = link.socket.set_write_timeout(Some(ANSWER));
-    let _ = link.write_all(words);
-    link.end_sending();
+/// The machine that hears a client of this door; none where the front has gone meanwhile.
+fn greeter(core: &Core, speaks: Speaks) -> Option<Box<dyn Greeter>> {
+    let now = core.decisions.now();
+    if speaks == Speaks::Line {
+        return Some(Box::new(Greeting::new(now)));
+    }
+    let mut ids = [0; 3];
+    for id in &mut ids {
+        *id = getrandom::u64().inspect_err(|e| log(&format!("xmpp: no random numbers: {e}"))).ok()?;
+    }
+    let terms = core.xmpp()?.terms.clone();
+    Some(Box::new(greeting::Greeting::new(terms, ids, speaks == Speaks::XmppTls, now)))
+}
+
+impl Hearing {
+    /// When it must be called though nothing has come.
+    pub fn due(&self) -> Micros {
+        let until = self.greeter.until();
+        self.blocked.map_or(until, |since| until.min(since + ANSWER))
+    }
 }
 
-/// Waits for the client to end its side, for a bounded time. To close a socket with input unread would
-/// reset the connection, and the reset can destroy an answer that the client has not read yet.
-pub fn part(client: &TcpStream) {
-    let end = Instant::now() + LINGER;
-    let mut piece = [0; 8192];
-    while let Some(left) = end.checked_duration_since(Instant::now()).filter(|left| !left.is_zero()) {
-        match client.set_read_timeout(Some(left)).and_then(|()| (&*client).read(&mut piece)) {
-            Ok(n) if n == piece.len() => sleep(PACE),
-            Ok(n) if n > 0 => {}
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            _ => return,
+impl Conn {
+    /// The connection of a client that has just come to this door; none where there is nobody to hear it.
+    pub fn greet(core: &Arc<Core>, guest: Guest, speaks: Speaks) -> Option<Conn> {
+        let greeter = greeter(core, speaks)?;
+        guest.stream.set_nonblocking(true).and_then(|()| guest.stream.set_nodelay(true)).ok()?;
+        let mut conn = Conn::new(core, guest.number(), guest.stream.clone());
+        conn.account = Some(Account::new(speaks.front()));
+        let (out, blocked) = (Vec::new(), None);
+        let mut hearing = Hearing { guest, greeter, securing: false, tells: false, out, blocked };
+        let secured = speaks != Speaks::XmppTls || conn.secure(&mut hearing, None, false);
+        conn.hearing = Some(Box::new(hearing));
+        if secured {
+            conn.hear();
+        }
+        Some(conn)
+    }
+
+    /// Puts the client's link under TLS with the certificate of that domain; false where there is none.
+    fn secure(&mut self, hearing: &mut Hearing, domain: Option<&str>, tells: bool) -> bool {
+        let Some(tls) = self.core.xmpp().and_then(|xmpp| xmpp.tls.server(domain)) else {
+            self.unheard("no-tls");
+            return false;
+        };
+        self.client.secure(tls);
+        (hearing.securing, hearing.tells) = (true, tells);
+        true
+    }
+
+    /// It is closed with no word more.
+    fn unheard(&mut self, reason: &str) {
+        if let Some(account) = self.account.take().filter(|_| !reason.is_empty()) {
+            account.log(reason);
+        }
+        self.phase = Phase::Done;
+    }
+
+    /// Hears the client as far as it has spoken.
+    pub fn hear(&mut self) {
+        let Some(mut hearing) = self.hearing.take() else { return };
+        if self.heard(&mut hearing) {
+            self.hearing = Some(hearing);
+        } else if self.phase != Phase::Done && self.session.is_none() {
+            // Its room is its own until it has gone.
+            self.guest = Some(hearing.guest);
+        }
+    }
+
+    /// True while it is to be heard further.
+    fn heard(&mut self, h: &mut Hearing) -> bool {
+        // A turn takes in once what has come: one that sends at full speed must not hold up the others.
+        let mut filled = false;
+        loop {
+            let now = self.now();
+            if h.securing {
+                match self.client.shake() {
+                    Ok(true) => {
+                        // What came right behind the handshake is TLS's now: no socket tells of it.
+                        (h.securing, filled) = (false, false);
+                        if h.tells {
+                            h.greeter.secured(self.now());
+                        }
+                    }
+                    Ok(false) if now < h.greeter.until() => return true,
+                    failed => {
+                        self.core.metrics.xmpp.tls_failures.fetch_add(1, Relaxed);
+                        self.unheard(if failed.is_ok() { "tls-late" } else { "tls-failed" });
+                        return false;
+                    }
+                }
+            }
+            if !h.out.is_empty() || h.blocked.is_some() {
+                match self.client.write_some(&h.out) {
+                    Ok((n, true)) => {
+                        h.out.drain(..n);
+                        let since = *h.blocked.get_or_insert(now);
+                        if now >= since + ANSWER {
+                            self.unheard("");
+                        }
+                        return self.phase != Phase::Done;
+                    }
+                    Ok((_, false)) => (h.out, h.blocked) = (Vec::new(), None),
+                    Err(_) => {
+                        self.unheard("");
+                        return false;
+                    }
+                }
+            }
+            let rules = self.core.terms().rules.clone();
+            match h.greeter.next(&mut self.up, now, &rules) {
+                Next::Read => {}
+                Next::Say(bytes) => {
+                    h.guest.asked();
+                    h.out = bytes;
+                    continue;
+                }
+                Next::Secure(domain) => {
+                    if !self.secure(h, Some(&domain), true) {
+                        return false;
+                    }
+                    continue;
+                }
+                Next::Place(order) => {
+                    self.let_in(&h.guest, order);
+                    return false;
+                }
+                Next::End(last, reason) => {
+                    self.turn_away(last, reason);
+                    return false;
+                }
+            }
+            if now >= h.greeter.until() {
+                let (last, reason) = h.greeter.cut_short(&self.up, Short::Late);
+                if last.is_empty() {
+                    self.unheard(reason);
+                } else {
+                    self.turn_away(last, reason);
+                }
+                return false;
+            }
+            if std::mem::replace(&mut filled, true) {
+                return true;
+            }
+            match self.client.fill(&mut self.up) {
+                Ok(n) if n > 0 => {}
+                Err(e) if timed_out(&e) => return true,
+                _ => {
+                    let reason = h.greeter.cut_short(&self.up, Short::Ended).1;
+                    self.unheard(reason);
+                    return false;
+                }
+            }
+        }
+    }
+
+    /// Ends a connection that asked for nothing sensible.
+    fn turn_away(&mut self, last: Vec<u8>, reason: &'static str) {
+        if let Some(account) = self.account.take() {
+            account.log(reason);
         }
+        self.last = last;
+        self.close();
     }
 }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -6,7 +6,6 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
-use std::time::Duration;
 
 /// A side of a connection. Whoever drives it owns it; the socket is shared with those who may end it.
 pub struct Link {
@@ -21,26 +20,37 @@
         Link { socket, tls: None }
     }
 
-    /// Puts the link under TLS, on a socket that blocks; `left` is what is left of the time for it.
-    pub fn secure(&mut self, mut tls: Connection, left: impl Fn() -> Duration) -> io::Result<()> {
-        while tls.is_handshaking() {
-            let limit = left();
-            if limit.is_zero() {
-                return Err(ErrorKind::TimedOut.into());
+    /// Puts the link under TLS: [`Link::shake`] goes on until it stands.
+    pub fn secure(&mut self, tls: Connection) {
+        self.tls = Some(Box::new(tls));
+    }
+
+    /// Goes on with the handshake as far as the socket allows; true once TLS stands and its last words are out.
+    pub fn shake(&mut self) -> io::Result<bool> {
+        let Some(tls) = &mut self.tls else { return Ok(true) };
+        loop {
+            while tls.wants_write() {
+                match tls.write_tls(&mut &*self.socket) {
+                    Ok(_) => {}
+                    Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                    Err(e) if timed_out(&e) => return Ok(false),
+                    Err(e) => return Err(e),
+                }
             }
-            self.socket.set_read_timeout(Some(limit))?;
-            self.socket.set_write_timeout(Some(limit))?;
-            if tls.wants_write() {
-                tls.write_tls(&mut &*self.socket)?;
-            } else {
-                receive(&mut tls, &self.socket)?;
+            if !tls.is_handshaking() {
+                return Ok(true);
+            }
+            match receive(tls, &self.socket) {
+                Ok(()) => {}
+                Err(e) if timed_out(&e) => return Ok(false),
+                Err(e) => return Err(e),
             }
         }
-        while tls.wants_write() {
-            tls.write_tls(&mut &*self.socket)?;
-        }
-        self.tls = Some(Box::new(tls));
-        Ok(())
+    }
+
+    /// Whether TLS holds bytes that the socket has not taken yet.
+    pub fn holds_back(&self) -> bool {
+        self.tls.as_ref().is_some_and(|tls| tls.wants_write())
     }
 
     /// Reads what has come; 0 is the end of the stream. Of a link under TLS nothing that has come stays unread.
@@ -102,14 +112,6 @@
         Ok((done, false))
     }
 
-    /// Writes all of it to a socket that blocks, within the socket's time limit for each write.
-    pub fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
-        match self.write_some(bytes)? {
-            (_, false) => Ok(()),
-            (_, true) => Err(ErrorKind::TimedOut.into()),
-        }
-    }
-
     /// Ends the sending.
     pub fn end_sending(&mut self) {
         if let Some(tls) = &mut self.tls {
@@ -118,11 +120,6 @@
         }
         let _ = self.socket.shutdown(Shutdown::Write);
     }
-
-    /// The longest wait of a read, on a socket that blocks.
-    pub fn set_read_timeout(&self, limit: Duration) -> io::Result<()> {
-        self.socket.set_read_timeout(Some(limit))
-    }
 }
 
 /// Takes in records of TLS, once. What breaks TLS is told to the other side and is an error.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,12 +2,15 @@
 //! do comes from [`crate::decide`]; what bytes mean comes from [`crate::front`].
 
 pub mod admit;
-pub mod attempt;
-pub mod client;
+mod attempt;
+mod client;
+mod conn;
 pub mod core;
-pub mod forward;
-pub mod greet;
-pub mod link;
+pub mod engine;
+mod forward;
+mod greet;
+mod link;
 pub mod listen;
-pub mod session;
+pub mod poll;
+mod session;
 pub mod tls;
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -1,14 +1,14 @@
-//! A request or connection under way, as those see it who may end it: the decisions, the thread that places
-//! it, the thread that passes on its bytes.
+//! A request or connection under way, as those see it who may end it from another thread: the decisions, which may
+//! have an attempt given up or a client moved. What they say is kept here, and the thread that serves is woken.
 
 use crate::api::RequestId;
 use crate::decide::Flow;
 use crate::net::admit::Place;
 use crate::ops::metrics::Tally;
-use crate::sys::lock;
-use std::collections::BTreeMap;
+use crate::sys::{lock, Wake};
 use std::net::{Shutdown, TcpStream};
-use std::sync::{Arc, Mutex, Weak};
+use std::sync::atomic::{AtomicBool, Ordering::AcqRel};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Instant;
 
 #[derive(Default)]
@@ -24,22 +24,35 @@
     id: Option<RequestId>,
 }
 
-/// All sessions, by number.
+/// The connections for which there is news, each once, for the thread that serves.
 #[derive(Default)]
-pub struct Sessions(Mutex<BTreeMap<u64, Weak<Session>>>);
+pub struct Woken {
+    numbers: Mutex<Vec<u64>>,
+    wake: OnceLock<Wake>,
+}
+
+impl Woken {
+    /// From now on this is called with each news. Once.
+    pub fn wakes(&self, wake: Wake) {
+        let _ = self.wake.set(wake);
+    }
+
+    fn push(&self, number: u64) {
+        lock(&self.numbers).push(number);
+        self.wake.get().iter().for_each(|wake| wake());
+    }
 
-impl Sessions {
-    /// Those that are under way.
-    pub fn live(&self) -> Vec<Arc<Session>> {
-        lock(&self.0).values().filter_map(Weak::upgrade).collect()
+    /// Takes them all.
+    pub fn take(&self) -> Vec<u64> {
+        std::mem::take(&mut *lock(&self.numbers))
     }
 }
 
 /// One client's connection. Whoever works on it shares its sockets: no descriptor is doubled.
 pub struct Session {
-    sessions: Arc<Sessions>,
-    /// The client's socket.
-    pub client: Arc<TcpStream>,
+    woken: Arc<Woken>,
+    /// Whether it is among the woken.
+    news: AtomicBool,
     /// The keys of the client and of its group.
     pub keys: (u64, u64),
     state: Mutex<State>,
@@ -49,19 +62,17 @@
     place: Place,
 }
 
-impl Drop for Session {
-    fn drop(&mut self) {
-        lock(&self.sessions.0).remove(&self.place.number);
+impl Flow for Session {
+    fn verdict(&self) {
+        self.has_news();
     }
-}
 
-impl Flow for Session {
     fn give_up(&self, attempt: u16) {
-        let mut state = lock(&self.state);
-        state.called_off = state.called_off.max(attempt + 1);
-        if let (false, Some(backend)) = (state.up, &state.backend) {
-            let _ = backend.shutdown(Shutdown::Both);
+        {
+            let mut state = lock(&self.state);
+            state.called_off = state.called_off.max(attempt + 1);
         }
+        self.has_news();
     }
 
     fn relocate(&self) {
@@ -79,8 +90,7 @@
 impl Session {
     /// A session of that client; `standing` is the backend's socket where it is up already.
     pub fn new(
-        sessions: &Arc<Sessions>,
-        client: Arc<TcpStream>,
+        woken: &Arc<Woken>,
         keys: (u64, u64),
         place: Place,
         finishes: bool,
@@ -88,9 +98,20 @@
     ) -> Arc<Session> {
         let state = State { up: standing.is_some(), backend: standing, ..State::default() };
         let state = Mutex::new(state);
-        let session = Arc::new(Session { sessions: sessions.clone(), client, keys, state, finishes, place });
-        lock(&sessions.0).insert(session.number(), Arc::downgrade(&session));
-        session
+        let (woken, news) = (woken.clone(), AtomicBool::new(false));
+        Arc::new(Session { woken, news, keys, state, finishes, place })
+    }
+
+    fn has_news(&self) {
+        if !self.news.swap(true, AcqRel) {
+            self.woken.push(self.number());
+        }
+    }
+
+    /// Its news are about to be looked at: what comes from now on wakes anew.
+    pub fn looked_at(&self) {
+        // Swapped, not stored: what was said before is seen after it.
+        self.news.swap(false, AcqRel);
     }
 
     /// Takes the socket of an attempt; false if the attempt is called off.
@@ -103,11 +124,6 @@
         true
     }
 
-    /// Whether the socket of an attempt is held.
-    pub fn holds(&self) -> bool {
-        lock(&self.state).backend.is_some()
-    }
-
     /// Gives a connection that is up away to another process: from here on nothing of this one touches its
     /// sockets, which both share. False if it is about to be moved.
     pub fn give_away(&self) -> bool {
@@ -176,17 +192,9 @@
     pub fn client_has_ended(&self) -> Option<RequestId> {
         let mut state = lock(&self.state);
         state.client_ended = true;
-        if let (false, Some(backend)) = (state.up, &state.backend) {
-            let _ = backend.shutdown(Shutdown::Both);
-        }
         state.id
     }
 
-    /// Whether the client left before its answer.
-    pub fn client_ended(&self) -> bool {
-        lock(&self.state).client_ended
-    }
-
     /// Whether the connection is up.
     pub fn is_up(&self, up: bool) {
         lock(&self.state).up = up;
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -2,9 +2,10 @@
 
 use crate::api::{Member, MemberState, ServerId};
 use crate::config::listing::Endpoint;
+use crate::sys::Wake;
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 
 /// Where the backends are, and which of them may be sent something new.
 #[derive(Default)]
@@ -12,7 +13,9 @@
     servers: Mutex<BTreeMap<ServerId, (Endpoint, MemberState)>>,
     /// Those that staff have taken out, listed or not.
     by_hand: Mutex<BTreeSet<ServerId>>,
-    changed: Condvar,
+    /// How often the list has changed.
+    version: AtomicU64,
+    wake: OnceLock<Wake>,
 }
 
 impl Directory {
@@ -45,7 +48,9 @@
                 state => drop(known.insert(member.server, (endpoint.clone(), state))),
             }
         }
-        self.changed.notify_all();
+        drop(known);
+        self.version.fetch_add(1, Relaxed);
+        self.wake.get().iter().for_each(|wake| wake());
     }
 
     /// A backend's name and address.
@@ -64,16 +69,14 @@
         ready && !self.bans().contains(&server)
     }
 
-    /// Waits until a backend has been named; the list that a relay starts with may be stale.
-    pub fn await_endpoint(&self, server: ServerId, limit: Duration) -> Option<Endpoint> {
-        let end = Instant::now() + limit;
-        let mut known = self.lock();
-        loop {
-            if let Some((endpoint, _)) = known.get(&server) {
-                return Some(endpoint.clone());
-            }
-            let left = end.checked_duration_since(Instant::now())?;
-            known = self.changed.wait_timeout(known, left).unwrap_or_else(PoisonError::into_inner).0;
-        }
+    /// From now on this is called after each change of the list. Once.
+    pub fn wakes(&self, wake: Wake) {
+        let _ = self.wake.set(wake);
+    }
+
+    /// How often the list has changed: the one that a relay starts with may be stale, and what it does not name
+    /// yet is waited for.
+    pub fn version(&self) -> u64 {
+        self.version.load(Relaxed)
     }
 }
--- a/src/platform/takeover.rs
+++ b/src/platform/takeover.rs
@@ -3,7 +3,7 @@
 //! directory that all processes of a relay share; one that stops looks there for its successor.
 
 use crate::log::log;
-use rustix::fd::{AsFd, OwnedFd};
+use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::net::sockopt::get_socket_peercred;
 use rustix::net::{
     accept_with, bind_unix, connect_unix, listen, recvmsg, sendmsg, socket_with, AddressFamily,
@@ -15,7 +15,6 @@
 use std::io::{self, IoSlice, IoSliceMut};
 use std::net::TcpStream;
 use std::path::Path;
-use std::time::Duration;
 
 /// The name of the socket. Its number is the form of the packets: a release with another form listens at
 /// another name, so neither finds the other, and what stands is moved.
@@ -121,7 +120,10 @@
     }
 }
 
-/// Takes over what an older process sends.
+/// A connection that is passed on: what is known of it, the client's socket, the backend's.
+pub type Passed = (Parcel, TcpStream, TcpStream);
+
+/// The place where older processes of this relay find this one.
 pub struct Heir(OwnedFd);
 
 impl Heir {
@@ -129,65 +131,86 @@
     pub fn open(dir: &Path) -> io::Result<Heir> {
         let own = dir.join(format!("{NAME}-{}", std::process::id()));
         let _ = fs::remove_file(&own);
-        let listener = socket(SocketFlags::empty())?;
+        let listener = socket(SocketFlags::NONBLOCK)?;
         bind_unix(&listener, &SocketAddrUnix::new(&own)?)?;
         listen(&listener, 4)?;
         fs::rename(&own, dir.join(NAME))?;
         Ok(Heir(listener))
     }
 
-    /// Takes over connections for good: the packet, the client's socket, the backend's.
-    pub fn run(&self, mut take: impl FnMut(Parcel, TcpStream, TcpStream)) -> ! {
-        loop {
-            match accept_with(&self.0, SocketFlags::CLOEXEC) {
-                Ok(link) => receive(&link, &mut take),
-                Err(rustix::io::Errno::INTR) => {}
-                Err(e) => {
-                    log(&format!("takeover: {e}"));
-                    std::thread::sleep(Duration::from_millis(50));
-                }
-            }
-        }
+    /// An older process that has come; none where none waits.
+    pub fn next(&self) -> io::Result<Older> {
+        Ok(Older { link: accept_with(&self.0, SocketFlags::CLOEXEC | SocketFlags::NONBLOCK)?, count: 0 })
     }
 }
 
-/// Receives connections until the other process is done.
-fn receive(link: &OwnedFd, mut take: impl FnMut(Parcel, TcpStream, TcpStream)) {
-    let mut packet = vec![0; MAX_PACKET];
-    let mut count = 0;
-    loop {
-        let mut space = [0; rustix::cmsg_space!(ScmRights(2))];
-        let mut control = RecvAncillaryBuffer::new(&mut space);
-        let mut parts = [IoSliceMut::new(&mut packet)];
-        let n = match recvmsg(link, &mut parts, &mut control, RecvFlags::CMSG_CLOEXEC) {
-            Ok(message) => message.bytes,
-            Err(rustix::io::Errno::INTR) => continue,
-            Err(e) => {
-                log(&format!("takeover: {e}"));
-                0
-            }
-        };
-        if n == 0 {
-            // A process that stops also looks here, and finds itself, where it has no successor.
-            if count > 0 {
-                log(&format!("takeover: {count} connections taken over"));
+impl AsFd for Heir {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.0.as_fd()
+    }
+}
+
+/// The link from an older process.
+pub struct Older {
+    link: OwnedFd,
+    count: usize,
+}
+
+impl AsFd for Older {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.link.as_fd()
+    }
+}
+
+/// What is to be expected of an older process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rest {
+    /// More may come later.
+    Later,
+    /// It is done.
+    Over,
+}
+
+impl Older {
+    /// Receives connections as far as they have come, at most so many.
+    pub fn receive(&mut self, most: usize, take: &mut dyn FnMut(Passed)) -> Rest {
+        let mut packet = vec![0; MAX_PACKET];
+        for _ in 0..most {
+            let mut space = [0; rustix::cmsg_space!(ScmRights(2))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let mut parts = [IoSliceMut::new(&mut packet)];
+            let n = match recvmsg(&self.link, &mut parts, &mut control, RecvFlags::CMSG_CLOEXEC) {
+                Ok(message) => message.bytes,
+                Err(rustix::io::Errno::INTR) => continue,
+                Err(rustix::io::Errno::AGAIN) => return Rest::Later,
+                Err(e) => {
+                    log(&format!("takeover: {e}"));
+                    0
+                }
+            };
+            if n == 0 {
+                // A process that stops also looks here, and finds itself, where it has no successor.
+                if self.count > 0 {
+                    log(&format!("takeover: {} connections taken over", self.count));
+                }
+                return Rest::Over;
             }
-            return;
-        }
-        let mut fds = Vec::new();
-        for message in control.drain() {
-            if let RecvAncillaryMessage::ScmRights(rights) = message {
-                fds.extend(rights.map(TcpStream::from));
+            let mut fds = Vec::new();
+            for message in control.drain() {
+                if let RecvAncillaryMessage::ScmRights(rights) = message {
+                    fds.extend(rights.map(TcpStream::from));
+                }
             }
-        }
-        match (Parcel::decode(&packet[..n]), fds.pop(), fds.pop()) {
-            (Ok(parcel), Some(backend), Some(client)) => {
-                count += 1;
-                take(parcel, client, backend);
+            match (Parcel::decode(&packet[..n]), fds.pop(), fds.pop()) {
+                (Ok(parcel), Some(backend), Some(client)) => {
+                    self.count += 1;
+                    take((parcel, client, backend));
+                }
+                (Ok(_), ..) => log("takeover: a packet without its sockets: no descriptors are left"),
+                (Err(e), ..) => log(&format!("takeover: {e}")),
             }
-            (Ok(_), ..) => log("takeover: a packet without its sockets: no descriptors are left"),
-            (Err(e), ..) => log(&format!("takeover: {e}")),
         }
+        Rest::Later
     }
 }
 
@@ -214,13 +237,16 @@
         };
         assert!(sent > 0 && crate::sys::timed_out(&refused), "{sent}: {refused}");
         drop(to);
-        let mut received = 0;
-        receive(&link, |got, its_client, its_backend| {
+        let (mut received, mut older) = (0, Older { link, count: 0 });
+        let mut take = |(got, its_client, its_backend): Passed| {
             assert_eq!(got, parcel);
             assert_eq!(its_client.local_addr().unwrap(), client.local_addr().unwrap());
             assert_eq!(its_backend.local_addr().unwrap(), backend.local_addr().unwrap());
             received += 1;
-        });
+        };
+        // A turn takes some; the others wait for the next.
+        assert_eq!(older.receive(1, &mut take), Rest::Later);
+        assert_eq!(older.receive(usize::MAX, &mut take), Rest::Over);
         assert_eq!(received, sent);
     }
 
