--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -1,6 +1,8 @@
 //! Measurements of the relay: all variants side by side in one run, medians of several, on this machine only. What
 //! a relay adds is read against a bare copy loop under the same TLS, which knows nothing of XML, placement or drains.
 
+pub mod line;
+
 use crate::certs::{self, Authority, Pair, Valid};
 use crate::demo::{operator, setup, DOMAIN};
 use crate::discovery::{Discovery, Entry};
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -106,9 +106,12 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "bench")]
 struct Bench {
-    /// what: xmpp
+    /// what: line or xmpp
     #[argh(positional)]
     what: String,
+    /// line: another build of the relay, measured in turn with this one
+    #[argh(option)]
+    against: Option<PathBuf>,
     /// runs of each measurement, whose median is shown (default 5)
     #[argh(option, default = "5")]
     runs: usize,
@@ -253,7 +256,21 @@
             );
             Ok(true)
         }
-        Command::Bench(b) => Err(format!("'{}' is not measured; xmpp is", b.what).into()),
+        Command::Bench(b) if b.what == "line" => {
+            let (program, dir) = (relay::program()?, scratch());
+            let plan = bench::line::Plan {
+                program,
+                against: b.against,
+                dir: dir.clone(),
+                runs: b.runs,
+                idle: b.idle,
+            };
+            let result = bench::line::run(&plan);
+            let _ = std::fs::remove_dir_all(dir);
+            print!("{}", result?);
+            Ok(true)
+        }
+        Command::Bench(b) => Err(format!("'{}' is not measured; line and xmpp are", b.what).into()),
     }
 }
 
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -31,6 +31,8 @@
     pub replace: Vec<(String, String)>,
     /// Where clients come; a free port where none is said.
     pub listen: Option<SocketAddr>,
+    /// The one processor it runs on, as on the platform; any where none is said.
+    pub core: Option<usize>,
     /// A listening socket that the platform holds and all processes of the relay inherit.
     pub held: Option<Arc<TcpListener>>,
 }
@@ -69,6 +71,19 @@
     pub addr: SocketAddr,
 }
 
+/// Starts a process on that processor alone: it inherits where this thread may run.
+fn on_core<T>(core: Option<usize>, start: impl FnOnce() -> io::Result<T>) -> io::Result<T> {
+    use rustix::process::{sched_getaffinity, sched_setaffinity, CpuSet};
+    let Some(core) = core else { return start() };
+    let all = sched_getaffinity(None)?;
+    let mut one = CpuSet::new();
+    one.set(core);
+    sched_setaffinity(None, &one)?;
+    let started = start();
+    sched_setaffinity(None, &all)?;
+    started
+}
+
 impl Relay {
     /// Starts one and waits until it serves; what it said where it does not.
     pub fn start(setup: &Setup) -> io::Result<Relay> {
@@ -97,7 +112,7 @@
             None => command.stdin(Stdio::null()),
             Some(held) => command.env("BALANCER_ACCEPT_FD", "5").stdin(OwnedFd::from(held.try_clone()?)),
         };
-        let mut child = command.stderr(Stdio::piped()).spawn()?;
+        let mut child = on_core(setup.core, || command.stderr(Stdio::piped()).spawn())?;
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
         if let Some(said) = child.stderr.take() {
             let lines = log.clone();
@@ -159,6 +174,11 @@
         line.and_then(|l| l.trim().split(' ').next()?.parse().ok()).unwrap_or(0)
     }
 
+    /// Its threads.
+    pub fn threads(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/task", self.pid())).map_or(0, |tasks| tasks.count())
+    }
+
     /// Sends it a signal by name, such as `HUP`.
     pub fn signal(&self, name: &str) -> io::Result<()> {
         let status = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.pid())).status()?;
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -307,3 +307,166 @@
 pub fn reset(stream: &TcpStream) {
     let _ = SockRef::from(stream).set_linger(Some(std::time::Duration::ZERO));
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::api::{Member, MemberState};
+    use crate::config::Config;
+    use crate::decide::{Decisions, Orders};
+    use crate::front::line::Greeting;
+    use crate::front::{Greeter, Next};
+    use crate::net::poll::{Events, Poller};
+    use crate::platform::directory::Directory;
+    use crossbeam_channel::bounded;
+    use std::io::Read;
+    use std::net::{SocketAddr, TcpListener};
+    use std::time::Duration;
+
+    const SERVER: ServerId = ServerId(1);
+    const MINUTE: Micros = 60_000_000;
+
+    struct Setup {
+        core: Arc<Core>,
+        session: Arc<Session>,
+        order: Box<dyn Order>,
+        _front: TcpStream,
+    }
+
+    /// A session before a backend in that state at that address, with this longest dial.
+    fn setup(addr: SocketAddr, state: MemberState, at: &str, dial_ms: f64) -> Setup {
+        let settings = include_str!("../../tests/data/settings.json")
+            .replace("\"dial_timeout\": 250.0", &format!("\"dial_timeout\": {dial_ms:.3}"));
+        let text = format!(r#"{{"listen":"{addr}","discovery":"{addr}","seed":"1","settings":{settings}}}"#);
+        let config = Config::parse(text.into_bytes(), &|_| None).unwrap();
+        let member = |state| Member { server: SERVER, zone: 0, cell: 0, state, size: 1.0, started: None };
+        let ((watch, _), (probe, _)) = (bounded(1), bounded(1));
+        let cached = vec![member(MemberState::Ready)];
+        let decisions = Decisions::new(config.settings.clone(), 1, cached, Orders { watch, probe });
+        let directory = Arc::new(Directory::default());
+        directory.update(true, &[(Endpoint { name: "s-1".into(), addr }, member(state))]);
+        let core = Core::new(&config, decisions, directory);
+        let door = TcpListener::bind("127.0.0.1:0").unwrap();
+        let guest = core.admission.guest(TcpStream::connect(door.local_addr().unwrap()).unwrap());
+        let mut inbox = Buffer::holding(format!("OPEN 1 7f c=one,d=60000{at}\r\n").into_bytes());
+        let rules = core.terms().rules.clone();
+        let Next::Place(order) = Greeting::new(0).next(&mut inbox, 0, &rules) else { panic!() };
+        let place = guest.request("1").unwrap();
+        let session = Session::new(&core.woken, (0x7f, 0), place, false, None);
+        Setup { core, session, order, _front: door.accept().unwrap().0 }
+    }
+
+    impl Setup {
+        fn ground(&self, id: RequestId) -> Ground<'_> {
+            Ground { core: &self.core, session: &self.session, order: &*self.order, id }
+        }
+
+        fn attempt(&self, left: Micros) -> Attempt {
+            let now = self.core.decisions.now();
+            Attempt::new(&*self.order, SERVER, now + left, 0, now)
+        }
+
+        /// Drives an attempt as the thread that serves does, to its end.
+        fn drive(&self, id: RequestId, mut attempt: Attempt) -> Result<Up, Failed> {
+            let (poller, mut events, mut ready) = (Poller::new().unwrap(), Events::default(), Vec::new());
+            let (mut told, mut watched) = (false, None);
+            loop {
+                if let Some(result) = attempt.go(self.ground(id), told) {
+                    return result;
+                }
+                if let Some((socket, interest)) = attempt.waits() {
+                    poller.watch(socket, 1, watched, Some(interest)).unwrap();
+                    watched = Some(interest);
+                }
+                poller.wait(self.core.decisions.left(attempt.due()), &mut events, &mut ready);
+                told = ready.drain(..).count() > 0;
+            }
+        }
+    }
+
+    fn listener() -> (TcpListener, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        (listener, addr)
+    }
+
+    /// A backend may leave, and a request may be answered, while the dial is under way: then not one
+    /// byte may go out on the new connection.
+    #[test]
+    fn nothing_is_sent_after_the_dial_to_a_backend_that_leaves_or_for_a_request_that_is_answered() {
+        for (state, answered) in [(MemberState::Draining, false), (MemberState::Ready, true)] {
+            let (listener, addr) = listener();
+            let s = setup(addr, state, "", 10_000.0);
+            let pick = s.core.decisions.pick(s.order.request().clone(), s.session.clone(), |_| {});
+            if answered {
+                s.core.decisions.vanish(pick.id);
+            }
+            let result = s.drive(pick.id, s.attempt(MINUTE));
+            assert!(matches!(result, Err((Outcome::Moot, _))), "{state:?} {answered}");
+            // Its socket is closed by now: the next attempt may begin.
+            let mut sent = Vec::new();
+            listener.accept().unwrap().0.read_to_end(&mut sent).unwrap();
+            assert_eq!(sent, b"", "{state:?} {answered}");
+        }
+    }
+
+    /// The wait for a connection from before the start once began anew after each silence, for good.
+    #[test]
+    fn the_wait_for_an_adopted_connection_ends() {
+        let (_listener, addr) = listener();
+        let s = setup(addr, MemberState::Ready, ",at=s-1", 10_000.0);
+        let id = s.core.decisions.adopt(s.order.request().clone(), SERVER, s.session.clone());
+        assert!(matches!(s.drive(id, s.attempt(300_000)), Err((Outcome::Timeout, _))));
+    }
+
+    /// A list that does not name its backend yet is waited for, and costs no dial.
+    #[test]
+    fn an_adopted_connection_waits_for_the_list_that_names_its_backend() {
+        let (_listener, addr) = listener();
+        let s = setup(addr, MemberState::Gone, ",at=s-1", 10_000.0);
+        let id = s.core.decisions.adopt(s.order.request().clone(), SERVER, s.session.clone());
+        let mut attempt = s.attempt(MINUTE);
+        assert!(attempt.go(s.ground(id), false).is_none() && attempt.seeks());
+        let member =
+            Member { server: SERVER, zone: 0, cell: 0, state: MemberState::Ready, size: 1.0, started: None };
+        s.core.directory.update(false, &[(Endpoint { name: "s-1".into(), addr }, member)]);
+        assert!(attempt.go(s.ground(id), false).is_none() && !attempt.seeks());
+        assert!(attempt.waits().is_some());
+    }
+
+    /// A dial has one end, whichever way it ends, and its socket is closed then with nothing sent.
+    #[test]
+    fn a_dial_that_is_refused_or_hangs_or_answers_too_late_has_one_end() {
+        // Refused: the port is held, and nobody listens.
+        let held = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        held.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        let refusing = held.local_addr().unwrap().as_socket().unwrap();
+        let s = setup(refusing, MemberState::Ready, "", 10_000.0);
+        let pick = s.core.decisions.pick(s.order.request().clone(), s.session.clone(), |_| {});
+        assert!(matches!(s.drive(pick.id, s.attempt(MINUTE)), Err((Outcome::ConnectFailed, _))));
+
+        // Black-holed: a queue that is full answers nothing to a dial.
+        let (full, addr) = listener();
+        socket2::SockRef::from(&full).listen(0).unwrap();
+        let _waiting: Vec<TcpStream> = (0..3).map(|_| dial(addr).unwrap()).collect();
+        let s = setup(addr, MemberState::Ready, "", 20.0);
+        let pick = s.core.decisions.pick(s.order.request().clone(), s.session.clone(), |_| {});
+        assert!(matches!(s.drive(pick.id, s.attempt(MINUTE)), Err((Outcome::ConnectFailed, _))));
+
+        // It answers, and its time is up before that is told.
+        let (listener, addr) = listener();
+        let s = setup(addr, MemberState::Ready, "", 1.0);
+        let pick = s.core.decisions.pick(s.order.request().clone(), s.session.clone(), |_| {});
+        let mut attempt = s.attempt(MINUTE);
+        assert!(attempt.go(s.ground(pick.id), false).is_none());
+        let (mut backend, _) = listener.accept().unwrap();
+        while s.core.decisions.now() < attempt.due() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        assert!(matches!(attempt.go(s.ground(pick.id), false), Some(Err((Outcome::ConnectFailed, _)))));
+        let mut sent = Vec::new();
+        backend.read_to_end(&mut sent).unwrap();
+        assert!(sent.is_empty() && attempt.waits().is_none());
+        assert!(attempt.go(s.ground(pick.id), true).is_none(), "it is over once");
+    }
+}
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -185,17 +185,19 @@
         let (mut events, mut ready) = (Events::default(), Vec::new());
         loop {
             let timer = self.core.decisions.fire();
+            // One look at the clock for all of a turn: it has cost more than the rest of an idle one.
+            let now = self.core.decisions.now();
             self.woken();
             self.start_probes();
             self.listed();
-            self.late();
-            if self.handle.stop.load(Relaxed) && self.drained() {
+            self.late(now);
+            if self.handle.stop.load(Relaxed) && self.drained(now) {
                 return;
             }
-            self.look();
-            self.resume();
+            self.look(now);
+            self.resume(now);
             // What this turn has given itself to do comes before the wait.
-            let limit = if self.poller.again() { Duration::ZERO } else { self.limit(timer) };
+            let limit = if self.poller.again() { Duration::ZERO } else { self.limit(timer, now) };
             self.poller.wait(limit, &mut events, &mut ready);
             for ready in ready.drain(..) {
                 self.ready(ready);
@@ -204,12 +206,12 @@
     }
 
     /// How long nothing is due.
-    fn limit(&self, timer: Option<Micros>) -> Duration {
+    fn limit(&self, timer: Option<Micros>, now: Micros) -> Duration {
         let next = self.looked + LOOK;
         let drain = self.drain.as_ref().map(|drain| drain.next);
         let due = self.due.first().map(|&(at, _)| at);
         let next = [timer, drain, due, self.paused].into_iter().flatten().fold(next, Micros::min);
-        self.core.decisions.left(next)
+        Duration::from_micros(next.saturating_sub(now))
     }
 
     fn ready(&mut self, Ready { token, read, write }: Ready) {
@@ -273,8 +275,7 @@
     }
 
     /// Calls those whose time is up.
-    fn late(&mut self) {
-        let now = self.core.decisions.now();
+    fn late(&mut self, now: Micros) {
         let late: Vec<(Micros, u64)> = self.due.range(..=(now, u64::MAX)).copied().collect();
         for (at, token) in late {
             let number = token >> NUMBER_SHIFT;
@@ -287,8 +288,7 @@
     }
 
     /// Looks at what only time shows.
-    fn look(&mut self) {
-        let now = self.core.decisions.now();
+    fn look(&mut self, now: Micros) {
         if now < self.looked + LOOK {
             return;
         }
@@ -332,8 +332,8 @@
         self.watch_doors(false);
     }
 
-    fn resume(&mut self) {
-        if self.paused.is_some_and(|until| self.core.decisions.now() >= until) {
+    fn resume(&mut self, now: Micros) {
+        if self.paused.is_some_and(|until| now >= until) {
             self.paused = None;
             self.watch_doors(true);
         }
@@ -473,8 +473,7 @@
     /// Moves the standing connections in a paced way; true once none is left, or when the platform is about to kill.
     /// Where the platform holds the listening socket, new clients are left to the process that takes over;
     /// elsewhere they are served as long as they come.
-    fn drained(&mut self) -> bool {
-        let now = self.core.decisions.now();
+    fn drained(&mut self, now: Micros) -> bool {
         let Some(mut drain) = self.drain.take() else {
             self.drain = Some(self.begin_drain(now));
             return false;
@@ -573,3 +572,78 @@
         last && self.core.admission.requests() == 0
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::api::{Member, MemberState};
+    use crate::config::listing::Endpoint;
+    use crate::config::Config;
+    use crate::decide::{Decisions, Orders};
+    use crate::platform::directory::Directory;
+    use crossbeam_channel::bounded;
+    use std::io::{ErrorKind, Read, Write};
+    use std::net::{TcpListener, TcpStream};
+
+    /// Polls until something is there; far longer than it takes, so that a slow machine changes no verdict.
+    fn until<T>(mut look: impl FnMut() -> Option<T>) -> T {
+        let end = Instant::now() + Duration::from_secs(30);
+        loop {
+            if let Some(found) = look() {
+                return found;
+            }
+            assert!(Instant::now() < end, "waited in vain");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// A lost zone once held up the probes of all others, 250 ms for each of its servers.
+    #[test]
+    fn silent_servers_do_not_hold_up_the_probes_of_the_others() {
+        let doors: Vec<TcpListener> = (0..7).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        doors.iter().for_each(|door| door.set_nonblocking(true).unwrap());
+        let text = format!(
+            r#"{{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"1","settings":{}}}"#,
+            include_str!("../../tests/data/settings.json")
+        );
+        let config = Config::parse(text.into_bytes(), &|_| None).unwrap();
+        let listed = |(n, door): (usize, &TcpListener)| {
+            let server = ServerId(n as u64);
+            let endpoint = Endpoint { name: format!("s-{n}"), addr: door.local_addr().unwrap() };
+            let state = MemberState::Ready;
+            (endpoint, Member { server, zone: 0, cell: 0, state, size: 1.0, started: None })
+        };
+        let directory = Arc::new(Directory::default());
+        directory.update(true, &doors.iter().enumerate().map(listed).collect::<Vec<_>>());
+        let ((watch, _watch), (probe, _probe)) = (bounded(1), bounded(1));
+        let decisions = Decisions::new(config.settings.clone(), 1, Vec::new(), Orders { watch, probe });
+        let (order, orders) = bounded(16);
+        let core = Core::new(&config, decisions, directory);
+        let mut engine = Engine::new(core, config.names.clone(), orders).unwrap();
+        // So long a limit that a seventh which waited for the six would never be asked.
+        engine.probe_limit = 3_600_000_000;
+        let handle = engine.handle();
+        let serving = std::thread::spawn(move || engine.run());
+        let ask = |n: usize| {
+            order.send(ServerId(n as u64)).unwrap();
+            (handle.wake)();
+            let mut asked: TcpStream = until(|| doors[n].accept().ok()).0;
+            asked.set_nonblocking(false).unwrap();
+            let mut line = [0; 7];
+            asked.read_exact(&mut line).unwrap();
+            assert_eq!(&line, b"STATS\r\n");
+            asked
+        };
+        let silent: Vec<TcpStream> = (0..6).map(ask).collect();
+        let mut seventh = ask(6);
+        seventh.write_all(b"PONG x0=0.5\r\n").unwrap();
+        // It has its answer and goes; the others are still waited for.
+        assert_eq!(seventh.read(&mut [0]).unwrap(), 0);
+        for mut stream in silent {
+            stream.set_nonblocking(true).unwrap();
+            assert_eq!(stream.read(&mut [0]).unwrap_err().kind(), ErrorKind::WouldBlock);
+        }
+        handle.stop();
+        serving.join().unwrap();
+    }
+}
--- a/src/sys.rs
+++ b/src/sys.rs
@@ -90,7 +90,7 @@
             Ok(())
         };
         let count = done.clone();
-        let work = Box::new(move || drop(count.fetch_add(1, SeqCst)));
+        let work = Box::new(move || _ = count.fetch_add(1, SeqCst));
         spawn_by(os, Duration::from_secs(3600), "serve", work).unwrap();
         assert_eq!((asked.get(), done.load(SeqCst)), (4, 1));
     }
