--- a/crates/lab/src/bench/line.rs
+++ b/crates/lab/src/bench/line.rs
@@ -175,7 +175,11 @@
     }
     let what = ["set-ups a second, 8 clients", "there and back, p50 us", "there and back, p99 us"];
     let mut out = String::new();
-    writeln!(out, "line protocol, relay on one processor, medians of {} runs, the builds in turn in each", plan.runs)?;
+    writeln!(
+        out,
+        "line protocol, relay on one processor, medians of {} runs, the builds in turn in each",
+        plan.runs
+    )?;
     for (n, what) in what.iter().enumerate() {
         let seen: Vec<f64> = variants.iter().map(|v| median(v.seen[n].clone())).collect();
         write!(out, "  {what:34}")?;
