Give the parameters of the decisions names, so that experiments set them without a build

The constants of src/logic.rs become one struct whose defaults are the same values (src/tuning.rs has the form); Balancer::tuned takes another.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,11 +37,13 @@
 pub mod net;
 pub mod ops;
 pub mod platform;
+pub mod random;
 pub mod slots;
 pub mod sys;
+pub mod tuning;
 pub mod wire;
 
-pub use logic::Balancer;
+pub use logic::{Balancer, Tuning};
 
 /// Compiles the example of the README.
 #[cfg(doctest)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,81 +6,84 @@
     Action, Class, Column, Effect, Event, Group, ListKind, Member, MemberState, Micros, Outcome, Request,
     RequestId, ServerId, Settings, Unknown, Weights, SECOND,
 };
-use crate::slots::{fraction, lay, own_key, slot, Random, NOBODY, SLOTS};
+use crate::random::Random;
+use crate::slots::{fraction, lay, own_key, slot, NOBODY, SLOTS};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Points of a server of usual size on the array: they even out the arcs (virtual bins of the paper).
-const POINTS: f32 = 48.0;
-/// Headroom over the mean (ε) of the own counts: they are small, and groups are meant to sit together.
-const EPSILON: f32 = 2.0;
-/// Bound on the jumps of one placement.
-const JUMPS: u32 = 16;
-/// What a group costs each server that holds any of it, in connections; headroom (ε) of the plan of groups.
-const GROUP_COST: f32 = 2.0;
-const PLAN_EPSILON: f32 = 0.25;
-/// Fewer arrivals say nothing of shares: all go by the same jumps; a plan is made anew at such growth.
-const PLAN_LEAST: u32 = 32;
-const PLAN_GROWTH: f32 = 1.15;
-/// Arrivals remembered, then all counts are halved; and those that count as seen before any.
-const SEEN_MOST: u32 = 1024;
-const SEEN_PRIOR: f32 = 8.0;
-/// Slow start: a cold server fills at this multiple of the mean load over the warm-up, or where reports tell
-/// more, within the rule's time, by this share of what the rule leaves beyond one capacity.
-const SLOW_START: f32 = 1.5;
-const SLOW_FILL: f32 = 0.8;
-/// Time in which a cap that was cut grows back to its whole (additive increase).
-const RECOVER: Micros = 12 * SECOND;
-/// Outlier ejection after so many failures in a row; the first time, doubled up to eight times, and jittered.
-const STRIKES: u32 = 3;
-const EJECT: Micros = 4 * SECOND;
-/// Shares of the shortest message aim from which a delay note cuts a server's cap, and moves connections.
-const DELAY_SIGN: f32 = 0.4;
-const DELAY_MOVE: f32 = 0.6;
-/// Share of the own connections moved off a strained server a second, times delay over aim.
-const MOVE_SHARE: f32 = 0.25;
-/// The fleet probes each server this often for its load over its capacity, which counts until it is stale.
-const PROBE_EVERY: Micros = SECOND / 2;
-const REPORT_STALE: Micros = 5 * SECOND;
-/// A request looks for room along its first LOOK_AT servers, LOOK_BOTH at a time: a load told longer than
-/// LOOK_STALE ago is probed anew, for no longer than LOOK_WAIT. The fallback samples LOOK_AT of all.
-const LOOK_AT: usize = 8;
-const LOOK_BOTH: usize = 2;
-const LOOK_STALE: Micros = SECOND * 3 / 2;
-const LOOK_WAIT: Micros = SECOND / 10;
-/// A server takes keys of its own zone first up to NEAR_LOAD of its capacity, all keys up to FULL_LOAD;
-/// where little is known, keys share by their hashes what is left from SOFT under BRIM on.
-const NEAR_LOAD: f32 = 0.6;
-const FULL_LOAD: f32 = 0.9;
-const BRIM: f32 = 1.0;
-const SOFT: f32 = 0.3;
-/// From MOVE_FROM on it gives some away, down to MOVE_TO, while the fleet's mean is under MOVE_ROOM.
-const MOVE_FROM: f32 = 0.9;
-const MOVE_TO: f32 = 0.75;
-const MOVE_ROOM: f32 = 0.7;
-/// Weight of a home in the own zone against one elsewhere: nearly always first, and no home more.
-const NEAR: f32 = 10.0;
-/// Share of late servers among those in use from which a group stays with its strained homes.
-const STAY_FROM: f32 = 0.15;
-/// Load shedding (AIMD): with messages late at more than SHED_FROM of the servers in use, SHED_STEP fewer
-/// clients are admitted a second, by their hashes, down to SHED_LEAST; under half that, SHED_BACK more.
-const SHED_FROM: f32 = 0.4;
-const SHED_STEP: f32 = 0.3;
-const SHED_LEAST: f32 = 0.3;
-const SHED_BACK: f32 = 0.06;
-/// Share of the set-up aim given to an attempt while further ones are allowed.
-const ATTEMPT_SHARE: f32 = 0.6;
-/// Retry budget: further attempts that a request earns for all, and how many may be saved up.
-const RETRY_SHARE: f32 = 0.3;
-const RETRY_SAVED: f32 = 4.0;
-/// Advised wait of a refused client, give or take a half: long enough that its next try meets other counts.
-const RETRY_AFTER: Micros = SECOND * 2 / 5;
-/// Backoff of a failed call for the list, at least so much a balancer of the fleet, doubled up to eight times
-/// this and jittered; the first call comes within one share: the service takes few calls a second.
-const ASK_BACKOFF: Micros = SECOND / 4;
-const ASK_SHARE: Micros = SECOND / 20;
-/// A server called back by hand is used again within this; one that drains or is full is left over that.
-const BACK_WITHIN: Micros = 3 * SECOND;
-const MOVE_SPAN: Micros = 2 * SECOND;
+crate::tuning! { Tuning {
+    /// Points of a server of usual size on the array: they even out the arcs (virtual bins of the paper).
+    points: f32 = 48.0;
+    /// Headroom over the mean (ε) of the own counts: they are small, and groups are meant to sit together.
+    epsilon: f32 = 2.0;
+    /// Bound on the jumps of one placement.
+    jumps: u32 = 16;
+    /// What a group costs each server that holds any of it, in connections; headroom (ε) of the plan of groups.
+    group_cost: f32 = 2.0;
+    plan_epsilon: f32 = 0.25;
+    /// Fewer arrivals say nothing of shares: all go by the same jumps; a plan is made anew at such growth.
+    plan_least: u32 = 32;
+    plan_growth: f32 = 1.15;
+    /// Arrivals remembered, then all counts are halved; and those that count as seen before any.
+    seen_most: u32 = 1024;
+    seen_prior: f32 = 8.0;
+    /// Slow start: a cold server fills at this multiple of the mean load over the warm-up, or where reports tell
+    /// more, within the rule's time, by this share of what the rule leaves beyond one capacity.
+    slow_start: f32 = 1.5;
+    slow_fill: f32 = 0.8;
+    /// Time in which a cap that was cut grows back to its whole (additive increase).
+    recover: Micros = 12 * SECOND;
+    /// Outlier ejection after so many failures in a row; the first time, doubled up to eight times, and jittered.
+    strikes: u32 = 3;
+    eject: Micros = 4 * SECOND;
+    /// Shares of the shortest message aim from which a delay note cuts a server's cap, and moves connections.
+    delay_sign: f32 = 0.4;
+    delay_move: f32 = 0.6;
+    /// Share of the own connections moved off a strained server a second, times delay over aim.
+    move_share: f32 = 0.25;
+    /// The fleet probes each server this often for its load over its capacity, which counts until it is stale.
+    probe_every: Micros = SECOND / 2;
+    report_stale: Micros = 5 * SECOND;
+    /// A request looks for room along its first LOOK_AT servers, LOOK_BOTH at a time: a load told longer than
+    /// LOOK_STALE ago is probed anew, for no longer than LOOK_WAIT. The fallback samples LOOK_AT of all.
+    look_at: usize = 8;
+    look_both: usize = 2;
+    look_stale: Micros = SECOND * 3 / 2;
+    look_wait: Micros = SECOND / 10;
+    /// A server takes keys of its own zone first up to NEAR_LOAD of its capacity, all keys up to FULL_LOAD;
+    /// where little is known, keys share by their hashes what is left from SOFT under BRIM on.
+    near_load: f32 = 0.6;
+    full_load: f32 = 0.9;
+    brim: f32 = 1.0;
+    soft: f32 = 0.3;
+    /// From MOVE_FROM on it gives some away, down to MOVE_TO, while the fleet's mean is under MOVE_ROOM.
+    move_from: f32 = 0.9;
+    move_to: f32 = 0.75;
+    move_room: f32 = 0.7;
+    /// Weight of a home in the own zone against one elsewhere: nearly always first, and no home more.
+    near: f32 = 10.0;
+    /// Share of late servers among those in use from which a group stays with its strained homes.
+    stay_from: f32 = 0.15;
+    /// Load shedding (AIMD): with messages late at more than SHED_FROM of the servers in use, SHED_STEP fewer
+    /// clients are admitted a second, by their hashes, down to SHED_LEAST; under half that, SHED_BACK more.
+    shed_from: f32 = 0.4;
+    shed_step: f32 = 0.3;
+    shed_least: f32 = 0.3;
+    shed_back: f32 = 0.06;
+    /// Share of the set-up aim given to an attempt while further ones are allowed.
+    attempt_share: f32 = 0.6;
+    /// Retry budget: further attempts that a request earns for all, and how many may be saved up.
+    retry_share: f32 = 0.3;
+    retry_saved: f32 = 4.0;
+    /// Advised wait of a refused client, give or take a half: long enough that its next try meets other counts.
+    retry_after: Micros = SECOND * 2 / 5;
+    /// Backoff of a failed call for the list, at least so much a balancer of the fleet, doubled up to eight times
+    /// this and jittered; the first call comes within one share: the service takes few calls a second.
+    ask_backoff: Micros = SECOND / 4;
+    ask_share: Micros = SECOND / 20;
+    /// A server called back by hand is used again within this; one that drains or is full is left over that.
+    back_within: Micros = 3 * SECOND;
+    move_span: Micros = 2 * SECOND;
+}}
 
 const TIMER_DEADLINE: u64 = 1 << 32;
 const TIMER_HOLD: u64 = 2 << 32;
@@ -151,6 +154,8 @@
 #[derive(Default)]
 pub struct Balancer {
     settings: Settings,
+    /// Its parameters.
+    t: Tuning,
     rng: Random,
     now: Micros,
     servers: Vec<Server>,
@@ -185,15 +190,20 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         Balancer {
             settings,
-            rng: Random(oorandom::Rand64::new(u128::from(seed))),
+            rng: Random::new(seed),
             ready_slots: vec![NOBODY; SLOTS],
             known_slots: vec![NOBODY; SLOTS],
             admitted: 1.0,
-            retries: RETRY_SAVED,
+            retries: Tuning::default().retry_saved,
             ..Balancer::default()
         }
     }
 
+    /// The same with other parameters: for experiments.
+    pub fn tuned(self, t: Tuning) -> Self {
+        Balancer { retries: t.retry_saved, t, ..self }
+    }
+
     /// Takes one event and adds what is to be done. One that names something unknown changes nothing.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Out) -> Result<(), Unknown> {
         self.now = now;
@@ -221,13 +231,13 @@
     fn members(&mut self, kind: ListKind, members: Vec<Member>, out: &mut Out) {
         // Who has not asked within `ask_within` counts as told: no turn may be longer.
         let within = self.settings.ask_within.max(2);
-        let share = (ASK_SHARE * u64::from(self.settings.balancers.max(1))).min(within / 2);
+        let share = (self.t.ask_share * u64::from(self.settings.balancers.max(1))).min(within / 2);
         if kind == ListKind::Failed {
             // A failed call or a dropped subscription: ask anew, and not in step with the others.
             self.watching = false;
-            let wait = (ASK_BACKOFF.max(share) << self.ask_failures.min(3)).min(within);
+            let wait = (self.t.ask_backoff.max(share) << self.ask_failures.min(3)).min(within);
             self.ask_failures += 1;
-            out.push(Action::Timer(self.now + wait / 2 + self.rng.0.rand_range(0..wait), TIMER_ASK));
+            out.push(Action::Timer(self.now + wait / 2 + self.rng.range(0..wait), TIMER_ASK));
             return;
         }
         let moved = kind == ListKind::Moved;
@@ -239,7 +249,7 @@
         if moved || (kind == ListKind::Cached && self.settings.list_on_request) {
             // Who knows no server has nothing to serve from meanwhile.
             let turn = if members.is_empty() && self.ready.is_empty() { 1 } else { share };
-            out.push(Action::Timer(self.now + self.rng.0.rand_range(0..turn), TIMER_ASK));
+            out.push(Action::Timer(self.now + self.rng.range(0..turn), TIMER_ASK));
         }
         let mut left = Vec::new();
         if matches!(kind, ListKind::Full | ListKind::Cached) {
@@ -263,7 +273,7 @@
         if m.state == MemberState::Gone && !self.index.contains_key(&m.server) {
             return;
         }
-        let phase = self.rng.0.rand_float() as f32;
+        let phase = self.rng.float();
         let i = self.entry(m.server);
         if m.started != self.servers[i].started {
             // The same id with a new start is a cold process: its past says nothing.
@@ -314,7 +324,7 @@
             self.evacuate(server, 1.0, out);
         } else {
             self.forget(i, 0.0);
-            let due = self.now + self.rng.0.rand_range(0..BACK_WITHIN);
+            let due = self.now + self.rng.range(0..self.t.back_within);
             let s = &mut self.servers[i];
             (s.ready, s.due) = (s.listed && !s.gone, Some(due));
             s.back = Some(self.now).filter(|_| s.started <= Some(s.told));
@@ -322,12 +332,6 @@
         self.rebuild();
     }
 
-    fn ask(&mut self, out: &mut Out) {
-        if !std::mem::replace(&mut self.watching, true) {
-            out.push(Action::Watch(true));
-        }
-    }
-
     fn rebuild(&mut self) {
         self.servers.retain(|s| !s.gone || s.held > 0);
         self.index = self.servers.iter().enumerate().map(|(i, s)| (s.id, i)).collect();
@@ -338,12 +342,12 @@
         // Live sizes change all the time: homes must not move with them.
         let nominal =
             |s: &Server| if self.settings.weights == Weights::Nominal { s.size / unit } else { 1.0 };
-        let points = |s: &Server| (POINTS * nominal(s)).round().clamp(1.0, 8.0 * POINTS) as u32;
+        let points = |s: &Server| (self.t.points * nominal(s)).round().clamp(1.0, 8.0 * self.t.points) as u32;
         let all = || self.servers.iter().enumerate().map(|(i, s)| (i as u32, s));
         let of = |(i, s): (u32, &Server)| (i, s.id, points(s));
         lay(&mut self.ready_slots, &all().filter(|(_, s)| s.ready).map(of).collect::<Vec<_>>());
         lay(&mut self.known_slots, &all().filter(|(_, s)| !s.gone).map(of).collect::<Vec<_>>());
-        self.replan();
+        (self.planned_at, self.homes) = (self.seen_all, self.plan());
     }
 
     /// RJ-CH for the whole fleet, as far as one proxy can tell: the groups seen here, by their shares here,
@@ -351,20 +355,20 @@
     /// each costs its servers anew. First homes come before second ones: they hardly depend on estimates.
     fn plan(&self) -> Homes {
         let mut homes = Homes::new();
-        let cost = GROUP_COST / (self.held as f32 * self.settings.balancers as f32).max(1.0);
+        let cost = self.t.group_cost / (self.held as f32 * self.settings.balancers as f32).max(1.0);
         let groups = self.ready.len().max(self.seen.len()) as f32;
         // A cold server counts for what it can do by now, or it gets more homes than it can take (id5986d).
         let able: Vec<f32> = self.servers.iter().map(|s| s.size * self.warmth(s)).collect();
         let sizes: f32 = self.ready.iter().map(|&i| able[i]).sum();
-        let cap = (1.0 + PLAN_EPSILON) * (1.0 + cost * groups) / sizes.max(f32::MIN_POSITIVE);
+        let cap = (1.0 + self.t.plan_epsilon) * (1.0 + cost * groups) / sizes.max(f32::MIN_POSITIVE);
         let mut room: Vec<f32> = able.iter().map(|able| cap * able).collect();
-        let all = self.seen_all as f32 + SEEN_PRIOR;
+        let all = self.seen_all as f32 + self.t.seen_prior;
         let mut rest: Vec<_> = self.seen.iter().map(|(&g, &n)| (g, n as f32 / all, 0)).collect();
         while !rest.is_empty() {
             for (group, share, attempt) in &mut rest {
                 let own = homes.entry(*group).or_default();
                 let mut best: Option<(f32, usize)> = None;
-                for _ in 0..JUMPS {
+                for _ in 0..self.t.jumps {
                     let owner = self.ready_slots[slot(*group, *attempt)] as usize;
                     *attempt += 1;
                     let Some(able) = able.get(owner) else { return homes };
@@ -393,11 +397,6 @@
         homes
     }
 
-    fn replan(&mut self) {
-        self.planned_at = self.seen_all;
-        self.homes = self.plan();
-    }
-
     fn count(&mut self, group: u64) {
         if group == 0 {
             return;
@@ -406,14 +405,14 @@
         *n += 1;
         let fresh = *n == 1;
         self.seen_all += 1;
-        if self.seen_all >= SEEN_MOST {
+        if self.seen_all >= self.t.seen_most {
             self.seen.values_mut().for_each(|n| *n /= 2);
             self.seen.retain(|_, n| *n > 0);
             self.seen_all = self.seen.values().sum();
             self.planned_at = self.seen_all;
         }
-        if fresh || self.seen_all as f32 > self.planned_at as f32 * PLAN_GROWTH {
-            self.replan();
+        if fresh || self.seen_all as f32 > self.planned_at as f32 * self.t.plan_growth {
+            (self.planned_at, self.homes) = (self.seen_all, self.plan());
         }
     }
 
@@ -423,11 +422,11 @@
 
     /// C = ⌈(1 + ε)·n/k⌉, by size, with a floor; below it where the server is cold or shows strain.
     fn cap(&self, s: &Server) -> f32 {
-        ((1.0 + EPSILON) * self.mean(s.size)).ceil().max(1.0) * self.scale(s)
+        ((1.0 + self.t.epsilon) * self.mean(s.size)).ceil().max(1.0) * self.scale(s)
     }
 
     fn scale(&self, s: &Server) -> f32 {
-        let whole = s.cut_at.map_or(1.0, |at| self.now.saturating_sub(at) as f32 / RECOVER as f32);
+        let whole = s.cut_at.map_or(1.0, |at| self.now.saturating_sub(at) as f32 / self.t.recover as f32);
         whole.min(1.0).min(self.warmth(s))
     }
 
@@ -442,9 +441,9 @@
     fn credited(&mut self, i: usize) -> bool {
         let (warmth, size) = (self.warmth(&self.servers[i]), self.servers[i].size);
         let all = if self.alone > 0.0 { size / self.alone / self.settings.balancers as f32 } else { 0.0 };
-        let fill =
-            SLOW_FILL * (self.settings.overload_factor - 1.0).max(0.0) * all / self.settings.fall as f32;
-        let pace = fill.max(SLOW_START * self.mean(size) / self.settings.warm_within as f32) * warmth;
+        let fill = self.t.slow_fill * (self.settings.overload_factor - 1.0).max(0.0) * all
+            / self.settings.fall as f32;
+        let pace = fill.max(self.t.slow_start * self.mean(size) / self.settings.warm_within as f32) * warmth;
         let s = &mut self.servers[i];
         s.credit = (s.credit + self.now.saturating_sub(s.credit_at) as f32 * pace).min(1.0);
         s.credit_at = self.now;
@@ -452,7 +451,7 @@
     }
 
     fn failed(&mut self, i: usize, outcome: Outcome) {
-        let jitter = self.rng.0.rand_range(0..EJECT);
+        let jitter = self.rng.range(0..self.t.eject);
         let s = &mut self.servers[i];
         if outcome == Outcome::Full {
             // Turned away: the cap was too high here, whatever the count says.
@@ -461,17 +460,13 @@
         }
         s.strikes += 1;
         s.load_at = s.load_at.filter(|_| outcome != Outcome::ConnectFailed);
-        if s.strikes >= STRIKES || outcome == Outcome::ConnectFailed {
-            s.ejected_until = self.now + (EJECT << s.ejections.min(3)) - EJECT / 2 + jitter;
+        if s.strikes >= self.t.strikes || outcome == Outcome::ConnectFailed {
+            s.ejected_until = self.now + (self.t.eject << s.ejections.min(3)) - self.t.eject / 2 + jitter;
             s.ejections += 1;
             s.strikes = 0;
         }
     }
 
-    fn succeeded(&mut self, i: usize) {
-        (self.servers[i].strikes, self.servers[i].ejections) = (0, 0);
-    }
-
     fn delay(&mut self, id: RequestId, server: ServerId, took: Micros, out: &mut Out) -> Result<(), Unknown> {
         let aims = self.settings.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > 0);
         let share = took as f32 / aims.min().unwrap_or(SECOND / 10) as f32;
@@ -480,14 +475,14 @@
             return Err(Unknown::Request(id));
         }
         // Some are slow without much to do: while there is known to be room, only late messages count.
-        let room = self.load(&self.servers[i]).is_some_and(|load| load < NEAR_LOAD);
-        if share < if room { 1.0 } else { DELAY_SIGN } {
+        let room = self.load(&self.servers[i]).is_some_and(|load| load < self.t.near_load);
+        if share < if room { 1.0 } else { self.t.delay_sign } {
             return Ok(());
         }
         self.servers[i].cut_at = Some(self.now);
         self.late_notes += u32::from(share >= 1.0);
-        let moves = MOVE_SHARE * self.servers[i].held as f32 * share;
-        if share >= DELAY_MOVE && (self.rng.0.rand_float() as f32) < moves {
+        let moves = self.t.move_share * self.servers[i].held as f32 * share;
+        if share >= self.t.delay_move && self.rng.float() < moves {
             let id = self.leaver(i, id);
             self.relocate(id, out);
         }
@@ -505,10 +500,11 @@
         let in_use = self.servers.iter().filter(|s| s.held > 0).count().max(1);
         self.late_share = (self.late_share + self.late_notes as f32 / in_use as f32) / 2.0;
         (self.late_notes, self.second) = (0, self.now);
-        if self.late_share > SHED_FROM && (self.unit == 0.0 || self.mean_load > MOVE_ROOM) {
-            self.admitted = (self.admitted * (1.0 - SHED_STEP * self.late_share.min(1.0))).max(SHED_LEAST);
-        } else if self.late_share < SHED_FROM / 2.0 {
-            self.admitted = (self.admitted + SHED_BACK * seconds).min(1.0);
+        if self.late_share > self.t.shed_from && (self.unit == 0.0 || self.mean_load > self.t.move_room) {
+            self.admitted =
+                (self.admitted * (1.0 - self.t.shed_step * self.late_share.min(1.0))).max(self.t.shed_least);
+        } else if self.late_share < self.t.shed_from / 2.0 {
+            self.admitted = (self.admitted + self.t.shed_back * seconds).min(1.0);
         }
     }
 
@@ -523,8 +519,8 @@
         let n = self.ready.len().max(1);
         self.probes += 1;
         out.extend(self.ready.get(self.probes % n).map(|&i| Action::Probe(self.servers[i].id)));
-        let wait = PROBE_EVERY * u64::from(self.settings.balancers.max(3)) / n as u64;
-        out.push(Action::Timer(self.now + wait / 2 + self.rng.0.rand_range(0..wait), TIMER_PROBE));
+        let wait = self.t.probe_every * u64::from(self.settings.balancers.max(3)) / n as u64;
+        out.push(Action::Timer(self.now + wait / 2 + self.rng.range(0..wait), TIMER_PROBE));
     }
 
     fn probed(&mut self, server: ServerId, outcome: Outcome, report: &[f32], out: &mut Out) {
@@ -542,20 +538,20 @@
     /// Probes those of a request's first servers whose load is not known; whether it waits for the answers.
     fn look(&mut self, p: &Pending, out: &mut Out) -> bool {
         let told = self.settings.may_probe && self.settings.columns.contains(&Column::Load);
-        if !told || !p.tried.is_empty() || self.now + p.request.left >= p.deadline + LOOK_WAIT {
+        if !told || !p.tried.is_empty() || self.now + p.request.left >= p.deadline + self.t.look_wait {
             return false;
         }
         let (mut list, _) = self.jumps(p);
         list.sort_by_key(|&i| !self.planned() || self.servers[i].zone != self.settings.zone);
-        let fresh = |s: &Server| s.probed_at.is_some_and(|at| self.now < at + LOOK_STALE);
-        let room = |s: &Server| fresh(s) && self.load(s).is_some_and(|load| load < NEAR_LOAD);
+        let fresh = |s: &Server| s.probed_at.is_some_and(|at| self.now < at + self.t.look_stale);
+        let room = |s: &Server| fresh(s) && self.load(s).is_some_and(|load| load < self.t.near_load);
         let before = list.iter().position(|&i| room(&self.servers[i])).unwrap_or(list.len());
-        list.truncate(before.min(LOOK_AT));
+        list.truncate(before.min(self.t.look_at));
         list.retain(|&i| !fresh(&self.servers[i]));
-        list.truncate(LOOK_BOTH);
+        list.truncate(self.t.look_both);
         for &i in &list {
             let s = &mut self.servers[i];
-            if s.looked_at.is_none_or(|at| self.now >= at + LOOK_WAIT) {
+            if s.looked_at.is_none_or(|at| self.now >= at + self.t.look_wait) {
                 s.looked_at = Some(self.now);
                 out.push(Action::Probe(s.id));
             }
@@ -576,17 +572,17 @@
         for s in self.ready.iter().map(|&i| &self.servers[i]).filter(|s| s.load_at.is_some()) {
             let able = s.size * self.warmth(s);
             (work, sizes, active) = (work + s.load * able, sizes + able, active + s.active);
-            loads += s.active + GROUP_COST * s.active.min(self.seen.len() as f32);
+            loads += s.active + self.t.group_cost * s.active.min(self.seen.len() as f32);
         }
         (self.unit, self.alone, self.mean_load) =
             (work / active.max(1.0), work / loads.max(1.0), work / sizes);
-        if news && load > MOVE_FROM && self.mean_load < MOVE_ROOM {
-            self.evacuate(self.servers[i].id, (load - MOVE_TO) / load, out);
+        if news && load > self.t.move_from && self.mean_load < self.t.move_room {
+            self.evacuate(self.servers[i].id, (load - self.t.move_to) / load, out);
         }
     }
 
     fn load(&self, s: &Server) -> Option<f32> {
-        let fresh = s.load_at.is_some_and(|at| self.now < at + REPORT_STALE);
+        let fresh = s.load_at.is_some_and(|at| self.now < at + self.t.report_stale);
         let all = (self.settings.balancers as f32 / 3.0).max(1.0);
         fresh.then(|| s.load + s.since * all * self.unit / s.size / self.warmth(s))
     }
@@ -602,11 +598,11 @@
         let (list, homes) = self.jumps(p);
         let fits = |i: &&usize| self.under_cap(**i, own);
         let own_zone = |i: &&usize| self.planned() && self.servers[**i].zone == self.settings.zone;
-        let room = |i: &&usize| self.load(&self.servers[**i]).is_some_and(|load| load < NEAR_LOAD);
+        let room = |i: &&usize| self.load(&self.servers[**i]).is_some_and(|load| load < self.t.near_load);
         let near = list.iter().filter(own_zone).filter(room).find(fits);
         let far = list.iter().filter(room).find(fits);
         // Jumping on from strained homes would make further servers pay for the group: a jam feeds itself.
-        let stay = list.first().filter(|_| self.planned() && self.late_share >= STAY_FROM);
+        let stay = list.first().filter(|_| self.planned() && self.late_share >= self.t.stay_from);
         let found =
             near.or(list[..homes].iter().find(fits)).or(far).or(stay).or(list.iter().find(fits)).copied();
         found.or_else(|| self.fallback(own, p))
@@ -614,7 +610,7 @@
 
     /// Whether the own estimates of groups and loads are better than none.
     fn planned(&self) -> bool {
-        self.seen_all >= PLAN_LEAST
+        self.seen_all >= self.t.plan_least
     }
 
     /// The servers that a request may use: its group's homes, so many, and then as its key jumps.
@@ -624,7 +620,9 @@
         let mut list = self.order(key, own);
         list.retain(|&i| self.usable(i, p));
         let homes = list.len();
-        for owner in (0..JUMPS).map(|jump| self.ready_slots[slot(key, jump)] as usize).collect::<Vec<_>>() {
+        for owner in
+            (0..self.t.jumps).map(|jump| self.ready_slots[slot(key, jump)] as usize).collect::<Vec<_>>()
+        {
             if owner < self.servers.len() && !list.contains(&owner) && self.usable(owner, p) {
                 list.push(owner);
             }
@@ -643,7 +641,7 @@
     /// A group's homes in this client's order: weighted rendezvous, so that one more moves only its own.
     fn order(&self, group: u64, own: u64) -> Vec<usize> {
         let Some(list) = self.homes.get(&group).filter(|_| self.planned()) else { return Vec::new() };
-        let near = |i: usize| if self.servers[i].zone == self.settings.zone { NEAR } else { 1.0 };
+        let near = |i: usize| if self.servers[i].zone == self.settings.zone { self.t.near } else { 1.0 };
         let score =
             |i: usize, share: f32| -(1.0 - fraction(own, self.servers[i].id.0)).ln() / share / near(i);
         let mut order: Vec<(f32, usize)> = list.iter().map(|&(i, share)| (score(i, share), i)).collect();
@@ -683,8 +681,8 @@
         let s = &self.servers[i];
         let share = fraction(own, s.id.0);
         match self.load(s) {
-            Some(load) if self.planned() => load < FULL_LOAD,
-            Some(load) => load + SOFT * share < BRIM && share * self.warmth(s) < self.scale(s),
+            Some(load) if self.planned() => load < self.t.full_load,
+            Some(load) => load + self.t.soft * share < self.t.brim && share * self.warmth(s) < self.scale(s),
             None => s.held as f32 + share < self.cap(s),
         }
     }
@@ -692,15 +690,15 @@
     /// The least loaded of a sample, the ejected last: when all seem bad, health says nothing.
     fn fallback(&mut self, own: u64, p: &Pending) -> Option<usize> {
         let n = self.ready.len();
-        let pick = |k: usize| if n > LOOK_AT { self.rng.0.rand_range(0..n as u64) as usize } else { k };
-        let mut sample: Vec<usize> = (0..LOOK_AT.min(n)).map(pick).map(|k| self.ready[k]).collect();
+        let pick = |k: usize| if n > self.t.look_at { self.rng.range(0..n as u64) as usize } else { k };
+        let mut sample: Vec<usize> = (0..self.t.look_at.min(n)).map(pick).map(|k| self.ready[k]).collect();
         let told = |s: &Server| !self.planned() && self.load(s).is_some();
         sample.retain(|&i| !told(&self.servers[i]) || self.under_cap(i, own));
         sample.retain(|&i| self.lawful(i, p));
         let rank = |i: usize| {
             let s = &self.servers[i];
             // One that fails some is better than one without room, unless it cannot be reached.
-            let room = s.load_at.is_some() && s.load < NEAR_LOAD;
+            let room = s.load_at.is_some() && s.load < self.t.near_load;
             let over = (self.now < s.ejected_until && !room, !self.under_cap(i, own));
             // A new server counts at the others' mean until it holds something.
             let new = s.held == 0 && s.started.is_some();
@@ -730,7 +728,7 @@
     fn stands(&mut self, i: usize, id: RequestId, out: &mut Out) {
         let s = &self.servers[i];
         if !self.settings.passes_through && !s.ready && !s.gone {
-            let at = self.now + self.rng.0.rand_range(0..MOVE_SPAN);
+            let at = self.now + self.rng.range(0..self.t.move_span);
             out.push(Action::Timer(at, TIMER_MOVE | u64::from(id.0)));
         }
     }
@@ -759,7 +757,7 @@
         let broke = again && self.retries < 1.0;
         let spare = (p.tried.len() as u32 + 1) < self.settings.max_attempts && self.retries >= 2.0;
         // Not so short that a server which is merely slow loses its work, unless it is the last.
-        let share = (class.aim as f32 * ATTEMPT_SHARE) as Micros;
+        let share = (class.aim as f32 * self.t.attempt_share) as Micros;
         let until = if spare { p.deadline.min(self.now + share.max(self.settings.tick)) } else { p.deadline };
         let may_repeat = match (p.ran, class.effect) {
             (None, _) | (_, Effect::Safe) => true,
@@ -774,8 +772,11 @@
         let found = if self.look(&p, out) { None } else { self.place(&p) };
         if let Some(i) = found {
             self.take(i);
-            self.retries =
-                if again { self.retries - 1.0 } else { (self.retries + RETRY_SHARE).min(RETRY_SAVED) };
+            self.retries = if again {
+                self.retries - 1.0
+            } else {
+                (self.retries + self.t.retry_share).min(self.t.retry_saved)
+            };
             let s = &mut self.servers[i];
             s.due = None;
             s.credit -= 1.0;
@@ -786,7 +787,7 @@
         } else if p.tried.is_empty() {
             // One timer at a time, however many probes let it look again meanwhile.
             if p.wakes <= self.now {
-                p.wakes = self.now + LOOK_WAIT;
+                p.wakes = self.now + self.t.look_wait;
                 out.push(Action::Timer(p.wakes, TIMER_HOLD | u64::from(p.request.id.0)));
             }
         } else {
@@ -804,7 +805,7 @@
         let repeats = matches!(p.class.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let id = p.request.id;
         let spread = 0.5 + fraction(own_key(&p.request), self.now);
-        let wait = ((RETRY_AFTER as f32 * spread) as Micros).min(self.settings.max_retry_after);
+        let wait = ((self.t.retry_after as f32 * spread) as Micros).min(self.settings.max_retry_after);
         out.push(if repeats || !maybe_ran { Action::Refuse(id, wait) } else { Action::Fail(id) });
     }
 
@@ -815,7 +816,7 @@
         }
         let server = p.server;
         let i = self.entry(server);
-        self.succeeded(i);
+        (self.servers[i].strikes, self.servers[i].ejections) = (0, 0);
         self.stands(i, id, out);
         Ok(())
     }
@@ -829,7 +830,7 @@
         self.servers[i].held -= 1;
         self.held -= 1;
         match outcome {
-            Outcome::Ok => self.succeeded(i),
+            Outcome::Ok => (self.servers[i].strikes, self.servers[i].ejections) = (0, 0),
             Outcome::Cancelled | Outcome::Moot => {}
             Outcome::Reset if p.phase == Phase::Up => self.servers[i].cut_at = Some(self.now),
             _ => self.failed(i, outcome),
@@ -875,7 +876,7 @@
                 None => {}
             },
             TIMER_MOVE => self.relocate(id, out),
-            TIMER_ASK => self.ask(out),
+            TIMER_ASK if !std::mem::replace(&mut self.watching, true) => out.push(Action::Watch(true)),
             TIMER_PROBE => self.probe(out),
             _ => {}
         }
@@ -899,7 +900,7 @@
 
     fn evacuate(&mut self, server: ServerId, share: f32, out: &mut Out) {
         for p in self.pending.values().filter(|p| p.server == server && p.phase == Phase::Up) {
-            let at = self.now + self.rng.0.rand_range(0..MOVE_SPAN);
+            let at = self.now + self.rng.range(0..self.t.move_span);
             if fraction(own_key(&p.request), at) < share {
                 out.push(Action::Timer(at, TIMER_MOVE | u64::from(p.request.id.0)));
             }
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -1,7 +1,6 @@
-//! The slot array of RJ-CH and its hashes, which never change (all balancers must agree); random numbers.
+//! The slot array of RJ-CH and its hashes, which never change: all balancers must agree.
 
 use crate::api::{Request, ServerId};
-use oorandom::Rand64;
 
 /// Slots of the array (m): the points of a thousand servers seldom collide.
 pub const SLOTS: usize = 1 << 15;
@@ -62,12 +61,3 @@
         owner = *slot;
     }
 }
-
-/// Random numbers of one balancer.
-pub struct Random(pub Rand64);
-
-impl Default for Random {
-    fn default() -> Self {
-        Random(Rand64::new(0))
-    }
-}
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -49,3 +49,18 @@
     assert!(deploy.contains(&format!("policy = {MODULE:?}")));
     assert!(deploy.contains("sim = \"exec target/release/jaspermoor-simhost\""));
 }
+
+/// A sweep that names what nobody reads, or a value that would become another one, once would have measured nothing.
+#[test]
+fn a_parameter_is_set_by_its_name_or_not_at_all() {
+    use jaspermoor::Tuning;
+    let mut t = Tuning::default();
+    for name in Tuning::NAMES {
+        let value = t.get(name).unwrap();
+        assert!(t.set(name, value) && t == Tuning::default(), "{name}");
+    }
+    assert!(t.set("soft", 0.45) && t.soft == 0.45 && t.get("soft").is_some());
+    for (name, value) in [("SOFT", 1.0), ("", 1.0), ("look_at", -3.0), ("soft", f64::NAN), ("jumps", 1e12)] {
+        assert!(!t.set(name, value), "{name} {value}");
+    }
+}
