--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,78 +11,78 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 crate::tuning! { Tuning {
-    /// Points of a server of usual size on the array: they even out the arcs (virtual bins of the paper).
-    points: f32 = 48.0;
-    /// Headroom over the mean (ε) of the own counts: they are small, and groups are meant to sit together.
-    epsilon: f32 = 2.0;
-    /// Bound on the jumps of one placement.
-    jumps: u32 = 16;
-    /// What a group costs each server that holds any of it, in connections; headroom (ε) of the plan of groups.
-    group_cost: f32 = 2.0;
-    plan_epsilon: f32 = 0.25;
-    /// Fewer arrivals say nothing of shares: all go by the same jumps; a plan is made anew at such growth.
-    plan_least: u32 = 32;
-    plan_growth: f32 = 1.15;
-    /// Arrivals remembered, then all counts are halved; and those that count as seen before any.
-    seen_most: u32 = 1024;
-    seen_prior: f32 = 8.0;
-    /// Slow start: a cold server fills at this multiple of the mean load over the warm-up, or where reports tell
-    /// more, within the rule's time, by this share of what the rule leaves beyond one capacity.
-    slow_start: f32 = 1.5;
-    slow_fill: f32 = 0.8;
-    /// Time in which a cap that was cut grows back to its whole (additive increase).
-    recover: Micros = 12 * SECOND;
-    /// Outlier ejection after so many failures in a row; the first time, doubled up to eight times, and jittered.
-    strikes: u32 = 3;
-    eject: Micros = 4 * SECOND;
-    /// Shares of the shortest message aim from which a delay note cuts a server's cap, and moves connections.
-    delay_sign: f32 = 0.4;
-    delay_move: f32 = 0.6;
-    /// Share of the own connections moved off a strained server a second, times delay over aim.
-    move_share: f32 = 0.25;
-    /// The fleet probes each server this often for its load over its capacity, which counts until it is stale.
-    probe_every: Micros = SECOND / 2;
-    report_stale: Micros = 5 * SECOND;
-    /// A request looks for room along its first LOOK_AT servers, LOOK_BOTH at a time: a load told longer than
-    /// LOOK_STALE ago is probed anew, for no longer than LOOK_WAIT. The fallback samples LOOK_AT of all.
-    look_at: usize = 8;
-    look_both: usize = 2;
-    look_stale: Micros = SECOND * 3 / 2;
-    look_wait: Micros = SECOND / 10;
-    /// A server takes keys of its own zone first up to NEAR_LOAD of its capacity, all keys up to FULL_LOAD;
-    /// where little is known, keys share by their hashes what is left from SOFT under BRIM on.
-    near_load: f32 = 0.6;
-    full_load: f32 = 0.9;
-    brim: f32 = 1.0;
-    soft: f32 = 0.3;
-    /// From MOVE_FROM on it gives some away, down to MOVE_TO, while the fleet's mean is under MOVE_ROOM.
-    move_from: f32 = 0.9;
-    move_to: f32 = 0.75;
-    move_room: f32 = 0.7;
-    /// Weight of a home in the own zone against one elsewhere: nearly always first, and no home more.
-    near: f32 = 10.0;
-    /// Share of late servers among those in use from which a group stays with its strained homes.
-    stay_from: f32 = 0.15;
-    /// Load shedding (AIMD): with messages late at more than SHED_FROM of the servers in use, SHED_STEP fewer
-    /// clients are admitted a second, by their hashes, down to SHED_LEAST; under half that, SHED_BACK more.
-    shed_from: f32 = 0.4;
-    shed_step: f32 = 0.3;
-    shed_least: f32 = 0.3;
-    shed_back: f32 = 0.06;
-    /// Share of the set-up aim given to an attempt while further ones are allowed.
-    attempt_share: f32 = 0.6;
-    /// Retry budget: further attempts that a request earns for all, and how many may be saved up.
-    retry_share: f32 = 0.3;
-    retry_saved: f32 = 4.0;
-    /// Advised wait of a refused client, give or take a half: long enough that its next try meets other counts.
-    retry_after: Micros = SECOND * 2 / 5;
-    /// Backoff of a failed call for the list, at least so much a balancer of the fleet, doubled up to eight times
-    /// this and jittered; the first call comes within one share: the service takes few calls a second.
-    ask_backoff: Micros = SECOND / 4;
-    ask_share: Micros = SECOND / 20;
-    /// A server called back by hand is used again within this; one that drains or is full is left over that.
-    back_within: Micros = 3 * SECOND;
-    move_span: Micros = 2 * SECOND;
+/// Points of a server of usual size on the array: they even out the arcs (virtual bins of the paper).
+points: f32 = 48.0;
+/// Headroom over the mean (ε) of the own counts: they are small, and groups are meant to sit together.
+epsilon: f32 = 2.0;
+/// Bound on the jumps of one placement.
+jumps: u32 = 16;
+/// What a group costs each server that holds any of it, in connections; headroom (ε) of the plan of groups.
+group_cost: f32 = 2.0;
+plan_epsilon: f32 = 0.25;
+/// Fewer arrivals say nothing of shares: all go by the same jumps; a plan is made anew at such growth.
+plan_least: u32 = 32;
+plan_growth: f32 = 1.15;
+/// Arrivals remembered, then all counts are halved; and those that count as seen before any.
+seen_most: u32 = 1024;
+seen_prior: f32 = 8.0;
+/// Slow start: a cold server fills at this multiple of the mean load over the warm-up, or where reports tell
+/// more, within the rule's time, by this share of what the rule leaves beyond one capacity.
+slow_start: f32 = 1.5;
+slow_fill: f32 = 0.8;
+/// Time in which a cap that was cut grows back to its whole (additive increase).
+recover: Micros = 12 * SECOND;
+/// Outlier ejection after so many failures in a row; the first time, doubled up to eight times, and jittered.
+strikes: u32 = 3;
+eject: Micros = 4 * SECOND;
+/// Shares of the shortest message aim from which a delay note cuts a server's cap, and moves connections.
+delay_sign: f32 = 0.4;
+delay_move: f32 = 0.6;
+/// Share of the own connections moved off a strained server a second, times delay over aim.
+move_share: f32 = 0.25;
+/// The fleet probes each server this often for its load over its capacity, which counts until it is stale.
+probe_every: Micros = SECOND / 2;
+report_stale: Micros = 5 * SECOND;
+/// A request looks for room along its first LOOK_AT servers, LOOK_BOTH at a time: a load told longer than
+/// LOOK_STALE ago is probed anew, for no longer than LOOK_WAIT. The fallback samples LOOK_AT of all.
+look_at: usize = 8;
+look_both: usize = 2;
+look_stale: Micros = SECOND * 3 / 2;
+look_wait: Micros = SECOND / 10;
+/// A server takes keys of its own zone first up to NEAR_LOAD of its capacity, all keys up to FULL_LOAD;
+/// where little is known, keys share by their hashes what is left from SOFT under BRIM on.
+near_load: f32 = 0.6;
+full_load: f32 = 0.9;
+brim: f32 = 1.0;
+soft: f32 = 0.3;
+/// From MOVE_FROM on it gives some away, down to MOVE_TO, while the fleet's mean is under MOVE_ROOM.
+move_from: f32 = 0.9;
+move_to: f32 = 0.75;
+move_room: f32 = 0.7;
+/// Weight of a home in the own zone against one elsewhere: nearly always first, and no home more.
+near: f32 = 10.0;
+/// Share of late servers among those in use from which a group stays with its strained homes.
+stay_from: f32 = 0.15;
+/// Load shedding (AIMD): with messages late at more than SHED_FROM of the servers in use, SHED_STEP fewer
+/// clients are admitted a second, by their hashes, down to SHED_LEAST; under half that, SHED_BACK more.
+shed_from: f32 = 0.4;
+shed_step: f32 = 0.3;
+shed_least: f32 = 0.3;
+shed_back: f32 = 0.06;
+/// Share of the set-up aim given to an attempt while further ones are allowed.
+attempt_share: f32 = 0.6;
+/// Retry budget: further attempts that a request earns for all, and how many may be saved up.
+retry_share: f32 = 0.3;
+retry_saved: f32 = 4.0;
+/// Advised wait of a refused client, give or take a half: long enough that its next try meets other counts.
+retry_after: Micros = SECOND * 2 / 5;
+/// Backoff of a failed call for the list, at least so much a balancer of the fleet, doubled up to eight times
+/// this and jittered; the first call comes within one share: the service takes few calls a second.
+ask_backoff: Micros = SECOND / 4;
+ask_share: Micros = SECOND / 20;
+/// A server called back by hand is used again within this; one that drains or is full is left over that.
+back_within: Micros = 3 * SECOND;
+move_span: Micros = 2 * SECOND;
 }}
 
 const TIMER_DEADLINE: u64 = 1 << 32;
