--- /dev/null
+++ b/crates/lab/src/fleet/mod.rs
@@ -0,0 +1,12 @@
+//! The fleet in a laboratory: hundreds of relays with their own decisions, backends, clients, discovery and the network
+//! on a virtual clock; days that go wrong, experiments over many seeds, results on disk, reports and calibration.
+
+pub mod backend;
+pub mod books;
+pub mod calibrate;
+pub mod days;
+pub mod experiment;
+pub mod policy;
+pub mod rules;
+pub mod scene;
+pub mod world;
--- /dev/null
+++ b/crates/lab/src/fleet_cli.rs
@@ -0,0 +1,152 @@
+//! `jaspermoor-lab fleet`: plays, experiments, reports and calibration from the command line.
+
+use argh::FromArgs;
+use jaspermoor_lab::fleet::books::FIGURES;
+use jaspermoor_lab::fleet::calibrate;
+use jaspermoor_lab::fleet::days::Day;
+use jaspermoor_lab::fleet::experiment::{self, figure};
+use jaspermoor_lab::fleet::policy::Policy;
+use jaspermoor_lab::fleet::scene::Scene;
+use jaspermoor_lab::fleet::world::{Variant, World};
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::path::PathBuf;
+
+type Failure = Box<dyn Error>;
+
+/// Plays the whole fleet on a virtual clock, with the relay's own decisions.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+pub struct Fleet {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Play(Play),
+    Calibrate(Calibrate),
+}
+
+/// Holds the model against the days that a journal's entries record.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "calibrate")]
+struct Calibrate {
+    /// the journal's folder
+    #[argh(option, default = "PathBuf::from(\"journal\")")]
+    journal: PathBuf,
+    /// entries whose name (a time as 20261201T2000) is this or later
+    #[argh(option, default = "String::new()")]
+    since: String,
+    /// seeds of each kind (default 8)
+    #[argh(option, default = "8")]
+    seeds: u64,
+    /// threads (default: as many as the machine has); no figure depends on it
+    #[argh(option, default = "processors()")]
+    jobs: usize,
+    /// a parameter of the decisions as NAME=VALUE, as often as wanted
+    #[argh(option)]
+    set: Vec<String>,
+}
+
+fn processors() -> usize {
+    std::thread::available_parallelism().map_or(1, |n| n.get())
+}
+
+/// Plays one day and prints its figures.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "play")]
+struct Play {
+    /// the day: a name (calm, roll, herd, zone, split, join) or the path of a .toml file
+    #[argh(positional)]
+    day: String,
+    /// the seed (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// relays, in place of what the day draws
+    #[argh(option)]
+    relays: Option<usize>,
+    /// backends, in place of what the day draws
+    #[argh(option)]
+    backends: Option<usize>,
+    /// a parameter of the decisions as NAME=VALUE, as often as wanted
+    #[argh(option)]
+    set: Vec<String>,
+    /// place by chance
+    #[argh(switch)]
+    chance: bool,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+fn policy(set: &[String], chance: bool) -> Result<Policy, Failure> {
+    let mut named = BTreeMap::new();
+    for text in set {
+        let (name, value) = text.split_once('=').ok_or(format!("--set {text}: is not NAME=VALUE"))?;
+        let value: f64 = value.parse().map_err(|_| format!("--set {text}: '{value}' is no number"))?;
+        named.insert(name.to_string(), value);
+    }
+    if chance {
+        return Ok(Policy::Chance);
+    }
+    Ok(Policy::Own(Box::new(experiment::tuning(&named)?)))
+}
+
+/// Runs it; false where a rule was broken.
+pub fn run(fleet: Fleet) -> Result<bool, Failure> {
+    match fleet.command {
+        Command::Play(p) => play(&p),
+        Command::Calibrate(c) => calibrated(&c),
+    }
+}
+
+fn calibrated(c: &Calibrate) -> Result<bool, Failure> {
+    let recorded = calibrate::read(&c.journal, &c.since)?;
+    if recorded.is_empty() {
+        return Err(format!("{}: no entry of a full fleet since '{}'", c.journal.display(), c.since).into());
+    }
+    print!("{}", calibrate::compare(&recorded, c.seeds, c.jobs, policy(&c.set, false)?)?.text);
+    Ok(true)
+}
+
+fn play(p: &Play) -> Result<bool, Failure> {
+    let day = Day::load(&p.day)?.sized(p.relays, p.backends);
+    let variant = Variant { policy: policy(&p.set, p.chance)?, cells: Default::default() };
+    let scene = Scene::draw(&day, p.seed);
+    let (relays, backends, groups) = (scene.relays, scene.backends, scene.groups);
+    let begun = std::time::Instant::now();
+    let mut out = World::new(scene, variant, None).run();
+    let seconds = begun.elapsed().as_secs_f64();
+    let figures = experiment::figures(&mut out, &day, relays, groups);
+    if p.json {
+        let named: BTreeMap<&str, f64> = FIGURES.iter().copied().zip(figures.iter().copied()).collect();
+        let steps: Vec<_> = out.books.steps.iter().map(|s| [s.load, f64::from(s.attempts), f64::from(s.refused)]).collect();
+        let digest = format!("{:016x}", out.digest);
+        let breaks: Vec<String> = out.breaks.iter().map(|b| b.to_string()).collect();
+        let all = serde_json::json!({ "day": day.name, "seed": p.seed, "relays": relays, "backends": backends,
+            "figures": named, "steps": steps, "breaks": breaks, "digest": digest, "events": out.events });
+        println!("{}", serde_json::to_string_pretty(&all)?);
+        return Ok(out.breaks.is_empty());
+    }
+    println!("{} seed {}: {relays} relays, {backends} backends, {groups} groups ({})", day.name, p.seed, day.about);
+    for line in FIGURES.iter().zip(&figures).collect::<Vec<_>>().chunks(4) {
+        let cells: Vec<String> = line.iter().map(|(name, x)| format!("{name:22} {x:8.3}")).collect();
+        println!("  {}", cells.join("  "));
+    }
+    println!("  second  load  warmth  attempts  refused  moves  pairs  wanting  list age  served");
+    for (n, part) in out.books.steps.chunks(10).enumerate() {
+        let mean = |of: &dyn Fn(&jaspermoor_lab::fleet::books::Step) -> f64| part.iter().map(of).sum::<f64>() / part.len() as f64;
+        let sum = |of: &dyn Fn(&jaspermoor_lab::fleet::books::Step) -> u32| part.iter().map(of).sum::<u32>();
+        println!(
+            "  {n:6}  {:4.2}  {:6.2}  {:8}  {:7}  {:5}  {:5.0}  {:7.0}  {:8.1}  {:6.3}",
+            mean(&|s| s.load), mean(&|s| s.warmth), sum(&|s| s.attempts), sum(&|s| s.refused), sum(&|s| s.moves),
+            mean(&|s| f64::from(s.pairs)), mean(&|s| f64::from(s.wanting)), mean(&|s| s.list_age),
+            mean(&|s| s.served) / mean(&|s| s.asked).max(1e-9)
+        );
+    }
+    out.breaks.iter().for_each(|b| println!("  broken: {b}"));
+    println!("{} events in {seconds:.2} s; G {:.3}; digest {:016x}", out.events, figures[figure("G").unwrap_or(0)], out.digest);
+    Ok(out.breaks.is_empty())
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,7 @@
 //! `jaspermoor-lab`: stand-ins, a first run, and measurements.
 
+mod fleet_cli;
+
 use argh::FromArgs;
 use jaspermoor_lab::certs::{self, Authority, Valid};
 use jaspermoor_lab::discovery::{read_list, Discovery};
@@ -30,6 +32,7 @@
     Cert(Cert),
     Bench(Bench),
     Sim(Sim),
+    Fleet(fleet_cli::Fleet),
 }
 
 /// Starts a relay, discovery, three servers and clients, drains one server half-way and checks the rules.
@@ -243,6 +246,7 @@
             print!("{}", result?);
             Ok(true)
         }
+        Command::Fleet(f) => fleet_cli::run(f),
         Command::Sim(s) => {
             let Sim { seed, seeds, servers, relays, cell, sites, load, factor, jobs } = s;
             if servers == 0 || relays == 0 || seeds == 0 || !(0.01..=10.0).contains(&load) || factor < 0.0 {
