Own slots by a ring, so that a change of the list costs a server-sized work

Change: an ordered map of points; a server's change touches its own points. The ring of known servers is kept only where packets pass through, the one case that looks there. The owners are those of the array (tests/slots.rs).

--- a/crates/lab/src/fleet/backend.rs
+++ b/crates/lab/src/fleet/backend.rs
@@ -134,7 +134,8 @@
     /// Lets a step pass; true if it has been sent so much that a cold one falls over.
     pub fn step(&mut self, scene: &Scene, now: Micros, step: f64) -> bool {
         let capacity = self.capacity(scene, now);
-        let side = std::mem::take(&mut self.side) / (self.power * self.warmth(now) * self.slow).max(1e-6) / step;
+        let side =
+            std::mem::take(&mut self.side) / (self.power * self.warmth(now) * self.slow).max(1e-6) / step;
         self.asked = if capacity > 0.0 {
             (self.load + scene.group_cost * self.groups.len() as f64) / capacity + side.min(1.0)
         } else {
--- a/crates/lab/src/fleet/books.rs
+++ b/crates/lab/src/fleet/books.rs
@@ -104,11 +104,42 @@
 
 /// The names of a day's figures, in the order of [`Books::figures`].
 pub const FIGURES: [&str; 36] = [
-    "G", "service", "whole", "worst", "class", "price_zone", "price_moves", "price_probes", "price_waste",
-    "price_late", "loss_new", "loss_moved", "loss_left", "loss_broken", "loss_refused", "loss_jam", "loss_cold",
-    "loss_cut", "same_zone_share", "attempts", "moves_per_try", "probes_per_try", "refused_share",
-    "refused_high", "refused_low", "failed_share", "with_group_share", "pairs_per_group", "pairs_per_group_start",
-    "list_calls_failed", "list_calls_peak_share", "falls", "dropped", "p50_ms", "p99_ms", "broken_rules",
+    "G",
+    "service",
+    "whole",
+    "worst",
+    "class",
+    "price_zone",
+    "price_moves",
+    "price_probes",
+    "price_waste",
+    "price_late",
+    "loss_new",
+    "loss_moved",
+    "loss_left",
+    "loss_broken",
+    "loss_refused",
+    "loss_jam",
+    "loss_cold",
+    "loss_cut",
+    "same_zone_share",
+    "attempts",
+    "moves_per_try",
+    "probes_per_try",
+    "refused_share",
+    "refused_high",
+    "refused_low",
+    "failed_share",
+    "with_group_share",
+    "pairs_per_group",
+    "pairs_per_group_start",
+    "list_calls_failed",
+    "list_calls_peak_share",
+    "falls",
+    "dropped",
+    "p50_ms",
+    "p99_ms",
+    "broken_rules",
 ];
 
 impl Books {
@@ -120,15 +151,27 @@
     }
 
     /// The day's figures, as [`FIGURES`] names them.
-    pub fn figures(&mut self, site: &Site, step: Micros, relays: usize, groups: usize, broken: usize) -> Vec<f64> {
+    pub fn figures(
+        &mut self,
+        site: &Site,
+        step: Micros,
+        relays: usize,
+        groups: usize,
+        broken: usize,
+    ) -> Vec<f64> {
         let over = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
         let asked: f64 = self.steps.iter().map(|s| s.asked).sum();
         let served: f64 = self.steps.iter().map(|s| s.served).sum();
         let whole = over(served, asked);
-        let window = ((site.goal.window_s * 1e6) as usize / step.max(1) as usize).clamp(1, self.steps.len().max(1));
+        let window =
+            ((site.goal.window_s * 1e6) as usize / step.max(1) as usize).clamp(1, self.steps.len().max(1));
         let part = |steps: &[Step]| {
             let (a, s) = steps.iter().fold((0.0, 0.0), |(a, s), step| (a + step.asked, s + step.served));
-            if a > 0.0 { s / a } else { 1.0 }
+            if a > 0.0 {
+                s / a
+            } else {
+                1.0
+            }
         };
         let worst = self.steps.windows(window).map(part).fold(1.0, f64::min);
         let class = self.classes.iter().map(|&(a, s)| if a > 0.0 { s / a } else { 1.0 }).fold(1.0, f64::min);
@@ -147,7 +190,9 @@
         self.set_up.sort_unstable();
         let at = |q: f64| {
             let n = self.set_up.len();
-            self.set_up.get(((n as f64 * q) as usize).min(n.saturating_sub(1))).map_or(0.0, |&us| f64::from(us) / 1e3)
+            self.set_up
+                .get(((n as f64 * q) as usize).min(n.saturating_sub(1)))
+                .map_or(0.0, |&us| f64::from(us) / 1e3)
         };
         let share = |(part, all): (u64, u64)| over(part as f64, all as f64);
         // A try is each time that a client comes, for the first time or again; one that stands at the start has come.
--- a/crates/lab/src/fleet/calibrate.rs
+++ b/crates/lab/src/fleet/calibrate.rs
@@ -46,12 +46,16 @@
             continue;
         }
         // An entry of another form than is known here is none of ours.
-        let Some(entry) = std::fs::read(&path).ok().and_then(|b| serde_json::from_slice::<Value>(&b).ok()) else {
+        let Some(entry) = std::fs::read(&path).ok().and_then(|b| serde_json::from_slice::<Value>(&b).ok())
+        else {
             continue;
         };
         for day in entry["days"].as_array().into_iter().flatten() {
             let Some(kind) = day["name"].as_str().and_then(|n| n.strip_suffix("+mass")) else { continue };
-            let size = (day["balancers"].as_u64().unwrap_or(0) as usize, day["servers"].as_u64().unwrap_or(0) as usize);
+            let size = (
+                day["balancers"].as_u64().unwrap_or(0) as usize,
+                day["servers"].as_u64().unwrap_or(0) as usize,
+            );
             let mut figures = BTreeMap::new();
             for (own, theirs, _) in COMPARED {
                 let value = day["signature"][theirs].as_f64().or_else(|| day[theirs].as_f64());
@@ -109,7 +113,12 @@
 }
 
 /// Plays so many seeds of each recorded kind at the recorded sizes, and compares the means.
-pub fn compare(recorded: &[Recorded], seeds: u64, jobs: usize, policy: Policy) -> Result<Comparison, super::days::BadDay> {
+pub fn compare(
+    recorded: &[Recorded],
+    seeds: u64,
+    jobs: usize,
+    policy: Policy,
+) -> Result<Comparison, super::days::BadDay> {
     let mut by_kind: BTreeMap<&str, Vec<&Recorded>> = BTreeMap::new();
     recorded.iter().for_each(|r| by_kind.entry(&r.kind).or_default().push(r));
     let days = by_kind.keys().map(|kind| Day::load(kind)).collect::<Result<Vec<_>, _>>()?;
@@ -134,7 +143,11 @@
     });
     let (mut text, mut compared, mut within) = (String::new(), 0, 0);
     let mut g: Vec<(f64, f64)> = Vec::new();
-    let _ = writeln!(text, "{:6} {:18} {:>9} {:>9} {:>7}  days recorded / seeds played", "day", "figure", "recorded", "model", "ratio");
+    let _ = writeln!(
+        text,
+        "{:6} {:18} {:>9} {:>9} {:>7}  days recorded / seeds played",
+        "day", "figure", "recorded", "model", "ratio"
+    );
     for (kind, days) in &by_kind {
         let played: Vec<_> = rows.iter().filter(|row| row.cell.day == *kind).collect();
         for (own, _, bound) in COMPARED {
--- a/crates/lab/src/fleet/days.rs
+++ b/crates/lab/src/fleet/days.rs
@@ -83,40 +83,40 @@
 table!(/// What clients do.
     Clients { life_s: Range, honour: Range, backoff_ms: Range, rejoin_ms: Range, });
 table!(/// The list of backends.
-    Discovery {
-        notice_s: Range, silent_notice_s: Range, add_s: Range, spread_ms: Range, calls_per_s: Range, timeout_s: Range,
-    });
+Discovery {
+    notice_s: Range, silent_notice_s: Range, add_s: Range, spread_ms: Range, calls_per_s: Range, timeout_s: Range,
+});
 table!(/// Load reports.
     Report { period_s: Range, delay_s: Range, noise: Range, probe_work_ms: Range, probe_timeout_ms: Range, });
 table!(/// Connections at backends.
-    ConnSpec {
-        per_core: Range, cap: Range, group_cost: Range, handshake_rtts: Range, handshake_ms: Range,
-        dial_timeout_ms: Range, message_ms: Range, buffer_s: Range,
-    });
+ConnSpec {
+    per_core: Range, cap: Range, group_cost: Range, handshake_rtts: Range, handshake_ms: Range,
+    dial_timeout_ms: Range, message_ms: Range, buffer_s: Range,
+});
 table!(/// The figures of the rules.
-    Rules {
-        drain_grace_ms: f64, fall_multiple: f64, fall_s: f64, start_share: f64, warm_within_s: f64, ask_within_s: f64,
-        answer_slack_ms: f64, max_attempts: u32, max_retry_after_ms: f64,
-    });
+Rules {
+    drain_grace_ms: f64, fall_multiple: f64, fall_s: f64, start_share: f64, warm_within_s: f64, ask_within_s: f64,
+    answer_slack_ms: f64, max_attempts: u32, max_retry_after_ms: f64,
+});
 table!(/// Weights of the service.
     Goal { whole: f64, worst: f64, class: f64, window_s: f64, });
 table!(/// What is taken off.
     Prices { cross_zone: f64, waste: f64, probe: f64, late_fail: f64, moves: f64, });
 table!(/// A kind of machine.
-    Kind {
-        name: String, share: Range, cores: Range, speed: Range, speed_cv: Range, queue_per_core: Range,
-        cold_from: Range, cold_s: Range,
-    });
+Kind {
+    name: String, share: Range, cores: Range, speed: Range, speed_cv: Range, queue_per_core: Range,
+    cold_from: Range, cold_s: Range,
+});
 table!(/// A class of requests.
-    ClassSpec {
-        name: String, share: Range, work_ms: Range, aim_ms: f64, deadline_ms: f64, worth: f64, load: Range, life: Range,
-        load_sigma: Range, swing_sigma: Range, change_s: Range, message_aim_ms: f64,
-    });
+ClassSpec {
+    name: String, share: Range, work_ms: Range, aim_ms: f64, deadline_ms: f64, worth: f64, load: Range, life: Range,
+    load_sigma: Range, swing_sigma: Range, change_s: Range, message_aim_ms: f64,
+});
 table!(/// What a site is like.
-    Site {
-        scale: Scale, load: Load, net: Net, front: Front, clients: Clients, discovery: Discovery, report: Report,
-        conn: ConnSpec, rules: Rules, goal: Goal, prices: Prices, kind: Vec<Kind>, class: Vec<ClassSpec>,
-    });
+Site {
+    scale: Scale, load: Load, net: Net, front: Front, clients: Clients, discovery: Discovery, report: Report,
+    conn: ConnSpec, rules: Rules, goal: Goal, prices: Prices, kind: Vec<Kind>, class: Vec<ClassSpec>,
+});
 
 /// Something that goes wrong. All begin `at_s` seconds into the day.
 #[derive(Clone, Debug, Deserialize)]
@@ -227,7 +227,10 @@
             }
         }
         if site.scale.relays.0 < 1.0 || site.scale.zones.0 < 1.0 {
-            return Err(BadDay(format!("{}: scale: a fleet has a relay and a zone at least", beside.display())));
+            return Err(BadDay(format!(
+                "{}: scale: a fleet has a relay and a zone at least",
+                beside.display()
+            )));
         }
         let name = path.file_stem().map_or(name.to_string(), |stem| stem.to_string_lossy().into_owned());
         Ok(Day { name, about: file.about, length_s: file.length_s, site, troubles: file.trouble })
--- a/crates/lab/src/fleet/experiment.rs
+++ b/crates/lab/src/fleet/experiment.rs
@@ -163,7 +163,11 @@
         };
         let mut choices = file.variant;
         for (name, values) in &file.grid {
-            let base = if choices.is_empty() { vec![Choice { name: "now".into(), ..Choice::default() }] } else { choices };
+            let base = if choices.is_empty() {
+                vec![Choice { name: "now".into(), ..Choice::default() }]
+            } else {
+                choices
+            };
             choices = base
                 .into_iter()
                 .flat_map(|choice| {
--- a/crates/lab/src/fleet/rules.rs
+++ b/crates/lab/src/fleet/rules.rs
@@ -115,7 +115,11 @@
         }
         let late = self.told.get(&(relay, backend)).is_some_and(|&told| now > told + self.grace);
         if late && state != Some(MemberState::Ready) {
-            self.broken("drain", now, format!("relay n{relay} sent request {id} to backend {backend} ({state:?})"));
+            self.broken(
+                "drain",
+                now,
+                format!("relay n{relay} sent request {id} to backend {backend} ({state:?})"),
+            );
         }
     }
 
--- a/crates/lab/src/fleet/scene.rs
+++ b/crates/lab/src/fleet/scene.rs
@@ -146,8 +146,7 @@
         let backends = whole(site.scale.backends, r);
         let zones = whole(site.scale.zones, r).clamp(1, relays);
         let skew = site.scale.zone_skew.draw(r);
-        let mut zone_share: Vec<f64> =
-            (0..zones).map(|_| 1.0 + skew * r.random_range(-1.0..1.0)).collect();
+        let mut zone_share: Vec<f64> = (0..zones).map(|_| 1.0 + skew * r.random_range(-1.0..1.0)).collect();
         let all: f64 = zone_share.iter().sum();
         zone_share.iter_mut().for_each(|share| *share /= all);
         let sigma = site.scale.relay_skew.draw(r);
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -9,7 +9,9 @@
 use super::policy::{Decider, Policy};
 use super::rules::{Break, Watchdog};
 use super::scene::{micros, speed, spread, Event as Trouble, Scene};
-use jaspermoor::api::{Action, Event, ListKind, Member, MemberState, Micros, Outcome, Request, RequestId, ServerId, SECOND};
+use jaspermoor::api::{
+    Action, Event, ListKind, Member, MemberState, Micros, Outcome, Request, RequestId, ServerId, SECOND,
+};
 use jaspermoor::cells::{CellMap, Placed};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -200,7 +202,8 @@
     /// Sets a run up; `follow` is the number of a client whose way is written down.
     pub fn new(scene: Scene, variant: Variant, follow: Option<usize>) -> World {
         let mut rng = ChaCha8Rng::seed_from_u64(scene.seed ^ 0x6c65_6574);
-        let backends: Vec<Backend> = (0..scene.backends).map(|n| backend(&scene, n % scene.zones, &mut rng)).collect();
+        let backends: Vec<Backend> =
+            (0..scene.backends).map(|n| backend(&scene, n % scene.zones, &mut rng)).collect();
         let by_id = backends.iter().enumerate().map(|(n, b)| (b.id, n)).collect();
         let mut zones: Vec<usize> = Vec::new();
         for relay in 0..scene.relays {
@@ -315,7 +318,8 @@
             self.handle(ev);
         }
         self.digest.update(&self.books.placed.to_le_bytes());
-        let groups = self.group_books.iter().zip(&self.group_seen).map(|(b, s)| (b.0, b.1, s.len())).collect();
+        let groups =
+            self.group_books.iter().zip(&self.group_seen).map(|(b, s)| (b.0, b.1, s.len())).collect();
         Outcomes {
             books: self.books,
             breaks: self.watchdog.breaks,
@@ -360,7 +364,9 @@
             let backend = match fits {
                 Some((_, b)) => b,
                 None => {
-                    let Some(b) = (0..free.len()).max_by(|&a, &b| free[a].total_cmp(&free[b])) else { return };
+                    let Some(b) = (0..free.len()).max_by(|&a, &b| free[a].total_cmp(&free[b])) else {
+                        return;
+                    };
                     free[b] -= self.scene.group_cost;
                     b
                 }
@@ -380,16 +386,7 @@
         let (id, part) = (request.id, self.part_of(self.backends[backend].id));
         let turn = self.clients[client].turn;
         let sent = self.now;
-        let pending = Pending {
-            client,
-            turn,
-            part,
-            sent,
-            out: None,
-            attempts: 1,
-            answered: true,
-            up: true,
-        };
+        let pending = Pending { client, turn, part, sent, out: None, attempts: 1, answered: true, up: true };
         self.relays[relay].pending.insert(id.0, pending);
         self.hold(client, relay, id.0, backend);
         let server = self.backends[backend].id;
@@ -462,7 +459,11 @@
 
     /// The cell of a backend.
     fn part_of(&self, server: ServerId) -> usize {
-        if self.variant.cells.len() <= 1 { 0 } else { self.variant.cells.of_server(server) }
+        if self.variant.cells.len() <= 1 {
+            0
+        } else {
+            self.variant.cells.of_server(server)
+        }
     }
 
     fn spread_news(&mut self, relay: usize, kind: ListKind, members: Vec<Member>) {
@@ -524,9 +525,14 @@
 
     /// A relay of that zone, as the front deals them out; it may be dead, and the front not know.
     fn pick_relay(&mut self, zone: usize) -> Option<usize> {
-        let of: Vec<usize> =
-            (0..self.relays.len()).filter(|&n| self.relays[n].zone == zone && self.relays[n].fronted).collect();
-        let of = if of.is_empty() { (0..self.relays.len()).filter(|&n| self.relays[n].fronted).collect() } else { of };
+        let of: Vec<usize> = (0..self.relays.len())
+            .filter(|&n| self.relays[n].zone == zone && self.relays[n].fronted)
+            .collect();
+        let of = if of.is_empty() {
+            (0..self.relays.len()).filter(|&n| self.relays[n].fronted).collect()
+        } else {
+            of
+        };
         let weights: Vec<f64> = of.iter().map(|&n| self.scene.relay_weight[n]).collect();
         (!of.is_empty()).then(|| of[weighted(&weights, &mut self.rng)])
     }
@@ -592,10 +598,9 @@
         let usable: Vec<bool> = (0..self.variant.cells.len())
             .map(|cell| {
                 let list = &self.relays[relay].list;
-                self.backends
-                    .iter()
-                    .enumerate()
-                    .any(|(n, b)| self.part_of(b.id) == cell && list.get(n) == Some(&Some(MemberState::Ready)))
+                self.backends.iter().enumerate().any(|(n, b)| {
+                    self.part_of(b.id) == cell && list.get(n) == Some(&Some(MemberState::Ready))
+                })
             })
             .collect();
         match self.variant.cells.place(group, &usable, &vec![0; usable.len()]) {
@@ -613,7 +618,8 @@
     /// It comes again after a while.
     fn comes_again(&mut self, client: usize, why: Loss, wait: Option<Micros>) {
         let c = &mut self.clients[client];
-        let failed = matches!(why, Loss::Refused | Loss::New) || (why == Loss::Broken && c.state != State::Waiting);
+        let failed =
+            matches!(why, Loss::Refused | Loss::New) || (why == Loss::Broken && c.state != State::Waiting);
         self.turns += 1;
         (c.turn, c.state, c.again, c.cut) = (self.turns, State::Waiting, true, None);
         c.why = if why == Loss::New { c.why } else { why };
@@ -700,7 +706,10 @@
         let way = self.link(zone, zone_of);
         let reaches = self.reaches(zone, zone_of) && !silent;
         self.say(client, || {
-            format!("n{relay} attempt {number} at backend {backend}{}", if cold { " (started lately)" } else { "" })
+            format!(
+                "n{relay} attempt {number} at backend {backend}{}",
+                if cold { " (started lately)" } else { "" }
+            )
         });
         let event = |backend_life| Ev::Dialled { relay, life, id, number, backend, backend_life };
         // A silent machine is found out by the dial's own limit.
@@ -847,10 +856,13 @@
         self.tick.refused += 1;
         self.books.refused += u64::from(wait.is_some());
         self.books.failed += u64::from(wait.is_none());
-        let late = self.now.saturating_sub(self.clients[client].asked_at) > self.scene.sorts[self.clients[client].sort].aim;
+        let late = self.now.saturating_sub(self.clients[client].asked_at)
+            > self.scene.sorts[self.clients[client].sort].aim;
         self.books.late_failed += u64::from(wait.is_none() && late);
         self.say(client, || match wait {
-            Some(wait) => format!("n{relay} refuses request {id} after {attempts} attempts, wait {} ms", wait / 1_000),
+            Some(wait) => {
+                format!("n{relay} refuses request {id} after {attempts} attempts, wait {} ms", wait / 1_000)
+            }
             None => format!("n{relay} fails request {id} after {attempts} attempts"),
         });
         let delay = micros(self.scene.client);
@@ -902,7 +914,8 @@
         let (backend_life, at) = (b.life, b.zone);
         let reaches = self.reaches(zone, at) && b.runs != Runs::Silent;
         let way = self.link(zone, at);
-        let after = if reaches { micros(way * 2.0 * (self.scene.rtts + 1.0)) } else { self.scene.probe_timeout };
+        let after =
+            if reaches { micros(way * 2.0 * (self.scene.rtts + 1.0)) } else { self.scene.probe_timeout };
         let sent = self.now;
         self.later(after, Ev::Probed { relay, life, part, backend, backend_life, sent });
     }
@@ -1045,7 +1058,8 @@
         self.backends[old].runs = Runs::Draining;
         self.listed(old, MemberState::Draining);
         // It sends its clients away little by little, and is gone then.
-        let held: Vec<(u64, usize)> = self.backends[old].held.iter().map(|(&turn, &client)| (turn, client)).collect();
+        let held: Vec<(u64, usize)> =
+            self.backends[old].held.iter().map(|(&turn, &client)| (turn, client)).collect();
         for (turn, client) in held {
             let after = self.rng.random_range(leave / 4..leave * 3 / 4 + 1);
             self.later(after, Ev::SendAway(client, turn));
@@ -1268,7 +1282,9 @@
             Trouble::Sick { .. } => touched.into_iter().for_each(|b| {
                 (self.backends[b].slow, self.backends[b].errors) = (1.0, 0.0);
             }),
-            Trouble::LoseZone { .. } | Trouble::Crash { .. } => touched.into_iter().for_each(|b| self.backend_back(b)),
+            Trouble::LoseZone { .. } | Trouble::Crash { .. } => {
+                touched.into_iter().for_each(|b| self.backend_back(b))
+            }
             Trouble::CutZone { .. } => {
                 self.cut = None;
                 for backend in touched {
@@ -1472,7 +1488,9 @@
             Ev::Through { backend, backend_life, relay, life, id, number } => {
                 self.through(backend, backend_life, (relay, life, id, number));
             }
-            Ev::Answer { relay, life, id, number, outcome } => self.answered(relay, life, id, number, outcome),
+            Ev::Answer { relay, life, id, number, outcome } => {
+                self.answered(relay, life, id, number, outcome)
+            }
             Ev::Until { relay, life, id, number } => self.until(relay, life, id, number),
             Ev::Answered { client, turn, wait } => self.client_answered(client, turn, wait),
             Ev::Probed { relay, life, part, backend, backend_life, sent } => {
--- a/crates/lab/src/fleet_cli.rs
+++ b/crates/lab/src/fleet_cli.rs
@@ -122,7 +122,8 @@
     let figures = experiment::figures(&mut out, &day, relays, groups);
     if p.json {
         let named: BTreeMap<&str, f64> = FIGURES.iter().copied().zip(figures.iter().copied()).collect();
-        let steps: Vec<_> = out.books.steps.iter().map(|s| [s.load, f64::from(s.attempts), f64::from(s.refused)]).collect();
+        let steps: Vec<_> =
+            out.books.steps.iter().map(|s| [s.load, f64::from(s.attempts), f64::from(s.refused)]).collect();
         let digest = format!("{:016x}", out.digest);
         let breaks: Vec<String> = out.breaks.iter().map(|b| b.to_string()).collect();
         let all = serde_json::json!({ "day": day.name, "seed": p.seed, "relays": relays, "backends": backends,
@@ -130,23 +131,39 @@
         println!("{}", serde_json::to_string_pretty(&all)?);
         return Ok(out.breaks.is_empty());
     }
-    println!("{} seed {}: {relays} relays, {backends} backends, {groups} groups ({})", day.name, p.seed, day.about);
+    println!(
+        "{} seed {}: {relays} relays, {backends} backends, {groups} groups ({})",
+        day.name, p.seed, day.about
+    );
     for line in FIGURES.iter().zip(&figures).collect::<Vec<_>>().chunks(4) {
         let cells: Vec<String> = line.iter().map(|(name, x)| format!("{name:22} {x:8.3}")).collect();
         println!("  {}", cells.join("  "));
     }
     println!("  second  load  warmth  attempts  refused  moves  pairs  wanting  list age  served");
     for (n, part) in out.books.steps.chunks(10).enumerate() {
-        let mean = |of: &dyn Fn(&jaspermoor_lab::fleet::books::Step) -> f64| part.iter().map(of).sum::<f64>() / part.len() as f64;
+        let mean = |of: &dyn Fn(&jaspermoor_lab::fleet::books::Step) -> f64| {
+            part.iter().map(of).sum::<f64>() / part.len() as f64
+        };
         let sum = |of: &dyn Fn(&jaspermoor_lab::fleet::books::Step) -> u32| part.iter().map(of).sum::<u32>();
         println!(
             "  {n:6}  {:4.2}  {:6.2}  {:8}  {:7}  {:5}  {:5.0}  {:7.0}  {:8.1}  {:6.3}",
-            mean(&|s| s.load), mean(&|s| s.warmth), sum(&|s| s.attempts), sum(&|s| s.refused), sum(&|s| s.moves),
-            mean(&|s| f64::from(s.pairs)), mean(&|s| f64::from(s.wanting)), mean(&|s| s.list_age),
+            mean(&|s| s.load),
+            mean(&|s| s.warmth),
+            sum(&|s| s.attempts),
+            sum(&|s| s.refused),
+            sum(&|s| s.moves),
+            mean(&|s| f64::from(s.pairs)),
+            mean(&|s| f64::from(s.wanting)),
+            mean(&|s| s.list_age),
             mean(&|s| s.served) / mean(&|s| s.asked).max(1e-9)
         );
     }
     out.breaks.iter().for_each(|b| println!("  broken: {b}"));
-    println!("{} events in {seconds:.2} s; G {:.3}; digest {:016x}", out.events, figures[figure("G").unwrap_or(0)], out.digest);
+    println!(
+        "{} events in {seconds:.2} s; G {:.3}; digest {:016x}",
+        out.events,
+        figures[figure("G").unwrap_or(0)],
+        out.digest
+    );
     Ok(out.breaks.is_empty())
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,7 @@
     RequestId, ServerId, Settings, Unknown, Weights, SECOND,
 };
 use crate::random::Random;
-use crate::slots::{fraction, lay, own_key, slot, NOBODY, SLOTS};
+use crate::slots::{fraction, own_key, Ring};
 use std::collections::{BTreeMap, BTreeSet};
 
 crate::tuning! { Tuning {
@@ -18,71 +18,52 @@
 /// Bound on the jumps of one placement.
 jumps: u32 = 16;
 /// What a group costs each server that holds any of it, in connections; headroom (ε) of the plan of groups.
-group_cost: f32 = 2.0;
-plan_epsilon: f32 = 0.25;
+group_cost: f32 = 2.0; plan_epsilon: f32 = 0.25;
 /// Fewer arrivals say nothing of shares: all go by the same jumps; a plan is made anew at such growth.
-plan_least: u32 = 32;
-plan_growth: f32 = 1.15;
+plan_least: u32 = 32; plan_growth: f32 = 1.15;
 /// Arrivals remembered, then all counts are halved; and those that count as seen before any.
-seen_most: u32 = 1024;
-seen_prior: f32 = 8.0;
+seen_most: u32 = 1024; seen_prior: f32 = 8.0;
 /// Slow start: a cold server fills at this multiple of the mean load over the warm-up, or where reports tell
 /// more, within the rule's time, by this share of what the rule leaves beyond one capacity.
-slow_start: f32 = 1.5;
-slow_fill: f32 = 0.8;
+slow_start: f32 = 1.5; slow_fill: f32 = 0.8;
 /// Time in which a cap that was cut grows back to its whole (additive increase).
 recover: Micros = 12 * SECOND;
 /// Outlier ejection after so many failures in a row; the first time, doubled up to eight times, and jittered.
-strikes: u32 = 3;
-eject: Micros = 4 * SECOND;
+strikes: u32 = 3; eject: Micros = 4 * SECOND;
 /// Shares of the shortest message aim from which a delay note cuts a server's cap, and moves connections.
-delay_sign: f32 = 0.4;
-delay_move: f32 = 0.6;
+delay_sign: f32 = 0.4; delay_move: f32 = 0.6;
 /// Share of the own connections moved off a strained server a second, times delay over aim.
 move_share: f32 = 0.25;
 /// The fleet probes each server this often for its load over its capacity, which counts until it is stale.
-probe_every: Micros = SECOND / 2;
-report_stale: Micros = 5 * SECOND;
+probe_every: Micros = SECOND / 2; report_stale: Micros = 5 * SECOND;
 /// A request looks for room along its first LOOK_AT servers, LOOK_BOTH at a time: a load told longer than
 /// LOOK_STALE ago is probed anew, for no longer than LOOK_WAIT. The fallback samples LOOK_AT of all.
-look_at: usize = 8;
-look_both: usize = 2;
-look_stale: Micros = SECOND * 3 / 2;
+look_at: usize = 8; look_both: usize = 2; look_stale: Micros = SECOND * 3 / 2;
 look_wait: Micros = SECOND / 10;
 /// A server takes keys of its own zone first up to NEAR_LOAD of its capacity, all keys up to FULL_LOAD;
 /// where little is known, keys share by their hashes what is left from SOFT under BRIM on.
-near_load: f32 = 0.6;
-full_load: f32 = 0.9;
-brim: f32 = 1.0;
-soft: f32 = 0.3;
+near_load: f32 = 0.6; full_load: f32 = 0.9; brim: f32 = 1.0; soft: f32 = 0.3;
 /// From MOVE_FROM on it gives some away, down to MOVE_TO, while the fleet's mean is under MOVE_ROOM.
-move_from: f32 = 0.9;
-move_to: f32 = 0.75;
-move_room: f32 = 0.7;
+move_from: f32 = 0.9; move_to: f32 = 0.75; move_room: f32 = 0.7;
 /// Weight of a home in the own zone against one elsewhere: nearly always first, and no home more.
 near: f32 = 10.0;
 /// Share of late servers among those in use from which a group stays with its strained homes.
 stay_from: f32 = 0.15;
 /// Load shedding (AIMD): with messages late at more than SHED_FROM of the servers in use, SHED_STEP fewer
 /// clients are admitted a second, by their hashes, down to SHED_LEAST; under half that, SHED_BACK more.
-shed_from: f32 = 0.4;
-shed_step: f32 = 0.3;
-shed_least: f32 = 0.3;
+shed_from: f32 = 0.4; shed_step: f32 = 0.3; shed_least: f32 = 0.3;
 shed_back: f32 = 0.06;
 /// Share of the set-up aim given to an attempt while further ones are allowed.
 attempt_share: f32 = 0.6;
 /// Retry budget: further attempts that a request earns for all, and how many may be saved up.
-retry_share: f32 = 0.3;
-retry_saved: f32 = 4.0;
+retry_share: f32 = 0.3; retry_saved: f32 = 4.0;
 /// Advised wait of a refused client, give or take a half: long enough that its next try meets other counts.
 retry_after: Micros = SECOND * 2 / 5;
 /// Backoff of a failed call for the list, at least so much a balancer of the fleet, doubled up to eight times
 /// this and jittered; the first call comes within one share: the service takes few calls a second.
-ask_backoff: Micros = SECOND / 4;
-ask_share: Micros = SECOND / 20;
+ask_backoff: Micros = SECOND / 4; ask_share: Micros = SECOND / 20;
 /// A server called back by hand is used again within this; one that drains or is full is left over that.
-back_within: Micros = 3 * SECOND;
-move_span: Micros = 2 * SECOND;
+back_within: Micros = 3 * SECOND; move_span: Micros = 2 * SECOND;
 }}
 
 const TIMER_DEADLINE: u64 = 1 << 32;
@@ -112,6 +93,8 @@
     credit: f32,
     credit_at: Micros,
     held: u32,
+    /// Its points on the rings of ready servers and of known ones.
+    points: (u32, u32),
     strikes: u32,
     ejections: u32,
     ejected_until: Micros,
@@ -162,8 +145,8 @@
     index: BTreeMap<ServerId, usize>,
     ready: Vec<usize>,
     by_hand: BTreeSet<ServerId>,
-    ready_slots: Vec<u32>,
-    known_slots: Vec<u32>,
+    ready_ring: Ring,
+    known_ring: Ring,
     sizes: f32,
     held: u32,
     pending: BTreeMap<RequestId, Pending>,
@@ -191,8 +174,6 @@
         Balancer {
             settings,
             rng: Random::new(seed),
-            ready_slots: vec![NOBODY; SLOTS],
-            known_slots: vec![NOBODY; SLOTS],
             admitted: 1.0,
             retries: Tuning::default().retry_saved,
             ..Balancer::default()
@@ -308,9 +289,9 @@
     }
 
     fn forget(&mut self, i: usize, credit: f32) {
-        let Server { id, zone, cell, size, listed, ready, gone, held, told, started, due, .. } =
+        let Server { id, zone, cell, size, listed, ready, gone, held, points, told, started, due, .. } =
             self.servers[i];
-        let new = Server { credit, credit_at: self.now, due, ..Server::default() };
+        let new = Server { credit, credit_at: self.now, due, points, ..Server::default() };
         self.servers[i] = Server { id, zone, cell, size, listed, ready, gone, held, told, started, ..new };
     }
 
@@ -332,24 +313,38 @@
         self.rebuild();
     }
 
+    /// After a change of the list: the rings hear of what has changed, and of nothing else.
     fn rebuild(&mut self) {
-        self.servers.retain(|s| !s.gone || s.held > 0);
-        self.index = self.servers.iter().enumerate().map(|(i, s)| (s.id, i)).collect();
-        self.ready = (0..self.servers.len()).filter(|&i| self.servers[i].ready).collect();
-        self.sizes = self.ready.iter().map(|&i| self.servers[i].size).sum();
+        let ready = self.servers.iter().filter(|s| s.ready);
+        let (n, sizes) = ready.fold((0, 0.0), |(n, sizes), s| (n + 1, sizes + s.size));
+        self.sizes = sizes;
         // The unit is a power of two, so that one server more or less does not change all points.
-        let unit = (self.sizes / self.ready.len().max(1) as f32).log2().round().exp2();
+        let unit = (sizes / n.max(1) as f32).log2().round().exp2();
         // Live sizes change all the time: homes must not move with them.
-        let nominal =
-            |s: &Server| if self.settings.weights == Weights::Nominal { s.size / unit } else { 1.0 };
-        let points = |s: &Server| (self.t.points * nominal(s)).round().clamp(1.0, 8.0 * self.t.points) as u32;
-        let all = || self.servers.iter().enumerate().map(|(i, s)| (i as u32, s));
-        let of = |(i, s): (u32, &Server)| (i, s.id, points(s));
-        lay(&mut self.ready_slots, &all().filter(|(_, s)| s.ready).map(of).collect::<Vec<_>>());
-        lay(&mut self.known_slots, &all().filter(|(_, s)| !s.gone).map(of).collect::<Vec<_>>());
+        let nominal = self.settings.weights == Weights::Nominal;
+        for s in &mut self.servers {
+            let size = if nominal { s.size / unit } else { 1.0 };
+            let points = (self.t.points * size).round().clamp(1.0, 8.0 * self.t.points) as u32;
+            // Only what passes through arrives mid-flow and looks for its holder.
+            let known = self.settings.passes_through && !s.gone;
+            let new = (if s.ready { points } else { 0 }, if known { points } else { 0 });
+            self.ready_ring.lay(s.id, s.points.0, new.0);
+            self.known_ring.lay(s.id, s.points.1, new.1);
+            s.points = new;
+        }
+        if self.servers.iter().any(|s| s.gone && s.held == 0) {
+            self.servers.retain(|s| !s.gone || s.held > 0);
+            self.index = self.servers.iter().enumerate().map(|(i, s)| (s.id, i)).collect();
+        }
+        self.ready = (0..self.servers.len()).filter(|&i| self.servers[i].ready).collect();
         (self.planned_at, self.homes) = (self.seen_all, self.plan());
     }
 
+    /// The server at the slot of h(key, jump).
+    fn owner(&self, key: u64, jump: u32) -> Option<usize> {
+        self.index.get(&self.ready_ring.owner(key, jump)?).copied()
+    }
+
     /// RJ-CH for the whole fleet, as far as one proxy can tell: the groups seen here, by their shares here,
     /// are placed by the jumps of their keys on servers under the cap: one group may outgrow a server, and
     /// each costs its servers anew. First homes come before second ones: they hardly depend on estimates.
@@ -369,9 +364,8 @@
                 let own = homes.entry(*group).or_default();
                 let mut best: Option<(f32, usize)> = None;
                 for _ in 0..self.t.jumps {
-                    let owner = self.ready_slots[slot(*group, *attempt)] as usize;
+                    let Some(owner) = self.owner(*group, *attempt) else { return homes };
                     *attempt += 1;
-                    let Some(able) = able.get(owner) else { return homes };
                     if own.iter().any(|&(i, _)| i == owner) {
                         continue;
                     }
@@ -379,7 +373,7 @@
                     if best.is_none_or(|(most, _)| free > most) {
                         best = Some((free, owner));
                     }
-                    if free >= share.min(cap * able / 2.0) {
+                    if free >= share.min(cap * able[owner] / 2.0) {
                         break;
                     }
                 }
@@ -620,10 +614,9 @@
         let mut list = self.order(key, own);
         list.retain(|&i| self.usable(i, p));
         let homes = list.len();
-        for owner in
-            (0..self.t.jumps).map(|jump| self.ready_slots[slot(key, jump)] as usize).collect::<Vec<_>>()
-        {
-            if owner < self.servers.len() && !list.contains(&owner) && self.usable(owner, p) {
+        for jump in 0..self.t.jumps {
+            let Some(owner) = self.owner(key, jump) else { break };
+            if !list.contains(&owner) && self.usable(owner, p) {
                 list.push(owner);
             }
         }
@@ -651,7 +644,7 @@
 
     fn holder(&mut self, key: u64, own: u64) -> Option<usize> {
         let mut order = self.order(key, own);
-        order.push(self.known_slots[slot(key, 0)] as usize);
+        order.extend(self.known_ring.owner(key, 0).and_then(|id| self.index.get(&id)));
         order.into_iter().find(|&i| match self.servers.get(i) {
             // Most of a burst is set up anew: a cold server takes its share only (one was pushed over).
             Some(s) if s.ready => self.credited(i),
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -1,11 +1,10 @@
 //! The slot array of RJ-CH and its hashes, which never change: all balancers must agree.
 
 use crate::api::{Request, ServerId};
+use std::collections::BTreeMap;
 
 /// Slots of the array (m): the points of a thousand servers seldom collide.
 pub const SLOTS: usize = 1 << 15;
-/// The owner of a slot where there is none.
-pub const NOBODY: u32 = u32::MAX;
 
 /// Mixes a word (SplitMix64 finaliser).
 pub fn mix(x: u64) -> u64 {
@@ -38,26 +37,24 @@
     }
 }
 
-/// Gives each slot to the nearest server clockwise; a server is its index, its id and how many points it
-/// has. A slot that two points share goes to the server that hashes lower, so that the order of the list
-/// does not matter.
-pub fn lay(slots: &mut [u32], servers: &[(u32, ServerId, u32)]) {
-    slots.fill(NOBODY);
-    let hashed = |owner: u32| servers.iter().find(|s| s.0 == owner).map(|s| mix(s.1 .0));
-    for &(i, id, points) in servers {
-        for point in 0..points {
-            // Inverted: a key that equals a server's id must not jump along that server's own points.
-            let slot = &mut slots[slot(!id.0, point)];
-            if *slot == NOBODY || hashed(*slot) > Some(mix(id.0)) {
-                *slot = i;
-            }
-        }
+/// The owners of the slots: each slot is the nearest server's clockwise. Where two points share a slot it is
+/// the server's that hashes lower, so that the order of the list does not matter. A server's coming or going
+/// touches its own points and no others, whatever the size of the fleet.
+#[derive(Default)]
+pub struct Ring(BTreeMap<(usize, u64, u32), ServerId>);
+
+impl Ring {
+    /// Gives a server `to` points in place of `from`.
+    pub fn lay(&mut self, id: ServerId, from: u32, to: u32) {
+        // Inverted: a key that equals a server's id must not jump along that server's own points.
+        let place = |point: u32| (slot(!id.0, point), mix(id.0), point);
+        (to..from).for_each(|point| _ = self.0.remove(&place(point)));
+        (from..to).for_each(|point| _ = self.0.insert(place(point), id));
     }
-    let Some(mut owner) = slots.iter().copied().find(|&o| o != NOBODY) else { return };
-    for slot in slots.iter_mut().rev() {
-        if *slot == NOBODY {
-            *slot = owner;
-        }
-        owner = *slot;
+
+    /// The owner of the slot of h(key, jump).
+    pub fn owner(&self, key: u64, jump: u32) -> Option<ServerId> {
+        let next = self.0.range((slot(key, jump), 0, 0)..).next();
+        next.or_else(|| self.0.first_key_value()).map(|(_, id)| *id)
     }
 }
