--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -32,9 +32,12 @@
     values.get(((n as f64 * q) as usize).min(n.saturating_sub(1))).copied().unwrap_or(0.0)
 }
 
+/// A variant's rows of one day, by seed and size.
+type Played<'a> = BTreeMap<(u64, Option<(usize, usize)>), &'a Row>;
+
 /// The report in words; each variant is held against `base`, seed by seed.
 pub fn text(rows: &[Row], base: &str) -> String {
-    let mut by: BTreeMap<(&str, &str), BTreeMap<(u64, Option<(usize, usize)>), &Row>> = BTreeMap::new();
+    let mut by: BTreeMap<(&str, &str), Played> = BTreeMap::new();
     for row in rows {
         let Cell { day, variant, seed, size } = &row.cell;
         by.entry((day, variant)).or_default().insert((*seed, *size), row);
