Let relays with estimates of their own move clients that have come again

Change: the bound on moves holds only while a relay has seen too little (planned() in src/logic.rs), as on full fleets.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -882,12 +882,12 @@
     }
 
     /// Which connection leaves a strained server: one turned away now, or with its group's homes elsewhere. A
-    /// client that has come again already stays: sent round and round, it jams one server after the other.
+    /// client that has come again stays where little is known: sent round and round, it jams all in turn.
     fn leaver(&self, i: usize, named: RequestId) -> Option<RequestId> {
         let stray =
             |q: &Request| self.homes.get(&q.group).is_some_and(|h| h.iter().all(|&(home, _)| home != i));
         let here = |p: &&Pending| p.server == self.servers[i].id && p.phase == Phase::Up && !p.moving;
-        let first = |p: &&Pending| !p.request.again;
+        let first = |p: &&Pending| self.planned() || !p.request.again;
         let mut candidates = self.pending.values().filter(here).filter(first);
         let found = candidates.find(|p| self.shed(&p.request) || stray(&p.request));
         found.or_else(|| self.pending.get(&named).filter(first)).map(|p| p.request.id)
@@ -896,7 +896,8 @@
     fn evacuate(&mut self, server: ServerId, share: f32, out: &mut Out) {
         for p in self.pending.values().filter(|p| p.server == server && p.phase == Phase::Up) {
             let at = self.now + self.rng.range(0..self.t.move_span);
-            if share >= 1.0 || (!p.request.again && fraction(own_key(&p.request), at) < share) {
+            let first = self.planned() || !p.request.again;
+            if share >= 1.0 || (first && fraction(own_key(&p.request), at) < share) {
                 out.push(Action::Timer(at, TIMER_MOVE | u64::from(p.request.id.0)));
             }
         }
