End connections that have stopped within 7 s of the last answer, notes of the load aside

Cause, by reckoning: src/net/forward.rs counted 5 s from the first unanswered line, and looks every 200 ms. Clients send a line every 2 s, so one whose backend stops right after an answer asks 2 s later and was ended 7.0 to 7.2 s after the last answer; the protocol wants 7 s. Only stops in the first tenth of a client's beat show it, hence its rarity. Second hole: any byte of the backend counted as an answer, so a stream that brings only LOAD notes was kept for as long as they came. Ruled out: a lost readiness (epoll is level-triggered and the socket is watched anew after UP), half lines (a line asks once it is whole).

Change: a passage says itself when its backend is lost, by how long a line is unanswered and how long nothing came back: for lines 5 s unanswered as before, or 6.4 s of nothing with a line unanswered for 4 s. Lines tell what counts as an answer; LOAD does not. XMPP as before.

--- a/src/front/line/mod.rs
+++ b/src/front/line/mod.rs
@@ -16,9 +16,15 @@
 const HEARD: Micros = 2_000_000;
 /// One that has asked whether the relay is there, and then for nothing, is closed after this.
 const IDLE: Micros = 60_000_000;
-/// A backend that leaves a client's line unanswered for so long counts as lost: clients give up on a
-/// connection after 7 s, and a crowded backend may take about 3 s.
+/// A backend that leaves a client's line unanswered for so long counts as lost: a crowded backend may take about
+/// 3 s.
 const SILENT: Micros = 5_000_000;
+/// Clients give up on a connection that has brought nothing back for 7 s. They send a line every 2 s, so one that
+/// stops right after an answer is asked only 2 s later, and `SILENT` alone ended it at 7.2 s. Less than 7 s by two
+/// looks at what is up, and the way of the last words.
+const UNHEARD: Micros = 6_400_000;
+/// So long a line has been unanswered before `UNHEARD` counts: a client may have been quiet for longer than that.
+const ASKED_FOR: Micros = 4_000_000;
 /// The last words to a client that is asked to come again.
 const MOVE: &[u8] = b"MOVE\r\n";
 
@@ -183,14 +189,19 @@
             let what = "the backend's line is longer than allowed";
             return Err(Fault { what, reason: "line-too-long", words: MOVE.to_vec() });
         };
+        let mut heard = false;
         for line in fresh[..whole].split_inclusive(|&b| b == b'\n') {
-            match told(trim(line), &rules.names) {
+            let told = told(trim(line), &rules.names);
+            // A note of the load answers nobody: a stream that has stopped may still bring them.
+            heard |= !matches!(told, Told::Load(_));
+            match told {
                 Told::Load(x) => news.push(News::Load(x)),
                 Told::Bye(report) => news.push(News::Farewell(Outcome::Ok, report, "served")),
                 Told::Move => news.push(News::Farewell(Outcome::Cancelled, Vec::new(), "sent-away")),
                 _ => {}
             }
         }
+        news.extend(heard.then_some(News::Heard));
         Ok(whole)
     }
 
@@ -198,8 +209,12 @@
         MOVE.to_vec()
     }
 
-    fn silent(&self) -> Micros {
-        SILENT
+    fn lost(&self, unanswered: Micros, unheard: Micros) -> bool {
+        unanswered > SILENT || (unanswered > ASKED_FOR && unheard > UNHEARD)
+    }
+
+    fn marks_answers(&self) -> bool {
+        true
     }
 }
 
@@ -216,6 +231,40 @@
         assert_eq!(lines.up(b"half"), Ok(Passed::default()));
     }
 
+    /// One that stopped right after an answer was once ended 7.2 s later, when its client had given up on it.
+    #[test]
+    fn a_backend_that_stops_is_lost_before_its_client_gives_up_and_a_slow_one_is_not() {
+        let ms = |x: u64| x * 1_000;
+        // (unanswered, unheard, whether it is lost)
+        let cases = [
+            (ms(0), ms(60_000), false),
+            // A line each 2 s, the first of them 2 s after the last answer.
+            (ms(4_300), ms(6_300), false),
+            (ms(4_500), ms(6_500), true),
+            (ms(4_800), ms(4_900), false),
+            (ms(5_100), ms(5_100), true),
+            // A client that was quiet, and a backend that is crowded.
+            (ms(3_000), ms(40_000), false),
+            (ms(4_100), ms(40_000), true),
+        ];
+        for (unanswered, unheard, lost) in cases {
+            assert_eq!(Lines.lost(unanswered, unheard), lost, "{unanswered} {unheard}");
+        }
+    }
+
+    /// Notes of the load once passed for answers: a stream that had stopped was kept for as long as they came.
+    #[test]
+    fn a_note_of_the_load_is_no_answer() {
+        let told = |text: &str| {
+            let mut news = Vec::new();
+            Lines.down(text.as_bytes(), &Rules::default(), &mut news).unwrap();
+            news
+        };
+        assert_eq!(told("LOAD 2.5\r\n"), [News::Load(2.5)]);
+        assert_eq!(told("LOAD 2.5\r\nany line\r\n"), [News::Load(2.5), News::Heard]);
+        assert_eq!(told("half a li"), []);
+    }
+
     /// A client that asked for a ping and then began a line once had the long wait of an idle one for it.
     #[test]
     fn a_line_that_has_begun_must_end_soon() {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -150,6 +150,8 @@
 pub enum News {
     /// `LOAD X`: see [`line::note`].
     Load(f32),
+    /// Something came back for the client; told by a passage that [marks answers](Passage::marks_answers).
+    Heard,
     /// The client has its final answer: it is served (true), or its backend has said no.
     Answered(bool),
     /// How the connection ends, once the backend ends it: the outcome, a load report where one came, and the
@@ -238,8 +240,14 @@
         true
     }
 
-    /// A backend that leaves what asks for an answer unanswered for so long counts as lost.
-    fn silent(&self) -> Micros;
+    /// Whether a backend counts as lost that has left what asks for an answer unanswered for so long, and has
+    /// brought nothing back for so long.
+    fn lost(&self, unanswered: Micros, unheard: Micros) -> bool;
+
+    /// Whether [`News::Heard`] tells what comes back. Where not, any byte is a sign of life.
+    fn marks_answers(&self) -> bool {
+        false
+    }
 
     /// The connection is to be moved.
     fn part(&mut self) -> Parting {
--- a/src/front/xmpp/passage.rs
+++ b/src/front/xmpp/passage.rs
@@ -237,8 +237,8 @@
         false
     }
 
-    fn silent(&self) -> Micros {
-        self.terms.silent
+    fn lost(&self, unanswered: Micros, _unheard: Micros) -> bool {
+        unanswered > self.terms.silent
     }
 
     fn part(&mut self) -> Parting {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -176,7 +176,7 @@
             self.down.make_roomy();
         }
         self.backend = Some(Backend { link, id: p.id, server: p.server, passage });
-        self.phase = Phase::Up;
+        (self.phase, self.heard) = (Phase::Up, self.now());
         self.flush_down();
         self.flush_up();
     }
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -113,6 +113,8 @@
     pub farewell: Option<End>,
     /// When the oldest unanswered line of the client was passed on.
     pub asked: Option<Micros>,
+    /// When the backend last brought something back.
+    pub heard: Micros,
     pub client_ended: Option<Micros>,
     pub up_blocked: bool,
     pub down_blocked: Option<Micros>,
@@ -160,6 +162,7 @@
             last: Vec::new(),
             farewell: None,
             asked: None,
+            heard: 0,
             client_ended: None,
             up_blocked: false,
             down_blocked: None,
--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -88,6 +88,7 @@
     pub fn take_over(&mut self, account: Account, session: Arc<Session>, backend: Backend, parcel: Parcel) {
         let now = self.now();
         self.asked = parcel.asked_ms.map(|ms| now.saturating_sub(ms * 1_000));
+        self.heard = self.asked.unwrap_or(now);
         self.up = Buffer::holding(parcel.up);
         (self.down, self.down_passed) = (Buffer::holding(parcel.down), parcel.seen);
         (self.session, self.account) = (Some(session), Some(account));
@@ -150,7 +151,9 @@
         match backend.link.fill(&mut self.down) {
             Ok(0) => self.backend_ended(),
             Ok(_) => {
-                self.asked = None;
+                if !backend.passage.marks_answers() {
+                    self.hear_back();
+                }
                 self.flush_down();
             }
             Err(e) if timed_out(&e) => {}
@@ -268,6 +271,7 @@
                         let note = self.core.notes.read(server, id, self.core.decisions.now(), x);
                         self.core.decisions.note(id, note);
                     }
+                    News::Heard => self.hear_back(),
                     News::Farewell(outcome, report, reason) => {
                         self.farewell = Some(End { outcome, report, reason });
                     }
@@ -411,8 +415,15 @@
         }
     }
 
-    fn silent(&self) -> Micros {
-        self.backend.as_ref().map_or(Micros::MAX, |b| b.passage.silent())
+    /// Whether its backend has stopped without a word.
+    fn lost(&self, now: Micros) -> bool {
+        let (Some(asked), Some(backend)) = (self.asked, &self.backend) else { return false };
+        backend.passage.lost(now.saturating_sub(asked), now.saturating_sub(self.heard))
+    }
+
+    /// Its backend has brought something back.
+    fn hear_back(&mut self) {
+        (self.asked, self.heard) = (None, self.core.decisions.now());
     }
 
     /// What only time shows.
@@ -438,7 +449,7 @@
             }
             // A machine that vanished says nothing and keeps its connections open: only what stays unanswered
             // shows it.
-            Phase::Up if self.asked.is_some_and(|at| now.saturating_sub(at) > self.silent()) => {
+            Phase::Up if self.lost(now) => {
                 let words = self.backend.as_ref().map(|b| b.passage.words(Away::Gone));
                 self.leave(words.unwrap_or_default(), end(Outcome::Reset, "backend-silent"));
             }
