--- /dev/null
+++ b/crates/control/src/holder.rs
@@ -0,0 +1,230 @@
+//! A relay's side: it holds the policy that it admits clients under, and a lease on it.
+//!
+//! A lease runs from when the relay asked for it, by a clock that counts the time that the machine slept. It is looked at
+//! right before each placement, so a process that was stopped and woken places nothing under a policy that may have been
+//! replaced meanwhile. A relay that has just started admits nobody before it has a lease of its own.
+//!
+//! Guards against: an answer to a question from before it stopped or changed its policy (it counts for nothing), a lease that outlives a restart, and
+//! a proposal that this build does not understand (it is refused, with the reason, and the fleet keeps what it has).
+
+use crate::message::{Relay, Renew, Reply};
+use crate::state::{Policy, Proposal, ProposalId};
+use crate::{Micros, Plant, Planted, Times};
+use std::collections::VecDeque;
+
+/// Questions whose answers may still come; what is older has lost its lease anyway.
+const ASKED: usize = 32;
+
+/// What a relay does when it hears from no leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Alone {
+    /// It admits nobody: nothing is ever served under two policies.
+    #[default]
+    Refuse,
+    /// It goes on under the policy that it has: served, but perhaps by an old policy.
+    Serve,
+}
+
+/// What is to be done, in this order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Store it as the policy that is prepared; [`Holder::prepared`] says that it is stored.
+    Prepare(Proposal),
+    /// Store it as the policy to start with, then serve under it.
+    Adopt(Policy),
+    /// Send this to that voter.
+    Send(u64, Renew),
+}
+
+/// See the module's text.
+#[derive(Debug)]
+pub struct Holder {
+    relay: Relay,
+    times: Times,
+    alone: Alone,
+    planted: Planted,
+    voters: Vec<u64>,
+    policy: Policy,
+    prepared: Option<Proposal>,
+    refused: Option<(ProposalId, String)>,
+    /// The proposal that it has stopped for, and when.
+    yielded: Option<(ProposalId, Micros)>,
+    /// Up to when clients may be admitted.
+    lease: Micros,
+    number: u64,
+    /// Answers to questions up to this number count for nothing any more.
+    barrier: u64,
+    /// The last questions, each with its number and when it was asked.
+    asked: VecDeque<(u64, Micros)>,
+    /// When it asks next though nothing comes, and whether an answer is out.
+    next: Micros,
+    waits: bool,
+    /// Whom it asks.
+    voter: usize,
+}
+
+impl Holder {
+    /// A relay with the policy that it had stored. Its voters are asked in turn until one leads.
+    pub fn new(relay: Relay, voters: Vec<u64>, kept: Policy, times: Times, alone: Alone) -> Holder {
+        let spread = relay.name.bytes().fold(0, |sum, byte| sum + usize::from(byte));
+        let voter = spread % voters.len().max(1);
+        Holder {
+            relay,
+            times,
+            alone,
+            planted: Planted::default(),
+            voters,
+            policy: kept,
+            prepared: None,
+            refused: None,
+            yielded: None,
+            lease: 0,
+            number: 0,
+            barrier: 0,
+            asked: VecDeque::new(),
+            next: 0,
+            waits: false,
+            voter,
+        }
+    }
+
+    /// The same with a fault in it: for tests of the checkers.
+    #[cfg(feature = "plants")]
+    pub fn planted(mut self, planted: Planted, now: Micros) -> Holder {
+        self.planted = planted;
+        if planted.is(Plant::LeaseSurvivesRestart) && self.policy.epoch > 0 {
+            self.lease = now + self.times.lease;
+        }
+        self
+    }
+
+    /// The policy that it has.
+    pub fn policy(&self) -> &Policy {
+        &self.policy
+    }
+
+    /// Whether a client may be admitted at this moment.
+    pub fn admits(&self, now: Micros) -> bool {
+        now < self.until(now)
+    }
+
+    /// Up to when clients may be admitted, as things stand.
+    pub fn until(&self, now: Micros) -> Micros {
+        let forever = self.planted.is(Plant::IgnoreLease) && self.lease > 0;
+        // One that serves alone still stops when it is asked to, for as long as the fleet may need.
+        let stopped = self.yielded.is_some_and(|(_, at)| now < at + self.times.patience);
+        if forever || (self.alone == Alone::Serve && !stopped) {
+            return Micros::MAX;
+        }
+        self.lease
+    }
+
+    /// Time has passed: asks for the lease anew where that is due.
+    pub fn tick(&mut self, now: Micros) -> Option<Effect> {
+        if now < self.next {
+            return None;
+        }
+        // Nothing came back: another voter may know more.
+        self.voter += usize::from(self.waits);
+        Some(self.ask(now))
+    }
+
+    fn ask(&mut self, now: Micros) -> Effect {
+        self.number += 1;
+        if self.asked.len() == ASKED {
+            self.asked.pop_front();
+        }
+        self.asked.push_back((self.number, now));
+        // Half the usual time for an answer, which is moved on once it has come.
+        (self.next, self.waits) = (now + self.times.renew / 2, true);
+        let renew = Renew {
+            relay: self.relay.clone(),
+            number: self.number,
+            epoch: self.policy.epoch,
+            prepared: self.prepared.as_ref().map(|p| p.id),
+            refused: self.refused.clone(),
+            yielded: self.yielded.map(|(id, _)| id),
+        };
+        Effect::Send(self.voters[self.voter % self.voters.len()], renew)
+    }
+
+    /// An answer has come. `check` says whether this build understands a policy's text, and what is wrong with it.
+    pub fn heard(
+        &mut self,
+        now: Micros,
+        reply: Reply,
+        check: impl Fn(&str) -> Result<(), String>,
+    ) -> Vec<Effect> {
+        let asked = self.asked.iter().find(|(number, _)| *number == reply.number && *number > self.barrier);
+        let Some(&(_, asked)) = asked else { return Vec::new() };
+        let last = reply.number == self.number;
+        if let Some(leader) = reply.elsewhere {
+            if !last || !std::mem::take(&mut self.waits) {
+                return Vec::new();
+            }
+            match leader.and_then(|id| self.voters.iter().position(|v| *v == id)) {
+                Some(at) if at != self.voter % self.voters.len() => {
+                    self.voter = at;
+                    return vec![self.ask(now)];
+                }
+                // Nobody leads just now: the next voter, when it is time.
+                _ => self.voter += 1,
+            }
+            return Vec::new();
+        }
+        if std::mem::take(&mut self.waits) {
+            self.next = self.asked.back().map_or(now, |(_, at)| at + self.times.renew);
+        }
+        let mut effects = Vec::new();
+        let mut news = false;
+        if let Some(policy) = reply.policy.filter(|policy| policy.epoch > self.policy.epoch) {
+            (self.prepared, self.refused, self.yielded) = (None, None, None);
+            (self.lease, self.policy, self.barrier) = (0, policy.clone(), self.number);
+            effects.push(Effect::Adopt(policy));
+            news = true;
+        }
+        if reply.grant.is_some_and(|epoch| epoch == self.policy.epoch) && !news {
+            let from = if self.planted.is(Plant::LeaseFromGrant) { now } else { asked };
+            self.lease = self.lease.max(from + self.times.lease);
+        }
+        if let Some(proposal) = reply.prepare {
+            let known = self.prepared.as_ref().is_some_and(|p| p.id == proposal.id)
+                || self.refused.as_ref().is_some_and(|(id, _)| *id == proposal.id);
+            match check(&proposal.text) {
+                _ if known => {}
+                Ok(()) => effects.push(Effect::Prepare(proposal)),
+                Err(why) => {
+                    self.refused = Some((proposal.id, why));
+                    news = true;
+                }
+            }
+        }
+        if let Some(id) = reply.close {
+            if self.yielded.is_none_or(|(of, _)| of != id) {
+                // Before it is said: from here on nobody is admitted.
+                if !self.planted.is(Plant::KeepAfterYield) {
+                    self.lease = 0;
+                }
+                (self.yielded, self.barrier) = (Some((id, now)), self.number);
+                news = true;
+            }
+            // In force within a moment: asked for sooner than usual.
+            self.next = self.next.min(now + self.times.renew / 10);
+        }
+        if news {
+            effects.push(self.ask(now));
+        }
+        effects
+    }
+
+    /// A proposal is stored: now it may be said.
+    pub fn prepared(&mut self, now: Micros, proposal: Proposal) -> Effect {
+        self.prepared = Some(proposal);
+        self.ask(now)
+    }
+
+    /// When it has something to do next though nothing comes.
+    pub fn due(&self) -> Micros {
+        self.next
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,106 @@
+//! What the relays of a fleet agree on: a replicated log of policies, and a lease on the policy in force for each relay
+//! that serves. Bytes, times and stored entries come in; messages, things to store and effects go out. Nothing here
+//! knows a socket, a file or a clock, so the same code runs in the relay and on a virtual network, disk and clock.
+//!
+//! The rule that all of it serves: at no moment do two relays admit clients under different policies, and none admits
+//! under an older policy than one that was in force before. `docs/design/control.md` has the proof.
+
+pub mod holder;
+pub mod log;
+pub mod message;
+pub mod seal;
+pub mod state;
+pub mod voter;
+
+/// A moment or a span of time, in microseconds.
+pub type Micros = u64;
+
+/// Times of a fleet. All its relays must have the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Times {
+    /// The beat of the log: an election begins after ten of them, or some more, without a leader.
+    pub tick: Micros,
+    /// How long a relay may admit clients after it asked for its lease.
+    pub lease: Micros,
+    /// How much faster than the others' a relay's clock may run, in thousandths: a lease is waited for so much longer.
+    pub drift: u64,
+    /// A relay asks for its lease anew so often.
+    pub renew: Micros,
+    /// A relay that answers a proposal with nothing for so long, though it serves, makes it given up.
+    pub patience: Micros,
+}
+
+impl Default for Times {
+    fn default() -> Times {
+        // Four renewals a lease: three in a row may be lost. Clocks of machines differ by under 0.1 in a thousand; ten
+        // leave room for one that is slewed.
+        Times { tick: 50_000, lease: 2_000_000, drift: 10, renew: 500_000, patience: 10_000_000 }
+    }
+}
+
+impl Times {
+    /// By when a lease that was asked for at a time has run out on any clock that drifts no more than allowed.
+    pub fn lapsed_by(&self, asked: Micros) -> Micros {
+        asked + self.lease + self.lease * self.drift / 1_000 + 1
+    }
+}
+
+/// A fault that is planted to show that a checker finds it. In a build that serves there is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// A relay admits clients though its lease has run out.
+    IgnoreLease,
+    /// A relay counts its lease from when it was granted, not from when it asked.
+    LeaseFromGrant,
+    /// A relay goes on under the old policy after it has said that it stopped.
+    KeepAfterYield,
+    /// A relay that has started anew takes up the lease of its last process.
+    LeaseSurvivesRestart,
+    /// A leader puts a policy in force without waiting for leases that may still run.
+    SkipWait,
+    /// A leader that is new in office does not wait for leases that its predecessor gave.
+    ForgetPredecessor,
+    /// A leader grants leases without asking a majority whether it still leads.
+    GrantAlone,
+    /// A leader grants leases on the old policy after it has closed it.
+    GrantClosed,
+    /// A voter answers before its log is stored, and loses it in a crash.
+    SkipStore,
+}
+
+impl Plant {
+    /// All of them, by the names that the command line knows.
+    pub const ALL: [(&'static str, Plant); 9] = [
+        ("ignore-lease", Plant::IgnoreLease),
+        ("lease-from-grant", Plant::LeaseFromGrant),
+        ("keep-after-yield", Plant::KeepAfterYield),
+        ("lease-survives-restart", Plant::LeaseSurvivesRestart),
+        ("skip-wait", Plant::SkipWait),
+        ("forget-predecessor", Plant::ForgetPredecessor),
+        ("grant-alone", Plant::GrantAlone),
+        ("grant-closed", Plant::GrantClosed),
+        ("skip-store", Plant::SkipStore),
+    ];
+
+    /// The fault of that name.
+    pub fn named(name: &str) -> Option<Plant> {
+        Plant::ALL.iter().find(|(n, _)| *n == name).map(|(_, plant)| *plant)
+    }
+}
+
+/// Which fault is planted here. Always none without the feature `plants`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Planted(#[cfg(feature = "plants")] pub Option<Plant>);
+
+impl Planted {
+    /// Whether it is this one.
+    pub fn is(self, plant: Plant) -> bool {
+        #[cfg(feature = "plants")]
+        return self.0 == Some(plant);
+        #[cfg(not(feature = "plants"))]
+        {
+            let _ = plant;
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/message.rs
@@ -0,0 +1,118 @@
+//! What relays say to each other.
+
+use crate::state::{Outcome, Policy, Proposal, ProposalId, State};
+use serde::{Deserialize, Serialize};
+
+/// A relay's process: its name, and a number that each start makes anew.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Relay {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Which start it is.
+    pub start: u64,
+}
+
+/// A relay asks for its lease, and says how far it is.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renew {
+    /// Who asks.
+    pub relay: Relay,
+    /// Grows with each: an answer to an earlier one counts for nothing.
+    pub number: u64,
+    /// The policy that it would admit clients under.
+    pub epoch: u64,
+    /// The proposal that it has checked and stored.
+    pub prepared: Option<ProposalId>,
+    /// The proposal that it refuses, and why.
+    pub refused: Option<(ProposalId, String)>,
+    /// The proposal for which it has stopped admitting under the old policy.
+    pub yielded: Option<ProposalId>,
+}
+
+/// What a voter says to that.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The number of what it answers.
+    pub number: u64,
+    /// Where the leader is thought to be, where this voter is none; nothing else is said then.
+    pub elsewhere: Option<Option<u64>>,
+    /// The lease: admit clients under this epoch.
+    pub grant: Option<u64>,
+    /// The policy in force, where the relay has another.
+    pub policy: Option<Policy>,
+    /// Check and store this.
+    pub prepare: Option<Proposal>,
+    /// Stop admitting clients under the policy that you have, for this proposal's sake.
+    pub close: Option<ProposalId>,
+}
+
+/// What staff ask.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Begin with this proposal, unless it is known already.
+    Propose(Proposal),
+    /// What became of it.
+    Outcome(ProposalId),
+    /// How things stand.
+    Status,
+}
+
+/// What they are told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// Ask this voter; none where there is no leader just now.
+    Elsewhere(Option<u64>),
+    /// It is under way: how far, and which relays are waited for.
+    UnderWay(String, Vec<String>),
+    /// What became of it.
+    Outcome(Outcome),
+    /// Nobody has heard of it.
+    Unknown,
+    /// How things stand.
+    Status(Box<Status>),
+}
+
+/// How things stand with the fleet, as its leader knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// The leader, and its term.
+    pub leader: u64,
+    /// See `leader`.
+    pub term: u64,
+    /// What the log says.
+    pub state: State,
+    /// Relays that have asked for a lease of this leader: whether it still runs, their epoch, and what they refuse.
+    pub relays: Vec<(Relay, bool, u64)>,
+}
+
+/// Anything that one process says to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// The log's own, as its library writes it.
+    Log(Vec<u8>),
+    /// See [`Renew`].
+    Renew(Renew),
+    /// See [`Reply`].
+    Reply(Reply),
+    /// See [`Ask`]; the number comes back with the answer.
+    Ask(u64, Ask),
+    /// See [`Answer`].
+    Answer(u64, Answer),
+}
+
+impl Message {
+    /// As bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// From bytes; none where they are no message.
+    pub fn decode(bytes: &[u8]) -> Option<Message> {
+        postcard::from_bytes(bytes).ok()
+    }
+
+    /// Whether one that comes later makes it needless: what must go first where a queue is full.
+    pub fn replaceable(&self) -> bool {
+        matches!(self, Message::Log(_) | Message::Renew(_) | Message::Reply(_))
+    }
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,215 @@
+//! What the log says, entry by entry: the policy in force, the proposal under way, and what became of earlier ones.
+//! Every voter comes to the same state from the same entries.
+//!
+//! Guards against: two proposals at once (the second is refused), one that was made for another policy than the one in
+//! force, one that is proposed twice (the same outcome), and an entry of a leader that has lost its office meanwhile
+//! (each step names its proposal, and holds in one phase only).
+
+use serde::{Deserialize, Serialize};
+
+/// Names a proposal for good; random, so that a repeated call is recognised.
+pub type ProposalId = u128;
+
+/// Outcomes and policies that are remembered: those asked for are the last few.
+const REMEMBERED: usize = 64;
+/// The longest text of a policy, in bytes: it has to fit a frame, and a person has to read it.
+pub const MOST_TEXT: usize = 64 * 1024;
+
+/// What decides behaviour beyond the platform's settings, with its number.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Policy {
+    /// Its number. It only grows.
+    pub epoch: u64,
+    /// The text of its file.
+    pub text: String,
+    /// Who proposed it, and why.
+    pub who: String,
+    /// See `who`.
+    pub why: String,
+    /// The proposal that it came by; 0 for the empty one that a fleet begins with.
+    pub proposal: ProposalId,
+}
+
+/// A policy that is proposed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proposal {
+    /// Its name.
+    pub id: ProposalId,
+    /// The epoch that it was made for; 0 where that does not matter to whoever proposes.
+    pub base: u64,
+    /// See [`Policy`].
+    pub text: String,
+    /// See [`Policy`].
+    pub who: String,
+    /// See [`Policy`].
+    pub why: String,
+}
+
+/// How far the proposal under way has come.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// None is under way.
+    #[default]
+    Rest,
+    /// Each relay checks and stores it; all serve under the old one.
+    Preparing(Proposal),
+    /// No lease is granted any more; once no relay can hold one, it is in force. There is no way back.
+    Closing(Proposal),
+}
+
+/// What became of a proposal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It is, or was, in force under this epoch.
+    InForce(u64),
+    /// It was refused: by whom, and why.
+    Refused(String, String),
+    /// These relays gave no answer in time.
+    GivenUp(Vec<String>),
+}
+
+/// An entry of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Begin with this proposal.
+    Propose(Proposal),
+    /// A relay refuses it.
+    Refuse(ProposalId, String, String),
+    /// Relays have not answered.
+    GiveUp(ProposalId, Vec<String>),
+    /// All have it: grant no lease on the old policy any more.
+    Close(ProposalId),
+    /// No lease on the old policy runs any more.
+    Commit(ProposalId),
+}
+
+/// See the module's text.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// The policy in force.
+    pub policy: Policy,
+    /// The proposal under way.
+    pub phase: Phase,
+    /// Outcomes of the last proposals, the newest last.
+    pub outcomes: Vec<(ProposalId, Outcome)>,
+    /// Policies that were in force, the newest last, without the present one.
+    pub history: Vec<Policy>,
+}
+
+impl State {
+    /// Takes the next entry.
+    pub fn apply(&mut self, command: Command) {
+        match (command, std::mem::take(&mut self.phase)) {
+            (Command::Propose(proposal), phase) => {
+                self.phase = phase;
+                self.propose(proposal);
+            }
+            (Command::Refuse(id, by, why), Phase::Preparing(p)) if p.id == id => {
+                self.remember(id, Outcome::Refused(by, why));
+            }
+            (Command::GiveUp(id, missing), Phase::Preparing(p)) if p.id == id => {
+                self.remember(id, Outcome::GivenUp(missing));
+            }
+            (Command::Close(id), Phase::Preparing(p)) if p.id == id => self.phase = Phase::Closing(p),
+            (Command::Commit(id), Phase::Closing(p)) if p.id == id => {
+                let epoch = self.policy.epoch + 1;
+                let new = Policy { epoch, text: p.text, who: p.who, why: p.why, proposal: id };
+                self.history.push(std::mem::replace(&mut self.policy, new));
+                self.remember(id, Outcome::InForce(epoch));
+            }
+            // Of a leader that did not know how things stood.
+            (_, phase) => self.phase = phase,
+        }
+        let excess = self.outcomes.len().saturating_sub(REMEMBERED);
+        self.outcomes.drain(..excess);
+        let excess = self.history.len().saturating_sub(REMEMBERED);
+        self.history.drain(..excess);
+    }
+
+    fn propose(&mut self, proposal: Proposal) {
+        let id = proposal.id;
+        if self.outcome(id).is_some() || self.under_way().is_some_and(|p| p.id == id) {
+            return;
+        }
+        let refuse = |why: String| Outcome::Refused("the fleet".into(), why);
+        if let Some(p) = self.under_way() {
+            let why =
+                format!("another change is under way, by {}: ask for its outcome and propose again", p.who);
+            self.remember(id, refuse(why));
+        } else if proposal.base != 0 && proposal.base != self.policy.epoch {
+            let why = format!("it was made for epoch {}, in force is {}", proposal.base, self.policy.epoch);
+            self.remember(id, refuse(why));
+        } else if proposal.text.len() > MOST_TEXT {
+            let why = format!("its text has {} bytes, {MOST_TEXT} at most", proposal.text.len());
+            self.remember(id, refuse(why));
+        } else {
+            self.phase = Phase::Preparing(proposal);
+        }
+    }
+
+    fn remember(&mut self, id: ProposalId, outcome: Outcome) {
+        self.outcomes.push((id, outcome));
+    }
+
+    /// The proposal under way.
+    pub fn under_way(&self) -> Option<&Proposal> {
+        match &self.phase {
+            Phase::Rest => None,
+            Phase::Preparing(p) | Phase::Closing(p) => Some(p),
+        }
+    }
+
+    /// What became of a proposal; none where it is under way, was never heard of, or is long past.
+    pub fn outcome(&self, id: ProposalId) -> Option<&Outcome> {
+        self.outcomes.iter().rev().find(|(of, _)| *of == id).map(|(_, outcome)| outcome)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn proposal(id: ProposalId, base: u64) -> Proposal {
+        Proposal { id, base, text: format!("# {id}"), who: "staff".into(), why: "a test".into() }
+    }
+
+    fn after(commands: &[Command]) -> State {
+        let mut state = State::default();
+        commands.iter().for_each(|command| state.apply(command.clone()));
+        state
+    }
+
+    #[test]
+    fn each_proposal_has_one_outcome_whatever_comes_twice_or_late() {
+        let (one, two) = (Command::Propose(proposal(1, 0)), Command::Propose(proposal(2, 0)));
+        let whole = [one.clone(), Command::Close(1), Command::Commit(1)];
+        assert_eq!(after(&whole).outcome(1), Some(&Outcome::InForce(1)));
+        // The same again changes nothing.
+        assert_eq!(after(&[&whole[..], &whole[..]].concat()), after(&whole));
+        // The second of two at once is refused; the first goes on.
+        let both = after(&[one.clone(), two.clone(), Command::Close(1), Command::Commit(1)]);
+        assert!(matches!(both.outcome(2), Some(Outcome::Refused(..))));
+        assert_eq!(both.policy.epoch, 1);
+        // Once closed there is no way back, and before that no way past a refusal.
+        let late = [one.clone(), Command::Close(1), Command::Refuse(1, "n1".into(), "no".into())];
+        assert!(matches!(after(&late).phase, Phase::Closing(_)));
+        let refused = [one.clone(), Command::Refuse(1, "n1".into(), "no".into()), Command::Close(1)];
+        assert_eq!(after(&refused).phase, Phase::Rest);
+        assert_eq!(after(&[one.clone(), Command::Commit(1)]).policy.epoch, 0, "not before it is closed");
+        // Made for another epoch.
+        let stale = [&whole[..], &[Command::Propose(proposal(3, 7))]].concat();
+        assert!(matches!(after(&stale).outcome(3), Some(Outcome::Refused(..))));
+    }
+
+    #[test]
+    fn what_is_remembered_is_bounded() {
+        let mut state = State::default();
+        for id in 1..200 {
+            for command in [Command::Propose(proposal(id, 0)), Command::Close(id), Command::Commit(id)] {
+                state.apply(command);
+            }
+        }
+        assert_eq!((state.history.len(), state.outcomes.len(), state.policy.epoch), (64, 64, 199));
+        assert!(state.outcome(199).is_some() && state.outcome(1).is_none());
+    }
+}
--- /dev/null
+++ b/crates/control/src/voter.rs
@@ -0,0 +1,503 @@
+//! A voter: it keeps the log with the others, and while it leads it grants leases and carries proposals through.
+//!
+//! A lease is granted only once a majority has confirmed, after the relay asked, that this voter still leads. It runs
+//! from when the relay asked. So when another leader takes office, no lease that its predecessor gave can run for longer
+//! than one lease from then on, and the new one need know nothing of them but that.
+//!
+//! Guards against: a leader that was stopped and grants on when it wakes (the majority does not confirm), a relay that
+//! is down or cut off (its lease runs out), and one that never answers (the proposal is given up, and says for whom).
+
+use crate::log::{bytes, Damaged, Kept, Log, Stored};
+use crate::message::{Answer, Ask, Message, Relay, Renew, Reply, Status};
+use crate::state::{Command, Phase, ProposalId, State};
+use crate::{Micros, Plant, Planted, Times};
+use protobuf::Message as _;
+use raft::eraftpb::{EntryType, MessageType};
+use raft::{Config, RawNode, StateRole};
+use std::collections::BTreeMap;
+
+/// Beats between two signs of life of a leader, and beats without one before an election; each voter waits for some
+/// more than the one before it, so that they seldom stand at once, and the same each time.
+const HEARTBEAT: usize = 2;
+const ELECTION: usize = 10;
+const ELECTION_STEP: usize = 3;
+/// Entries after which a snapshot takes their place.
+const COMPACT: usize = 256;
+/// Renewals and questions that wait for one confirmation, and relays that a leader remembers: more are told to come
+/// again.
+const WAITING: usize = 8192;
+/// A proposal that the log has not taken is handed to it again after so long.
+const AGAIN: Micros = 1_000_000;
+
+/// Where an answer goes: whatever the driver made of the sender.
+pub type From = u64;
+
+/// What is to be done, in this order: store, then send.
+#[derive(Debug, Default)]
+pub struct Work {
+    /// To be stored before anything is sent.
+    pub store: Stored,
+    /// To other voters, by their numbers.
+    pub to_voters: Vec<(u64, Message)>,
+    /// To whoever asked.
+    pub answers: Vec<(From, Message)>,
+}
+
+impl Work {
+    /// Whether there is nothing to do.
+    pub fn is_empty(&self) -> bool {
+        self.store.is_empty() && self.to_voters.is_empty() && self.answers.is_empty()
+    }
+}
+
+/// What a leader knows of a relay.
+#[derive(Clone, Debug, Default)]
+struct Known {
+    /// When it was last granted a lease, by this leader's clock.
+    granted: Option<Micros>,
+    epoch: u64,
+    prepared: Option<ProposalId>,
+    yielded: Option<ProposalId>,
+    seen: Micros,
+}
+
+/// The time in office of a leader.
+#[derive(Debug, Default)]
+struct Office {
+    term: u64,
+    since: Micros,
+    relays: BTreeMap<Relay, Known>,
+    /// Since when the proposal is prepared, or closed, here.
+    step: Option<(ProposalId, bool, Micros)>,
+    /// When its next step was last handed to the log.
+    asked: Option<Micros>,
+}
+
+enum Waiting {
+    Renew(From, Renew),
+    Ask(From, u64, Ask),
+}
+
+/// See the module's text.
+pub struct Voter {
+    raw: RawNode<Log>,
+    times: Times,
+    planted: Planted,
+    state: State,
+    office: Option<Office>,
+    beat: Micros,
+    reads: u64,
+    /// What waits for the next confirmation, and what waits for one that is under way.
+    next: Vec<Waiting>,
+    under_way: BTreeMap<u64, Vec<Waiting>>,
+    answers: Vec<(From, Message)>,
+    now: Micros,
+}
+
+impl Voter {
+    /// The voter of that number, with what it had stored. The others are in the log.
+    pub fn new(id: u64, kept: &Kept, times: Times, now: Micros) -> Result<Voter, Damaged> {
+        Voter::of(id, Log::read(kept)?, times, now)
+    }
+
+    fn of(id: u64, log: Log, times: Times, now: Micros) -> Result<Voter, Damaged> {
+        let applied = raft::Storage::first_index(&log).map_or(0, |first| first - 1);
+        let state = match log.state() {
+            [] => State::default(),
+            bytes => postcard::from_bytes(bytes)
+                .map_err(|_| Damaged("the state in the snapshot cannot be read"))?,
+        };
+        let election = ELECTION + ELECTION_STEP * (id as usize % 8);
+        let config = Config {
+            id,
+            applied,
+            election_tick: election,
+            min_election_tick: election,
+            max_election_tick: election + 1,
+            heartbeat_tick: HEARTBEAT,
+            pre_vote: true,
+            check_quorum: true,
+            max_inflight_msgs: 64,
+            max_size_per_msg: 64 * 1024,
+            ..Config::default()
+        };
+        let quiet = slog::Logger::root(slog::Discard, slog::o!());
+        let raw =
+            RawNode::new(&config, log, &quiet).map_err(|_| Damaged("the log does not fit its voters"))?;
+        let (beat, planted) = (now, Planted::default());
+        let (next, under_way, answers) = (Vec::new(), BTreeMap::new(), Vec::new());
+        Ok(Voter { raw, times, planted, state, office: None, beat, reads: 0, next, under_way, answers, now })
+    }
+
+    /// The same with a fault in it: for tests of the checkers.
+    #[cfg(feature = "plants")]
+    pub fn planted(mut self, planted: Planted) -> Voter {
+        self.planted = planted;
+        self
+    }
+
+    /// Its number.
+    pub fn id(&self) -> u64 {
+        self.raw.raft.id
+    }
+
+    /// Whether it leads, as far as it knows; and its term.
+    pub fn leads(&self) -> Option<u64> {
+        (self.raw.raft.state == StateRole::Leader).then_some(self.raw.raft.term)
+    }
+
+    /// The other voters.
+    pub fn others(&self) -> Vec<u64> {
+        let voters = self.raw.raft.prs().conf().voters();
+        voters.ids().iter().filter(|id| *id != self.id()).collect()
+    }
+
+    /// What it has applied.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Micros) {
+        self.now = now;
+        // One that was stopped for long makes up for a few beats only: its leader may have been heard of meanwhile,
+        // and the messages that say so wait to be read.
+        self.beat = self.beat.max(now.saturating_sub(3 * self.times.tick));
+        while now >= self.beat + self.times.tick {
+            self.beat += self.times.tick;
+            self.raw.tick();
+        }
+        self.govern();
+        self.confirm();
+    }
+
+    /// A message of another voter's log. An error is final: this voter's disk has lost what it had answered for, and it
+    /// must not vote any more.
+    pub fn step(&mut self, now: Micros, bytes: &[u8]) -> Result<(), Damaged> {
+        self.now = now;
+        let Ok(message) = raft::eraftpb::Message::parse_from_bytes(bytes) else { return Ok(()) };
+        let current = message.term >= self.raw.raft.term;
+        // A leader tells a voter that entries are committed only as far as that voter has said that it has them.
+        if current && message.get_msg_type() == MessageType::MsgHeartbeat {
+            let end = raft::Storage::last_index(self.raw.store()).unwrap_or(0);
+            if message.commit > end {
+                return Err(Damaged("entries that were answered for are not there any more"));
+            }
+        }
+        // What is of an earlier term, or for another, the library leaves aside by itself.
+        let _ = self.raw.step(message);
+        Ok(())
+    }
+
+    /// A relay asks for its lease.
+    pub fn renew(&mut self, now: Micros, from: From, renew: Renew) {
+        self.now = now;
+        self.wait(Waiting::Renew(from, renew));
+    }
+
+    /// Staff ask.
+    pub fn ask(&mut self, now: Micros, from: From, number: u64, ask: Ask) {
+        self.now = now;
+        self.wait(Waiting::Ask(from, number, ask));
+    }
+
+    fn leader(&self) -> Option<u64> {
+        Some(self.raw.raft.leader_id).filter(|id| *id != 0)
+    }
+
+    fn wait(&mut self, waiting: Waiting) {
+        if self.leads().is_some() && self.next.len() < WAITING {
+            return self.next.push(waiting);
+        }
+        self.turn_away(waiting);
+    }
+
+    fn turn_away(&mut self, waiting: Waiting) {
+        let elsewhere = self.leader().filter(|leader| *leader != self.id());
+        self.answers.push(match waiting {
+            Waiting::Renew(from, renew) => {
+                let reply = Reply { number: renew.number, elsewhere: Some(elsewhere), ..Reply::default() };
+                (from, Message::Reply(reply))
+            }
+            Waiting::Ask(from, number, _) => (from, Message::Answer(number, Answer::Elsewhere(elsewhere))),
+        });
+    }
+
+    /// Has a majority confirm that it still leads, for all that waits.
+    fn confirm(&mut self) {
+        if self.next.is_empty() {
+            return;
+        }
+        // A leader that has nothing of its own term in the log yet cannot be confirmed.
+        if self.leads().is_none() || !self.raw.raft.commit_to_current_term() {
+            if self.leads().is_none() {
+                std::mem::take(&mut self.next).into_iter().for_each(|waiting| self.turn_away(waiting));
+            }
+            return;
+        }
+        self.reads += 1;
+        let waiting = std::mem::take(&mut self.next);
+        if self.planted.is(Plant::GrantAlone) {
+            return waiting.into_iter().for_each(|waiting| self.answer(waiting));
+        }
+        self.under_way.insert(self.reads, waiting);
+        self.raw.read_index(self.reads.to_be_bytes().to_vec());
+    }
+
+    /// Answers what was confirmed.
+    fn answer(&mut self, waiting: Waiting) {
+        if self.leads().is_none() {
+            return self.turn_away(waiting);
+        }
+        match waiting {
+            Waiting::Renew(from, renew) => {
+                let reply = self.grant(renew);
+                self.answers.push((from, Message::Reply(reply)));
+            }
+            Waiting::Ask(from, number, ask) => {
+                let answer = self.tell(ask);
+                self.answers.push((from, Message::Answer(number, answer)));
+            }
+        }
+    }
+
+    /// What a relay gets. The relay may have refused the proposal, too.
+    fn grant(&mut self, renew: Renew) -> Reply {
+        let (now, term) = (self.now, self.raw.raft.term);
+        let mut reply = Reply { number: renew.number, ..Reply::default() };
+        let Some(office) = self.office.as_mut().filter(|office| office.term == term) else {
+            reply.elsewhere = Some(None);
+            return reply;
+        };
+        if !office.relays.contains_key(&renew.relay) && office.relays.len() >= WAITING {
+            reply.elsewhere = Some(None);
+            return reply;
+        }
+        let known = office.relays.entry(renew.relay.clone()).or_default();
+        (known.epoch, known.seen) = (renew.epoch, now);
+        (known.prepared, known.yielded) = (renew.prepared, renew.yielded);
+        let current = renew.epoch == self.state.policy.epoch;
+        if !current {
+            reply.policy = Some(self.state.policy.clone());
+        }
+        let mut refusal = None;
+        match &self.state.phase {
+            Phase::Closing(p) if !self.planted.is(Plant::GrantClosed) => reply.close = Some(p.id),
+            Phase::Preparing(p) if renew.refused.as_ref().is_some_and(|(id, _)| *id == p.id) => {
+                let why = renew.refused.map_or(String::new(), |(_, why)| why);
+                refusal = Some(Command::Refuse(p.id, renew.relay.name, why));
+                reply.grant = current.then_some(renew.epoch);
+            }
+            phase => {
+                reply.grant = current.then_some(renew.epoch);
+                if let Phase::Preparing(p) = phase {
+                    reply.prepare = Some(p.clone()).filter(|p| renew.prepared != Some(p.id));
+                }
+            }
+        }
+        if reply.grant.is_some() {
+            known.granted = Some(now);
+        }
+        if let Some(refusal) = refusal {
+            self.propose(&refusal);
+        }
+        reply
+    }
+
+    fn tell(&mut self, ask: Ask) -> Answer {
+        let id = match ask {
+            Ask::Status => {
+                let (leader, term, state) = (self.id(), self.raw.raft.term, self.state.clone());
+                let runs =
+                    |known: &Known| known.granted.is_some_and(|at| self.now < self.times.lapsed_by(at));
+                let relays = self.office.iter().flat_map(|office| &office.relays);
+                let relays = relays.map(|(relay, known)| (relay.clone(), runs(known), known.epoch)).collect();
+                return Answer::Status(Box::new(Status { leader, term, state, relays }));
+            }
+            Ask::Outcome(id) => id,
+            Ask::Propose(proposal) => {
+                let id = proposal.id;
+                let known =
+                    self.state.outcome(id).is_some() || self.state.under_way().is_some_and(|p| p.id == id);
+                if !known {
+                    self.propose(&Command::Propose(proposal));
+                    return Answer::UnderWay("handed to the log".into(), Vec::new());
+                }
+                id
+            }
+        };
+        if let Some(outcome) = self.state.outcome(id) {
+            return Answer::Outcome(outcome.clone());
+        }
+        match &self.state.phase {
+            Phase::Preparing(p) if p.id == id => {
+                Answer::UnderWay("each relay checks and stores it".into(), self.waited_for())
+            }
+            Phase::Closing(p) if p.id == id => {
+                Answer::UnderWay("waits until no lease runs".into(), self.waited_for())
+            }
+            _ => Answer::Unknown,
+        }
+    }
+
+    fn propose(&mut self, command: &Command) {
+        if let Ok(data) = postcard::to_stdvec(command) {
+            let _ = self.raw.propose(Vec::new(), data);
+        }
+    }
+
+    /// Whether all that ran before this leader came into office has run out.
+    fn settled(&self, office: &Office) -> bool {
+        self.planted.is(Plant::ForgetPredecessor) || self.now >= self.times.lapsed_by(office.since)
+    }
+
+    /// Relays that may still hold a lease and have not done what the proposal wants of them.
+    fn waited_for(&self) -> Vec<String> {
+        let Some(office) = &self.office else { return Vec::new() };
+        let runs = |known: &Known| known.granted.is_some_and(|at| self.now < self.times.lapsed_by(at));
+        let done = |known: &Known| match &self.state.phase {
+            Phase::Rest => true,
+            Phase::Preparing(p) => known.prepared == Some(p.id),
+            Phase::Closing(p) => known.yielded == Some(p.id),
+        };
+        let late = office.relays.iter().filter(|(_, known)| runs(known) && !done(known));
+        let mut names: Vec<String> = late.map(|(relay, _)| relay.name.clone()).collect();
+        if !self.settled(office) {
+            names.push("leases that the leader before may have given".into());
+        }
+        names
+    }
+
+    /// Carries the proposal under way a step further, where it leads and nothing is waited for.
+    fn govern(&mut self) {
+        let Some(term) = self.leads().filter(|_| self.raw.raft.commit_to_current_term()) else {
+            self.office = None;
+            return;
+        };
+        let now = self.now;
+        if self.office.as_ref().is_none_or(|office| office.term != term) {
+            // Not since it was elected but since it knows that it was: later, and so on the safe side.
+            self.office = Some(Office { term, since: now, ..Office::default() });
+        }
+        let at = match &self.state.phase {
+            Phase::Rest => None,
+            Phase::Preparing(p) => Some((p.id, false)),
+            Phase::Closing(p) => Some((p.id, true)),
+        };
+        let waited_for = self.waited_for();
+        let (times, skip) = (self.times, self.planted.is(Plant::SkipWait));
+        let Some(office) = &mut self.office else { return };
+        // Relays that are long gone are forgotten: their leases have run out.
+        let patience = times.patience + times.lapsed_by(0);
+        office.relays.retain(|_, known| now < known.seen + patience);
+        let Some((id, closing)) = at else {
+            (office.step, office.asked) = (None, None);
+            return;
+        };
+        if office.step.is_none_or(|(of, closed, _)| (of, closed) != (id, closing)) {
+            (office.step, office.asked) = (Some((id, closing, now)), None);
+        }
+        let since = office.step.map_or(now, |(_, _, since)| since);
+        let command = if closing {
+            // Whoever holds a lease got it before it was closed, whatever this leader knows of that.
+            let lapsed = now >= times.lapsed_by(since);
+            (waited_for.is_empty() || lapsed || skip).then_some(Command::Commit(id))
+        } else if waited_for.is_empty() {
+            Some(Command::Close(id))
+        } else if now >= since + times.patience {
+            Some(Command::GiveUp(id, waited_for))
+        } else {
+            None
+        };
+        let due = office.asked.is_none_or(|at| now >= at + AGAIN);
+        if let Some(command) = command.filter(|_| due) {
+            office.asked = Some(now);
+            self.propose(&command);
+        }
+    }
+
+    /// What is to be done now. To be called again until there is nothing: each call takes what the last one led to.
+    pub fn work(&mut self, now: Micros) -> Work {
+        self.now = now;
+        let mut work = Work::default();
+        if self.raw.has_ready() {
+            self.ready(&mut work);
+        }
+        self.confirm();
+        work.answers.append(&mut self.answers);
+        work
+    }
+
+    fn ready(&mut self, work: &mut Work) {
+        let mut ready = self.raw.ready();
+        let mut messages = ready.take_messages();
+        if *ready.snapshot() != raft::eraftpb::Snapshot::default() {
+            let snapshot = ready.snapshot().clone();
+            self.raw.mut_store().install(&snapshot);
+            work.store.snapshot = Some(bytes(&snapshot));
+            if let Ok(state) = postcard::from_bytes(&snapshot.data) {
+                self.state = state;
+            }
+        }
+        self.apply(ready.take_committed_entries());
+        if !ready.entries().is_empty() {
+            let entries = ready.entries().clone();
+            work.store.entries = entries.iter().map(|e| (e.index, bytes(e))).collect();
+            self.raw.mut_store().append(&entries);
+        }
+        if let Some(vote) = ready.hs() {
+            let vote = vote.clone();
+            work.store.vote = Some(bytes(&vote));
+            self.raw.mut_store().set_vote(&vote);
+        }
+        let mut confirmed = Vec::new();
+        for read in ready.take_read_states() {
+            let Ok(number) = read.request_ctx.as_slice().try_into().map(u64::from_be_bytes) else { continue };
+            // A later confirmation stands for the earlier ones, too; what was lost on its way does not wait for good.
+            let later = self.under_way.split_off(&(number + 1));
+            confirmed.extend(std::mem::replace(&mut self.under_way, later).into_values().flatten());
+        }
+        messages.extend(ready.take_persisted_messages());
+        let mut light = self.raw.advance(ready);
+        messages.extend(light.take_messages());
+        if let Some(commit) = light.commit_index() {
+            let mut vote = raft::Storage::initial_state(self.raw.store())
+                .map_or_else(|_| Default::default(), |s| s.hard_state);
+            vote.commit = commit;
+            self.raw.mut_store().set_vote(&vote);
+            work.store.vote = Some(bytes(&vote));
+        }
+        self.apply(light.take_committed_entries());
+        self.raw.advance_apply();
+        // Only now: an answer may propose something, and the library wants to hear of nothing while it is advanced.
+        confirmed.into_iter().for_each(|waiting| self.answer(waiting));
+        if self.leads().is_none() {
+            let lost: Vec<Waiting> = std::mem::take(&mut self.under_way).into_values().flatten().collect();
+            lost.into_iter().for_each(|waiting| self.turn_away(waiting));
+        }
+        if work.store.snapshot.is_none() && self.raw.store().len() > COMPACT {
+            self.compact(work);
+        }
+        work.to_voters = messages.iter().map(|m| (m.to, Message::Log(bytes(m)))).collect();
+    }
+
+    fn apply(&mut self, entries: Vec<raft::eraftpb::Entry>) {
+        for entry in entries {
+            // Voters change by no command yet; an empty entry is a new leader's first.
+            if entry.get_entry_type() != EntryType::EntryNormal || entry.data.is_empty() {
+                continue;
+            }
+            if let Ok(command) = postcard::from_bytes(&entry.data) {
+                self.state.apply(command);
+            }
+        }
+    }
+
+    fn compact(&mut self, work: &mut Work) {
+        let applied = self.raw.raft.raft_log.applied;
+        let conf = self.raw.raft.prs().conf().to_conf_state();
+        let Ok(state) = postcard::to_stdvec(&self.state) else { return };
+        let stored = self.raw.mut_store().compact(applied, &conf, state);
+        (work.store.snapshot, work.store.compact) = (stored.snapshot, stored.compact);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/faults/virtual_fleet.rs
@@ -0,0 +1,567 @@
+//! A fleet in one process: the code that serves, on a network, disks and clocks that a seed decides. A play is the same
+//! each time, so a seed is all that is needed to see a broken rule again.
+//!
+//! What can happen: messages that are lost, late, doubled, or held back and let go much later; links cut one way or both;
+//! processes that are killed and come back with what their disk has, or are stopped for longer than a lease and go on as
+//! if nothing had been; clocks that differ by as much as is allowed.
+
+use super::books::{Broken, Fact, Line, Moment};
+use jaspermoor_control::holder::{Alone, Effect, Holder};
+use jaspermoor_control::log::{Kept, Log, Stored};
+use jaspermoor_control::message::{Answer, Ask, Message, Relay};
+use jaspermoor_control::state::{Policy, Proposal, ProposalId};
+use jaspermoor_control::voter::Voter;
+use jaspermoor_control::{Micros, Plant, Planted, Times};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+/// The beat at which processes look at their time and clients knock, in microseconds.
+const BEAT: Moment = 10_000;
+/// The sender that stands for staff.
+const STAFF: usize = usize::MAX;
+
+/// What a play is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Play {
+    /// Decides all that happens.
+    pub seed: u64,
+    /// Voters, and relays beside them.
+    pub voters: usize,
+    /// See `voters`.
+    pub observers: usize,
+    /// How long faults go on; then all is mended, and the fleet must come together.
+    pub length: Moment,
+    /// A fault in the program.
+    pub plant: Option<Plant>,
+}
+
+impl Default for Play {
+    fn default() -> Play {
+        Play { seed: 1, voters: 3, observers: 3, length: 40_000_000, plant: None }
+    }
+}
+
+/// What a play showed.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Rules that did not hold.
+    pub broken: Vec<Broken>,
+    /// The last epoch in force.
+    pub epoch: u64,
+    /// Proposals that were told to be in force, refused, and given up.
+    pub outcomes: [usize; 3],
+    /// Faults.
+    pub faults: usize,
+    /// Everything, in the order of time.
+    pub book: Vec<Line>,
+}
+
+struct Process {
+    name: String,
+    voter: Option<Voter>,
+    holder: Option<Holder>,
+    /// What its disk has.
+    kept: Kept,
+    policy: Policy,
+    /// What it has not stored, though it should have: lost in a crash.
+    unstored: Vec<Stored>,
+    starts: u64,
+    /// Stopped up to then; what comes meanwhile waits.
+    stopped_until: Moment,
+    inbox: Vec<(usize, Message)>,
+    /// Its clock: where it stood at the begin, and its rate in millionths.
+    clock: (Micros, u64),
+    wakes: Moment,
+}
+
+enum Event {
+    Beat(usize),
+    Arrives(usize, usize, Box<Message>),
+    Fault,
+    Start(usize),
+    Propose,
+    Mend,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Cut {
+    until: Moment,
+    /// Whether what is sent meanwhile comes when the link is back, and is not lost.
+    holds: bool,
+}
+
+struct World {
+    play: Play,
+    times: Times,
+    rng: ChaCha8Rng,
+    now: Moment,
+    order: u64,
+    events: BinaryHeap<Reverse<(Moment, u64)>>,
+    what: BTreeMap<u64, Event>,
+    processes: Vec<Process>,
+    cuts: BTreeMap<(usize, usize), Cut>,
+    /// Loss in thousandths and the longest delay, fleet-wide, up to then.
+    weather: (u32, Moment, Moment),
+    proposals: Vec<ProposalId>,
+    seen: Seen,
+    admitted: BTreeMap<usize, u64>,
+    leads: BTreeMap<u64, u64>,
+}
+
+/// Applies what is stored to a disk, as the relay's own store does.
+fn store(kept: &mut Kept, stored: Stored) {
+    let index = |bytes: &Vec<u8>| entry_index(bytes);
+    if let Some(vote) = stored.vote {
+        kept.vote = Some(vote);
+    }
+    if let Some(snapshot) = stored.snapshot {
+        kept.snapshot = Some(snapshot);
+        match stored.compact {
+            Some(to) => kept.entries.retain(|e| index(e) > to),
+            None => kept.entries.clear(),
+        }
+    }
+    if let Some((first, _)) = stored.entries.first() {
+        kept.entries.retain(|e| index(e) < *first);
+        kept.entries.extend(stored.entries.into_iter().map(|(_, bytes)| bytes));
+    }
+}
+
+fn entry_index(bytes: &[u8]) -> u64 {
+    use protobuf::Message as _;
+    raft::eraftpb::Entry::parse_from_bytes(bytes).map_or(0, |e| e.index)
+}
+
+/// Plays it.
+pub fn run(play: Play) -> Seen {
+    let mut world = World::new(play);
+    world.begin();
+    while let Some(Reverse((at, order))) = world.events.pop() {
+        if at > play.length + 30_000_000 {
+            break;
+        }
+        world.now = at;
+        if let Some(event) = world.what.remove(&order) {
+            world.happen(event);
+        }
+    }
+    world.end()
+}
+
+impl World {
+    fn new(play: Play) -> World {
+        World {
+            play,
+            times: Times { patience: 4_000_000, ..Times::default() },
+            rng: ChaCha8Rng::seed_from_u64(play.seed),
+            now: 0,
+            order: 0,
+            events: BinaryHeap::new(),
+            what: BTreeMap::new(),
+            processes: Vec::new(),
+            cuts: BTreeMap::new(),
+            weather: (0, 0, 0),
+            proposals: Vec::new(),
+            seen: Seen::default(),
+            admitted: BTreeMap::new(),
+            leads: BTreeMap::new(),
+        }
+    }
+
+    fn later(&mut self, at: Moment, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse((at, self.order)));
+        self.what.insert(self.order, event);
+    }
+
+    fn write(&mut self, fact: Fact) {
+        self.seen.book.push(Line { at: self.now, fact });
+    }
+
+    fn local(&self, n: usize) -> Micros {
+        let (offset, rate) = self.processes[n].clock;
+        offset + self.now / 1_000 * rate / 1_000
+    }
+
+    fn begin(&mut self) {
+        let ids: Vec<u64> = (1..=self.play.voters as u64).collect();
+        // Half of the allowed drift to either side of the true time.
+        let half = self.times.drift * 1_000 / 2;
+        for n in 0..self.play.voters + self.play.observers {
+            let mut kept = Kept::default();
+            if n < self.play.voters {
+                store(&mut kept, Log::found(&ids).stored());
+            }
+            let clock = (
+                self.rng.random_range(0..1 << 40),
+                self.rng.random_range(1_000_000 - half..=1_000_000 + half),
+            );
+            self.processes.push(Process {
+                name: format!("n{n}"),
+                voter: None,
+                holder: None,
+                kept,
+                policy: Policy::default(),
+                unstored: Vec::new(),
+                starts: 0,
+                stopped_until: 0,
+                inbox: Vec::new(),
+                clock,
+                wakes: 0,
+            });
+            self.later(0, Event::Start(n));
+        }
+        let mut at = 3_000_000;
+        while at < self.play.length {
+            self.later(at, Event::Fault);
+            at += self.rng.random_range(200_000..2_500_000);
+        }
+        let mut at = 2_000_000;
+        while at < self.play.length + 10_000_000 {
+            self.later(at, Event::Propose);
+            at += self.rng.random_range(300_000..4_000_000);
+        }
+        self.later(self.play.length, Event::Mend);
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Beat(n) => self.beat(n),
+            Event::Arrives(to, from, message) => self.arrives(to, from, *message),
+            Event::Fault => self.fault(),
+            Event::Start(n) => self.start(n),
+            Event::Propose => self.propose(),
+            Event::Mend => {
+                self.cuts.clear();
+                self.weather = (0, 0, 0);
+                self.write(Fact::Fault { text: "all is mended".into() });
+                for n in 0..self.processes.len() {
+                    self.processes[n].stopped_until = self.processes[n].stopped_until.min(self.now);
+                }
+            }
+        }
+    }
+
+    fn planted(&self) -> Planted {
+        Planted(self.play.plant)
+    }
+
+    fn start(&mut self, n: usize) {
+        if self.processes[n].holder.is_some() {
+            return;
+        }
+        let (local, planted, times) = (self.local(n), self.planted(), self.times);
+        let voters: Vec<u64> = (1..=self.play.voters as u64).collect();
+        let p = &mut self.processes[n];
+        p.starts += 1;
+        let relay = Relay { name: p.name.clone(), start: p.starts };
+        let holder =
+            Holder::new(relay, voters, p.policy.clone(), times, Alone::Refuse).planted(planted, local);
+        p.holder = Some(holder);
+        if n < self.play.voters {
+            match Voter::new(n as u64 + 1, &p.kept, times, local) {
+                Ok(voter) => p.voter = Some(voter.planted(planted)),
+                Err(damaged) => {
+                    let text = format!("n{n} cannot start: {damaged:?}");
+                    self.seen.broken.push(Broken {
+                        rule: "a voter starts with what it stored",
+                        at: self.now,
+                        text,
+                    });
+                }
+            }
+        }
+        self.processes[n].wakes += 1;
+        self.later(self.now, Event::Beat(n));
+    }
+
+    fn kill(&mut self, n: usize) {
+        let p = &mut self.processes[n];
+        (p.voter, p.holder) = (None, None);
+        p.inbox.clear();
+        p.unstored.clear();
+        p.stopped_until = 0;
+    }
+
+    fn beat(&mut self, n: usize) {
+        if self.processes[n].holder.is_none() {
+            return;
+        }
+        if self.now < self.processes[n].stopped_until {
+            let at = self.processes[n].stopped_until;
+            return self.later(at, Event::Beat(n));
+        }
+        // A client may knock before what waited in the sockets is read: after a stop the lease is all that counts.
+        self.knock(n);
+        for (from, message) in std::mem::take(&mut self.processes[n].inbox) {
+            self.take(n, from, message);
+        }
+        let local = self.local(n);
+        if let Some(voter) = &mut self.processes[n].voter {
+            voter.tick(local);
+        }
+        self.work(n);
+        let effect = self.processes[n].holder.as_mut().and_then(|holder| holder.tick(local));
+        self.carry_out(n, effect.into_iter().collect());
+        self.knock(n);
+        self.later(self.now + BEAT, Event::Beat(n));
+    }
+
+    /// A client asks to be admitted.
+    fn knock(&mut self, n: usize) {
+        let local = self.local(n);
+        let Some(holder) = &self.processes[n].holder else { return };
+        if !holder.admits(local) {
+            return;
+        }
+        let epoch = holder.policy().epoch;
+        let name = self.processes[n].name.clone();
+        // Each change, and again from time to time: the book is to be read.
+        if self.admitted.insert(n, epoch) != Some(epoch)
+            || self.now % 500_000 < BEAT
+            || self.admitted.values().any(|e| *e != epoch)
+        {
+            self.write(Fact::Admitted { relay: name, epoch });
+        }
+    }
+
+    fn arrives(&mut self, to: usize, from: usize, message: Message) {
+        if to == STAFF {
+            if let Message::Answer(_, answer) = message {
+                self.told(answer);
+            }
+            return;
+        }
+        let p = &mut self.processes[to];
+        if p.holder.is_none() {
+            return;
+        }
+        if self.now < p.stopped_until {
+            p.inbox.push((from, message));
+            return;
+        }
+        self.take(to, from, message);
+        self.work(to);
+    }
+
+    fn take(&mut self, n: usize, from: usize, message: Message) {
+        let local = self.local(n);
+        let p = &mut self.processes[n];
+        match (message, &mut p.voter, &mut p.holder) {
+            (Message::Log(bytes), Some(voter), _) => {
+                if let Err(damaged) = voter.step(local, &bytes) {
+                    p.voter = None;
+                    let text = format!("n{n}: {}", damaged.0);
+                    let rule = "a voter keeps what it has answered for";
+                    self.seen.broken.push(Broken { rule, at: self.now, text });
+                }
+            }
+            (Message::Renew(renew), Some(voter), _) => voter.renew(local, from as u64, renew),
+            (Message::Ask(number, ask), Some(voter), _) => voter.ask(local, from as u64, number, ask),
+            (Message::Reply(reply), _, Some(holder)) => {
+                let check = |text: &str| {
+                    if text.contains("bad") {
+                        Err("a key that nobody knows".into())
+                    } else {
+                        Ok(())
+                    }
+                };
+                let effects = holder.heard(local, reply, check);
+                self.carry_out(n, effects);
+                self.knock(n);
+            }
+            _ => {}
+        }
+    }
+
+    fn carry_out(&mut self, n: usize, effects: Vec<Effect>) {
+        let local = self.local(n);
+        for effect in effects {
+            match effect {
+                Effect::Prepare(proposal) => {
+                    let again =
+                        self.processes[n].holder.as_mut().map(|holder| holder.prepared(local, proposal));
+                    self.carry_out(n, again.into_iter().collect());
+                }
+                Effect::Adopt(policy) => {
+                    let (relay, epoch, text) =
+                        (self.processes[n].name.clone(), policy.epoch, policy.text.clone());
+                    self.processes[n].policy = policy;
+                    self.write(Fact::Holds { relay, epoch, text });
+                }
+                Effect::Send(voter, renew) => self.send(n, voter as usize - 1, Message::Renew(renew)),
+            }
+        }
+    }
+
+    fn work(&mut self, n: usize) {
+        let local = self.local(n);
+        loop {
+            let Some(voter) = &mut self.processes[n].voter else { return };
+            let work = voter.work(local);
+            if let Some(term) = voter.leads() {
+                let id = voter.id();
+                if self.leads.insert(id, term) != Some(term) {
+                    self.write(Fact::Leads { voter: id, term });
+                }
+            }
+            if work.is_empty() {
+                return;
+            }
+            let p = &mut self.processes[n];
+            if self.play.plant == Some(Plant::SkipStore) {
+                p.unstored.push(work.store);
+                // It is written some time; what came last is not.
+                if p.unstored.len() > 4 {
+                    let stored = p.unstored.remove(0);
+                    store(&mut p.kept, stored);
+                }
+            } else {
+                store(&mut p.kept, work.store);
+            }
+            for (to, message) in work.to_voters {
+                self.send(n, to as usize - 1, message);
+            }
+            for (to, message) in work.answers {
+                self.send(n, to as usize, message);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let (loss, delay, until) = self.weather;
+        let mut wait = self.rng.random_range(100..3_000);
+        if self.now < until && from != to {
+            if self.rng.random_range(0..1_000) < loss {
+                return;
+            }
+            wait += self.rng.random_range(0..=delay);
+            if self.rng.random_range(0..20) == 0 {
+                let doubled = self.now + self.rng.random_range(0..5_000_000);
+                self.later(doubled, Event::Arrives(to, from, Box::new(message.clone())));
+            }
+        }
+        let mut at = self.now + wait;
+        if let Some(cut) = self.cuts.get(&(from, to)).filter(|cut| self.now < cut.until) {
+            if !cut.holds {
+                return;
+            }
+            at = cut.until + wait;
+        }
+        self.later(at, Event::Arrives(to, from, Box::new(message)));
+    }
+
+    fn fault(&mut self) {
+        self.seen.faults += 1;
+        let n = self.rng.random_range(0..self.processes.len());
+        let span = match self.rng.random_range(0..3) {
+            0 => self.rng.random_range(50_000..1_000_000),
+            1 => self.rng.random_range(1_000_000..4_000_000),
+            _ => self.rng.random_range(4_000_000..15_000_000),
+        };
+        let until = self.now + span;
+        let text = match self.rng.random_range(0..9) {
+            0 | 1 => {
+                self.kill(n);
+                self.later(until, Event::Start(n));
+                format!("n{n} is killed for {} ms", span / 1_000)
+            }
+            2 | 3 => {
+                self.processes[n].stopped_until = until;
+                format!("n{n} is stopped for {} ms", span / 1_000)
+            }
+            4 => {
+                let holds = self.rng.random_bool(0.5);
+                let both = self.rng.random_bool(0.5);
+                for m in 0..self.processes.len() {
+                    self.cuts.insert((n, m), Cut { until, holds });
+                    if both {
+                        self.cuts.insert((m, n), Cut { until, holds });
+                    }
+                }
+                let (way, what) =
+                    (if both { "both ways" } else { "one way" }, if holds { "held" } else { "lost" });
+                format!("n{n} is cut off {way} for {} ms, {what}", span / 1_000)
+            }
+            5 => {
+                let m = self.rng.random_range(0..self.processes.len());
+                self.cuts.insert((n, m), Cut { until, holds: self.rng.random_bool(0.5) });
+                format!("n{n} to n{m} is cut for {} ms", span / 1_000)
+            }
+            6 => {
+                let (loss, delay) = (self.rng.random_range(0..400), self.rng.random_range(1_000..2_000_000));
+                self.weather = (loss, delay, until);
+                format!("{loss} in 1000 lost, up to {} ms late, for {} ms", delay / 1_000, span / 1_000)
+            }
+            7 => {
+                for n in 0..self.play.voters {
+                    if self.rng.random_bool(0.6) {
+                        self.kill(n);
+                        self.later(until, Event::Start(n));
+                    }
+                }
+                format!("most voters are killed for {} ms", span / 1_000)
+            }
+            _ => {
+                // The leader, at the worst of times.
+                let leader = (0..self.play.voters)
+                    .find(|n| self.processes[*n].voter.as_ref().is_some_and(|v| v.leads().is_some()));
+                let n = leader.unwrap_or(n);
+                self.processes[n].stopped_until = until;
+                format!("n{n}, which leads, is stopped for {} ms", span / 1_000)
+            }
+        };
+        self.write(Fact::Fault { text });
+    }
+
+    fn propose(&mut self) {
+        // Sometimes asks again for what became of an earlier one, sometimes proposes one twice.
+        let old = self.proposals.len();
+        let again = old > 0 && self.rng.random_bool(0.4);
+        let ask = if again {
+            Ask::Outcome(self.proposals[self.rng.random_range(0..old)])
+        } else {
+            let id: ProposalId = self.rng.random();
+            self.proposals.push(id);
+            let bad = if self.rng.random_bool(0.1) { "bad" } else { "good" };
+            let text = format!("{bad} {}", old + 1);
+            Ask::Propose(Proposal { id, base: 0, text, who: "staff".into(), why: "a play".into() })
+        };
+        // Every voter is asked: the one that leads answers.
+        for n in 0..self.play.voters {
+            self.later(self.now, Event::Arrives(n, STAFF, Box::new(Message::Ask(1, ask.clone()))));
+        }
+    }
+
+    fn told(&mut self, answer: Answer) {
+        use jaspermoor_control::state::Outcome;
+        if let Answer::Outcome(outcome) = answer {
+            let n = match &outcome {
+                Outcome::InForce(_) => 0,
+                Outcome::Refused(..) => 1,
+                Outcome::GivenUp(_) => 2,
+            };
+            self.seen.outcomes[n] += 1;
+        }
+    }
+
+    fn end(mut self) -> Seen {
+        self.seen.broken.extend(super::books::check(&self.seen.book));
+        // Once all is mended the fleet must have come together: every relay admits, all under one policy.
+        let states: Vec<(bool, u64)> = (0..self.processes.len())
+            .map(|n| {
+                let holder = self.processes[n].holder.as_ref();
+                holder.map_or((false, 0), |h| (h.admits(self.local(n)), h.policy().epoch))
+            })
+            .collect();
+        self.seen.epoch = states.iter().map(|(_, epoch)| *epoch).max().unwrap_or(0);
+        if states.iter().any(|state| *state != (true, self.seen.epoch)) {
+            let text =
+                format!("20 s and more after all was mended: (admits, epoch) of each relay {states:?}");
+            self.seen.broken.push(Broken { rule: "the fleet comes together", at: self.now, text });
+        }
+        self.seen
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod certs;
 pub mod demo;
 pub mod discovery;
+pub mod faults;
 pub mod fleet;
 pub mod line;
 pub mod relay;
--- /dev/null
+++ b/crates/lab/tests/faults.rs
@@ -0,0 +1,38 @@
+//! Plays of a whole fleet in one process: rules hold, and each planted fault is found.
+
+use jaspermoor_control::Plant;
+use jaspermoor_lab::faults::virtual_fleet::{run, Play};
+
+#[test]
+fn no_rule_is_broken_whatever_fails() {
+    let mut in_force = 0;
+    for seed in 1..=90 {
+        let play = Play {
+            seed,
+            voters: if seed % 3 == 0 { 5 } else { 3 },
+            observers: (seed % 5) as usize,
+            ..Play::default()
+        };
+        let seen = run(play);
+        assert!(seen.broken.is_empty(), "seed {seed}: {}", seen.broken[0]);
+        in_force += seen.epoch;
+    }
+    // Plays in which nothing ever takes hold would prove nothing.
+    assert!(in_force > 90, "{in_force} policies came into force");
+}
+
+#[test]
+fn every_planted_fault_is_found() {
+    for (name, plant) in Plant::ALL {
+        let found = (1..=400)
+            .find(|&seed| !run(Play { seed, plant: Some(plant), ..Play::default() }).broken.is_empty());
+        assert!(found.is_some(), "{name} was not found in 400 plays");
+    }
+}
+
+#[test]
+fn a_seed_gives_the_same_play_each_time() {
+    let (one, two) = (run(Play { seed: 9, ..Play::default() }), run(Play { seed: 9, ..Play::default() }));
+    assert_eq!(one.book, two.book);
+    assert!(one.faults > 5);
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod cells;
 pub mod check;
+pub mod fleet;
+pub mod policy;
 pub mod serve;
 
 /// What ends a sub-command early.
--- /dev/null
+++ b/src/cli/policy.rs
@@ -0,0 +1,372 @@
+//! `policy`: what a fleet's policy is, and how it is changed.
+
+use super::Failure;
+use argh::FromArgs;
+use jaspermoor::config::operator::OperatorFile;
+use jaspermoor::config::policy;
+use jaspermoor::net::fleet::{number, Setup};
+use jaspermoor_control::message::{Answer, Ask, Message, Status};
+use jaspermoor_control::seal::Session;
+use jaspermoor_control::state::{Outcome, Phase, Policy, Proposal, ProposalId};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+/// How long one voter is waited for before the next is asked.
+const ANSWER: Duration = Duration::from_secs(2);
+/// Pause before all voters are asked again.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// Shows and changes what all relays of the fleet serve under.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "policy")]
+pub struct PolicyOf {
+    /// the operator file, whose [fleet] says where the voters are
+    #[argh(option)]
+    operator: PathBuf,
+    /// how long to wait for an outcome, in seconds (default 30)
+    #[argh(option, default = "30")]
+    wait: u64,
+    /// answers as JSON, one object
+    #[argh(switch)]
+    json: bool,
+    #[argh(subcommand)]
+    what: What,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum What {
+    Check(Check),
+    Diff(Diff),
+    Propose(Propose),
+    Status(StatusOf),
+    History(History),
+    Rollback(Rollback),
+    Outcome(OutcomeOf),
+}
+
+/// Checks a policy's file as this build does, without asking anybody.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// the file
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// Shows what a file would change in the policy in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "diff")]
+struct Diff {
+    /// the file
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// Proposes a policy, and waits for what becomes of it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "propose")]
+struct Propose {
+    /// the file
+    #[argh(positional)]
+    file: PathBuf,
+    /// why, in one sentence: it stands in the history
+    #[argh(option)]
+    why: String,
+    /// who proposes it (default: the user's name)
+    #[argh(option)]
+    who: Option<String>,
+    /// only if this epoch is in force
+    #[argh(option, default = "0")]
+    base: u64,
+    /// the proposal's name, 32 hexadecimal digits, where a call is repeated
+    #[argh(option)]
+    id: Option<String>,
+}
+
+/// Shows the policy in force, the change under way, and the relays.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+struct StatusOf {}
+
+/// Lists the policies that were in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "history")]
+struct History {}
+
+/// Proposes an earlier policy again.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "rollback")]
+struct Rollback {
+    /// its epoch
+    #[argh(positional)]
+    epoch: u64,
+    /// why, in one sentence
+    #[argh(option)]
+    why: String,
+}
+
+/// Says what became of a proposal.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "outcome")]
+struct OutcomeOf {
+    /// its name, 32 hexadecimal digits
+    #[argh(positional)]
+    id: String,
+}
+
+/// Asks the voters, one after the other, until the leader answers or the time is up.
+struct Voters {
+    setup: Setup,
+    until: Instant,
+    /// The one that answered last.
+    at: usize,
+}
+
+impl Voters {
+    fn ask(&mut self, ask: &Ask) -> Result<Answer, Failure> {
+        let mut last = String::from("none was asked");
+        while Instant::now() < self.until {
+            for _ in 0..self.setup.fleet.voters.len() {
+                let voter = &self.setup.fleet.voters[self.at % self.setup.fleet.voters.len()];
+                match self.one(voter.address, ask) {
+                    Ok(Answer::Elsewhere(Some(leader))) => {
+                        last = format!("voter {leader} should lead");
+                        let leader = self.setup.fleet.voters.iter().position(|v| v.number == leader);
+                        self.at = leader.unwrap_or(self.at + 1);
+                    }
+                    Ok(Answer::Elsewhere(None)) => {
+                        last = "no voter leads: a majority of them must be up and reach each other".into();
+                        self.at += 1;
+                    }
+                    Ok(answer) => return Ok(answer),
+                    Err(e) => {
+                        last = format!("voter {} at {}: {e}", voter.number, voter.address);
+                        self.at += 1;
+                    }
+                }
+            }
+            std::thread::sleep(AGAIN);
+        }
+        Err(format!("no answer: {last}").into())
+    }
+
+    fn one(&self, addr: std::net::SocketAddr, ask: &Ask) -> Result<Answer, Failure> {
+        let mut socket = TcpStream::connect_timeout(&addr, ANSWER)?;
+        socket.set_read_timeout(Some(ANSWER))?;
+        socket.set_write_timeout(Some(ANSWER))?;
+        let mut session = Session::new(true, self.setup.keys.clone(), self.setup.id(), number());
+        socket.write_all(session.out())?;
+        session.out().clear();
+        let (mut piece, mut asked, end) = (vec![0; 64 * 1024], false, Instant::now() + ANSWER);
+        loop {
+            let n = socket.read(&mut piece)?;
+            if n == 0 || Instant::now() > end {
+                return Err("it ended the connection: compare fleet.id and fleet.keys".into());
+            }
+            let messages = session.feed(&piece[..n]).map_err(|fault| fault.to_string())?;
+            for message in messages {
+                if let Some(Message::Answer(1, answer)) = Message::decode(&message) {
+                    return Ok(answer);
+                }
+            }
+            if session.ready() && !std::mem::replace(&mut asked, true) {
+                session.send(&Message::Ask(1, ask.clone()).encode());
+                socket.write_all(session.out())?;
+                session.out().clear();
+            }
+        }
+    }
+
+    fn status(&mut self) -> Result<Status, Failure> {
+        match self.ask(&Ask::Status)? {
+            Answer::Status(status) => Ok(*status),
+            other => Err(format!("an answer to something else: {other:?}").into()),
+        }
+    }
+
+    /// Proposes, then asks until it is decided. Says what is waited for.
+    fn propose(&mut self, proposal: Proposal, json: bool) -> Result<(), Failure> {
+        let (id, mut said, mut ask) = (proposal.id, String::new(), Ask::Propose(proposal));
+        loop {
+            let unknown = |e: Failure| -> Failure {
+                let id = name(id);
+                format!("unknown whether it takes hold: {e}; ask with 'policy outcome {id}', or propose again with --id {id}").into()
+            };
+            match self.ask(&ask).map_err(unknown)? {
+                Answer::Outcome(outcome) => return report(id, &outcome, json),
+                Answer::UnderWay(step, relays) => {
+                    let news = match relays.as_slice() {
+                        [] => step,
+                        relays => format!("{step}; waited for: {}", relays.join(", ")),
+                    };
+                    if news != said && !json {
+                        eprintln!("{}: {news}", name(id));
+                    }
+                    said = news;
+                }
+                // The log has not taken it yet, or lost it with its leader: the same again changes nothing twice.
+                _ => {}
+            }
+            if !matches!(ask, Ask::Propose(_)) || said != "handed to the log" {
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            // Repeated as it is: once known, it is answered like a question for its outcome.
+            if let Ask::Propose(p) = &mut ask {
+                p.base = if said.is_empty() { p.base } else { 0 };
+            }
+        }
+    }
+}
+
+fn name(id: ProposalId) -> String {
+    format!("{id:032x}")
+}
+
+fn read_name(text: &str) -> Result<ProposalId, Failure> {
+    ProposalId::from_str_radix(text, 16)
+        .map_err(|_| format!("'{text}' is no proposal's name: 32 hexadecimal digits").into())
+}
+
+/// Says what became of a proposal. What did not take hold is a failure.
+fn report(id: ProposalId, outcome: &Outcome, json: bool) -> Result<(), Failure> {
+    let (word, text) = match outcome {
+        Outcome::InForce(epoch) => ("in-force", format!("in force, epoch {epoch}")),
+        Outcome::Refused(by, why) => ("refused", format!("refused by {by}: {why}")),
+        Outcome::GivenUp(relays) => ("given-up", format!("given up; no answer of {}", relays.join(", "))),
+    };
+    if json {
+        println!("{}", json_object(&[("id", name(id)), ("outcome", word.into()), ("text", text.clone())]));
+    } else if word == "in-force" {
+        println!("{}: {text}", name(id));
+    }
+    if word == "in-force" {
+        Ok(())
+    } else {
+        Err(format!("{}: {text}", name(id)).into())
+    }
+}
+
+fn json_object(fields: &[(&str, String)]) -> String {
+    let quoted = |text: &str| simd_json::to_string(&text).unwrap_or_default();
+    let fields: Vec<String> =
+        fields.iter().map(|(key, value)| format!("{}:{}", quoted(key), quoted(value))).collect();
+    format!("{{{}}}", fields.join(","))
+}
+
+fn line(policy: &Policy) -> String {
+    let digest = policy::digest(&policy.text);
+    format!("epoch {:<4} {digest}  {:<12} {}", policy.epoch, policy.who, policy.why)
+}
+
+fn load(file: &PathBuf) -> Result<String, Failure> {
+    let text =
+        std::fs::read_to_string(file).map_err(|e| format!("{}: cannot be read: {e}", file.display()))?;
+    policy::read(file, &text)?;
+    Ok(text)
+}
+
+/// Runs it.
+pub fn run(asked: PolicyOf) -> Result<(), Failure> {
+    if let What::Check(check) = &asked.what {
+        load(&check.file)?;
+        println!("{}: a policy that this build understands", check.file.display());
+        return Ok(());
+    }
+    let file = OperatorFile::load(&asked.operator)?;
+    let Some(setup) = Setup::of(&file)? else {
+        return Err(file.error("fleet", "is missing: this relay is in no fleet").into());
+    };
+    let mut voters = Voters { setup, until: Instant::now() + Duration::from_secs(asked.wait), at: 0 };
+    let propose =
+        |text: String, who: Option<String>, why: String, base: u64, id: Option<&str>| -> Result<_, Failure> {
+            let id = match id {
+                Some(id) => read_name(id)?,
+                None => ProposalId::from_be_bytes(number()),
+            };
+            let who = who.or_else(|| super::env("USER")).unwrap_or_else(|| "unknown".into());
+            Ok(Proposal { id, base, text, who, why })
+        };
+    match asked.what {
+        What::Check(_) => Ok(()),
+        What::Diff(diff) => {
+            let new = load(&diff.file)?;
+            policy::diff(&voters.status()?.state.policy.text, &new)
+                .iter()
+                .for_each(|line| println!("{line}"));
+            Ok(())
+        }
+        What::Propose(p) => {
+            let proposal = propose(load(&p.file)?, p.who, p.why, p.base, p.id.as_deref())?;
+            voters.propose(proposal, asked.json)
+        }
+        What::Rollback(r) => {
+            let state = voters.status()?.state;
+            let old = state.history.iter().find(|policy| policy.epoch == r.epoch);
+            let old =
+                old.ok_or_else(|| format!("epoch {} is not in the history; see 'policy history'", r.epoch))?;
+            let why = format!("back to epoch {}: {}", r.epoch, r.why);
+            voters.propose(propose(old.text.clone(), None, why, state.policy.epoch, None)?, asked.json)
+        }
+        What::Outcome(of) => {
+            let id = read_name(&of.id)?;
+            match voters.ask(&Ask::Outcome(id))? {
+                Answer::Outcome(outcome) => report(id, &outcome, asked.json),
+                Answer::UnderWay(step, relays) => {
+                    println!("{}: under way, {step}; waited for: {}", name(id), relays.join(", "));
+                    Ok(())
+                }
+                _ => Err(format!(
+                    "{}: nobody has heard of it; it may be proposed again under this name",
+                    name(id)
+                )
+                .into()),
+            }
+        }
+        What::History(_) => {
+            let state = voters.status()?.state;
+            state.history.iter().chain([&state.policy]).for_each(|policy| println!("{}", line(policy)));
+            Ok(())
+        }
+        What::Status(_) => {
+            let status = voters.status()?;
+            if asked.json {
+                let relays: Vec<String> = status
+                    .relays
+                    .iter()
+                    .map(|(r, runs, epoch)| format!("{}:{runs}:{epoch}", r.name))
+                    .collect();
+                let fields = [
+                    ("leader", status.leader.to_string()),
+                    ("term", status.term.to_string()),
+                    ("epoch", status.state.policy.epoch.to_string()),
+                    ("digest", policy::digest(&status.state.policy.text)),
+                    ("relays", relays.join(" ")),
+                ];
+                println!("{}", json_object(&fields));
+                return Ok(());
+            }
+            println!("{}", line(&status.state.policy));
+            match &status.state.phase {
+                Phase::Rest => println!("no change under way"),
+                Phase::Preparing(p) => {
+                    println!("under way: {} by {}: each relay checks and stores it", name(p.id), p.who)
+                }
+                Phase::Closing(p) => {
+                    println!("under way: {} by {}: waits until no lease runs", name(p.id), p.who)
+                }
+            }
+            println!("voter {} leads in term {}", status.leader, status.term);
+            for (relay, runs, epoch) in &status.relays {
+                println!(
+                    "{:<16} epoch {epoch:<4} {}",
+                    relay.name,
+                    if *runs { "admits clients" } else { "no lease" }
+                );
+            }
+            Ok(())
+        }
+    }
+}
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -6,11 +6,13 @@
 use jaspermoor::api::{ListKind, Member};
 use jaspermoor::cells::Cells;
 use jaspermoor::config::operator::OperatorFile;
+use jaspermoor::config::policy::{self, Rules};
 use jaspermoor::config::Config;
 use jaspermoor::decide::{Decisions, Orders};
 use jaspermoor::log::{self, log, Format};
 use jaspermoor::net::core::{Core, Xmpp};
 use jaspermoor::net::engine::{Engine, Speaks};
+use jaspermoor::net::fleet::{Fleet, Setup};
 use jaspermoor::net::listen::Door;
 use jaspermoor::ops::admin::{Admin, Staffed};
 use jaspermoor::ops::bans::Bans;
@@ -78,7 +80,13 @@
     let cached: Vec<Member> = config.known.iter().map(|(_, member)| member.clone()).collect();
     let decisions = Decisions::new(config.settings.clone(), config.seed, cached, Orders { watch, probe });
     // Before the first request: no site is placed by another map.
-    decisions.cells(cells);
+    let tuning = operator.as_ref().map(policy::tuning).transpose()?.unwrap_or_default();
+    decisions.policy(cells.clone(), tuning);
+    let fleet = match operator.as_ref().map(Setup::of).transpose()?.flatten() {
+        // Before the first client: until it has a lease nobody is admitted.
+        Some(setup) => Some(Fleet::open(setup, &config.name, Rules { cells, tuning }, decisions.clone())?),
+        None => None,
+    };
     let core = Core::new(&config, decisions, directory);
     core.adopt_xmpp(xmpp);
     let mut engine = Engine::new(core.clone(), config.names.clone(), probe_orders)?;
@@ -131,6 +139,18 @@
         // Staff are answered within a second whatever the clients do, and bans are files.
         spawn("admin", STACK, move || admin.run())?;
     }
+    if let Some(fleet) = fleet {
+        if let Some(addr) = fleet.addr() {
+            log(&format!("{}: votes in its fleet on {addr}", config.name));
+        }
+        // A ledger's sync waits for the disk, and no client may wait for that.
+        let ended = signals.handle();
+        spawn("fleet", FLEET_STACK, move || {
+            // Without it leases are not renewed any more: better no process than one that refuses all.
+            let _ended = Ended(ended);
+            fleet.run();
+        })?;
+    }
     let (control, handle) = (engine.handle(), signals.handle());
     spawn("serve", ENGINE_STACK, move || {
         // Ends the process whichever way this thread ends: one that takes clients and serves none is worse.
@@ -157,6 +177,9 @@
 /// Stack of the thread that serves: it parses lists' news and does TLS handshakes; only what is used is taken.
 const ENGINE_STACK: usize = 1024 * 1024;
 
+/// Stack of the fleet's thread: a store's commit, and a policy that is parsed.
+const FLEET_STACK: usize = 1024 * 1024;
+
 /// Ends the wait for signals when it is dropped.
 struct Ended(Handle);
 
@@ -171,7 +194,7 @@
 fn reload(config: &mut Config, source: &Source, core: &Core, operator: Option<&OperatorFile>) {
     let read = || -> Result<_, Failure> {
         let (new, fixed) = config.reload(&env)?;
-        let Some(old) = operator else { return Ok((new, fixed, core.xmpp(), Cells::default())) };
+        let Some(old) = operator else { return Ok((new, fixed, core.xmpp(), Rules::default())) };
         let file = OperatorFile::load(old.path())?;
         let (was, now) = (&old.operator.xmpp, &file.operator.xmpp);
         let places = |x: &Option<jaspermoor::config::operator::Xmpp>| {
@@ -182,10 +205,10 @@
             return Err(file.error("xmpp.listen", what).into());
         }
         let xmpp = Xmpp::of(&file, &new)?;
-        let cells = Cells::of(&file)?;
-        Ok((new, fixed, xmpp, cells))
+        let rules = Rules { cells: Cells::of(&file)?, tuning: policy::tuning(&file)? };
+        Ok((new, fixed, xmpp, rules))
     };
-    let (new, fixed, xmpp, cells) = match read() {
+    let (new, fixed, xmpp, Rules { cells, tuning }) = match read() {
         Ok(read) => read,
         Err(e) => {
             core.metrics.load_errors.fetch_add(1, Relaxed);
@@ -197,7 +220,10 @@
     }
     core.adopt_settings(&new);
     core.adopt_xmpp(xmpp);
-    core.decisions.cells(cells);
+    // A fleet's policy is not replaced by this relay's own file.
+    if operator.is_none_or(|file| file.operator.fleet.is_none()) {
+        core.decisions.policy(cells, tuning);
+    }
     *config = new;
     let moved = source.relocate(config.discovery);
     if moved {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod listing;
 pub mod operator;
+pub mod policy;
 
 use crate::api::{Class, Member, Micros, Settings};
 use crate::wire;
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -5,6 +5,7 @@
 //! all sizes in `_bytes`); a file half of which is taken over. What is wrong is said with file, line and key.
 
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -43,6 +44,67 @@
     pub xmpp: Option<Xmpp>,
     /// Cells; one that has everything where nothing is said of them.
     pub cells: Option<Cells>,
+    /// Parameters of the decisions by name, in place of their defaults.
+    #[serde(default)]
+    pub parameters: BTreeMap<String, f64>,
+    /// The fleet whose policies this relay follows; none: it follows its own files alone.
+    pub fleet: Option<Fleet>,
+}
+
+/// `[fleet]`
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// Its name: relays of another fleet are not talked to.
+    pub id: String,
+    /// Where this relay keeps its ledger.
+    pub directory: PathBuf,
+    /// The file of its keys, one a line; the first one seals, each opens.
+    pub keys: PathBuf,
+    /// This relay's number among the voters; none has no vote.
+    pub voter: Option<u64>,
+    /// `[[fleet.voters]]`
+    pub voters: Vec<FleetVoter>,
+    /// What a relay does that hears from no leader.
+    #[serde(default)]
+    pub alone: Alone,
+    /// How long a relay may admit clients after it asked for its lease.
+    #[serde(default = "lease_ms")]
+    pub lease_ms: u64,
+    /// How long a relay that serves may take to check and store a proposal.
+    #[serde(default = "patience_ms")]
+    pub patience_ms: u64,
+}
+
+fn lease_ms() -> u64 {
+    2_000
+}
+
+fn patience_ms() -> u64 {
+    10_000
+}
+
+/// `[[fleet.voters]]`
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetVoter {
+    /// Its number, for good.
+    pub number: u64,
+    /// Where the others reach it; it listens at the same port of its own.
+    pub address: SocketAddr,
+    /// Where it listens itself, where that is another address.
+    pub listen: Option<SocketAddr>,
+}
+
+/// What a relay does that hears from no leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Alone {
+    /// It refuses new clients.
+    #[default]
+    Refuse,
+    /// It serves them under the policy that it has.
+    Serve,
 }
 
 /// `[cells]`
@@ -268,12 +330,21 @@
 impl OperatorFile {
     /// Reads a file.
     pub fn load(path: &Path) -> Result<OperatorFile, OperatorError> {
+        let text = std::fs::read_to_string(path).map_err(|e| OperatorError {
+            file: path.display().to_string(),
+            line: None,
+            key: String::new(),
+            what: format!("cannot be read: {e}"),
+        })?;
+        OperatorFile::parse(path, text)
+    }
+
+    /// Reads a text as if it were the file's.
+    pub fn parse(path: &Path, text: String) -> Result<OperatorFile, OperatorError> {
         let error = |line, key: String, what: String| {
             let file = path.display().to_string();
             OperatorError { file, line, key, what }
         };
-        let text = std::fs::read_to_string(path)
-            .map_err(|e| error(None, String::new(), format!("cannot be read: {e}")))?;
         let parsed = toml::Deserializer::parse(&text).map_err(|e| {
             let line = e.span().map(|span| line_at(&text, span.start));
             error(line, String::new(), format!("is not TOML: {}", e.message()))
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,11 +7,12 @@
     SECOND,
 };
 use crate::cells::{Cells, Placed};
-use crate::logic::Balancer;
-use crate::sys::Wake;
+use crate::logic::{Balancer, Tuning};
+use crate::sys::{boottime, Wake};
 use crossbeam_channel::{bounded, Receiver, Sender, TryRecvError};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -119,6 +120,7 @@
     cells: Cells,
     seed: u64,
     settings: Settings,
+    tuning: Tuning,
     /// The list as last told, with the part of each server.
     members: BTreeMap<ServerId, (Member, usize)>,
     by_hand: BTreeSet<ServerId>,
@@ -149,8 +151,15 @@
     wake: OnceLock<Wake>,
     started: Instant,
     epoch: Micros,
+    /// Up to when clients may be admitted, by [`boottime`]; see [`Decisions::lease`].
+    lease: AtomicU64,
 }
 
+/// A lease without an end: no fleet has a say.
+const FOREVER: Micros = Micros::MAX;
+/// What a client is told that comes while no lease runs: it is renewed or another policy is in force within that.
+const NO_LEASE_WAIT: Micros = SECOND / 4;
+
 impl Decisions {
     /// Decisions with these settings; `cached` is the list as last known.
     pub fn new(settings: Settings, seed: u64, cached: Vec<Member>, orders: Orders) -> Arc<Self> {
@@ -162,6 +171,7 @@
                 cells: Cells::default(),
                 seed,
                 settings,
+                tuning: Tuning::default(),
                 members: BTreeMap::new(),
                 by_hand: BTreeSet::new(),
                 moves: VecDeque::new(),
@@ -177,6 +187,7 @@
             wake: OnceLock::new(),
             started: Instant::now(),
             epoch: epoch.as_micros() as Micros,
+            lease: AtomicU64::new(FOREVER),
         });
         decisions.members(ListKind::Cached, cached);
         decisions
@@ -198,6 +209,27 @@
         Duration::from_micros(until.saturating_sub(self.now()))
     }
 
+    /// New clients are admitted up to that moment of [`boottime`], which counts the time that the machine slept.
+    pub fn lease(&self, until: Micros) {
+        self.lease.store(until, SeqCst);
+    }
+
+    /// Whether a new client may be placed at this moment: looked at right before each placement, and before the first
+    /// byte of each attempt, so that a process which was stopped meanwhile sends nothing under a policy of before.
+    pub fn admits(&self) -> bool {
+        let until = self.lease.load(SeqCst);
+        until == FOREVER || boottime() < until
+    }
+
+    /// Another policy holds from now on, as one: no placement falls between its parts.
+    pub fn policy(&self, cells: Cells, tuning: Tuning) {
+        self.act(self.lock(), |inner, now, calls| {
+            inner.tuning = tuning;
+            inner.parts.iter_mut().for_each(|part| part.balancer.tune(tuning));
+            inner.adopt_cells(cells, now, calls);
+        });
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -235,10 +267,11 @@
     /// id is handed to `taken` before the wait, so that the request can be called off meanwhile.
     pub fn pick(&self, request: Request, flow: Arc<dyn Flow>, taken: impl FnOnce(RequestId)) -> Pick {
         let mut inner = self.lock();
-        let (at, borrowed) = match inner.place(request.group) {
-            Placed::At(cell) => (Some(inner.by_cell[cell]), false),
-            Placed::Borrowed(cell) => (Some(inner.by_cell[cell]), true),
-            Placed::Refused => (None, false),
+        let placed = if self.admits() { Some(inner.place(request.group)) } else { None };
+        let (at, borrowed) = match placed {
+            Some(Placed::At(cell)) => (Some(inner.by_cell[cell]), false),
+            Some(Placed::Borrowed(cell)) => (Some(inner.by_cell[cell]), true),
+            Some(Placed::Refused) | None => (None, false),
         };
         let home = inner.by_cell[inner.cells.map.home(request.group).0];
         let (id, verdicts) = inner.admit(flow, ServerId::default(), false, at.unwrap_or(home), request.group);
@@ -251,9 +284,9 @@
                 }
                 self.feed(inner, at, Event::Request(Request { id, ..request }));
             }
-            // No balancer hears of it: its cell has nobody.
+            // No balancer hears of it: its cell has nobody, or no lease runs.
             None => self.act(inner, |inner, _, calls| {
-                let wait = inner.cells.retry_after;
+                let wait = if placed.is_some() { inner.cells.retry_after } else { NO_LEASE_WAIT };
                 inner.finish(id, Verdict::Refuse(wait), calls);
             }),
         }
@@ -549,6 +582,7 @@
                 self.parts.iter().position(|part| part.name == name).unwrap_or_else(|| {
                     let seed = self.seed ^ (self.parts.len() as u64).rotate_left(32);
                     self.parts.push(Part::new(name, self.settings.clone(), seed));
+                    self.parts.iter_mut().last().into_iter().for_each(|part| part.balancer.tune(self.tuning));
                     self.parts.len() - 1
                 })
             })
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -185,6 +185,11 @@
         Balancer { retries: t.retry_saved, t, ..self }
     }
 
+    /// Other parameters hold from now on.
+    pub fn tune(&mut self, t: Tuning) {
+        self.t = t;
+    }
+
     /// Takes one event and adds what is to be done. One that names something unknown changes nothing.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Out) -> Result<(), Unknown> {
         self.now = now;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 mod cli;
 
 use argh::FromArgs;
-use cli::{cells, check, serve};
+use cli::{cells, check, fleet, policy, serve};
 use std::process::ExitCode;
 
 /// Relay for long-lived connections.
@@ -19,6 +19,8 @@
     Serve(serve::Serve),
     Check(check::Check),
     Cells(cells::CellsOf),
+    Fleet(fleet::FleetOf),
+    Policy(policy::PolicyOf),
     Version(Version),
 }
 
@@ -32,6 +34,8 @@
         Command::Serve(serve) => serve::run(serve),
         Command::Cells(asked) => cells::run(asked),
         Command::Check(check) => check::run(check),
+        Command::Fleet(asked) => fleet::run(asked),
+        Command::Policy(asked) => policy::run(asked),
         Command::Version(_) => {
             println!("jaspermoor {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -257,7 +257,10 @@
             // During the dial, or a negotiation, the backend may have left, or the request may have been
             // answered: once more, right before each first byte of something new.
             let new = matches!(step, Step::Ask(_) | Step::Say(_) | Step::Secure(_));
-            if new && !adopted && (!core.directory.takes_new(self.server) || !core.decisions.owed(g.id)) {
+            let may = || {
+                core.directory.takes_new(self.server) && core.decisions.owed(g.id) && core.decisions.admits()
+            };
+            if new && !adopted && !may() {
                 return failed(Outcome::Moot);
             }
             match step {
--- /dev/null
+++ b/src/net/fleet.rs
@@ -0,0 +1,643 @@
+//! The fleet: one thread that talks to the voters, keeps the ledger, and tells the decisions which policy holds and up to
+//! when clients may be admitted under it. What it decides is [`jaspermoor_control`]'s; this is sockets, disk and clock.
+//!
+//! It is a thread of its own because a ledger's sync waits for the disk, and no client may wait for that. Without
+//! `[fleet]` in the operator file there is none: no listener, no thread, no file.
+//!
+//! Guards against: a voter that is slow or hostile (bounded frames and queues, the replaceable goes first), one that
+//! vanished (a link that takes nothing is dialled anew), and a full or failing disk (the vote ends, service does not).
+
+use crate::api::Micros;
+use crate::config::operator::{self, FleetVoter, OperatorError, OperatorFile};
+use crate::config::policy::{self, Rules};
+use crate::decide::Decisions;
+use crate::log::log;
+use crate::net::poll::{dial, Events, Interest, Poller, Ready};
+use crate::platform::ledger::{Ledger, Owner};
+use crate::sys::{boottime, timed_out};
+use jaspermoor_control::holder::{Alone, Effect, Holder};
+use jaspermoor_control::message::{Message, Relay};
+use jaspermoor_control::seal::Session;
+use jaspermoor_control::state::Policy;
+use jaspermoor_control::voter::Voter;
+use jaspermoor_control::Times;
+use socket2::{Domain, Socket, Type};
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Messages that wait for one link, and bytes that a link has not taken: beyond that the replaceable are left out.
+const QUEUE: usize = 256;
+const UNSENT: usize = 1024 * 1024;
+/// Links from others at most: a fleet of hundreds asks a voter by one each.
+const LINKS: usize = 2048;
+/// A voter that could not be reached is dialled again after so long; a link that stands but takes nothing for so long
+/// is given up.
+const REDIAL: Micros = 200_000;
+const STUCK: Micros = 5_000_000;
+/// A ledger that another process has is asked for again so often: the older one of this relay, during an upgrade.
+const HELD: Micros = 500_000;
+/// Bytes read of a link in a turn: one that sends at full speed must not hold up the others.
+const PIECE: usize = 64 * 1024;
+/// Longest name of a key file's line, and its least length in bytes: shorter ones can be guessed.
+const KEY_LEAST: usize = 32;
+
+const LISTEN: u64 = 1;
+const FIRST: u64 = 16;
+/// Who asks from within this process.
+const LOCAL: u64 = u64::MAX;
+
+/// A fleet as the operator file sets it, checked, with its keys read.
+#[derive(Clone)]
+pub struct Setup {
+    /// See [`operator::Fleet`].
+    pub fleet: operator::Fleet,
+    /// See [`operator::Fleet`].
+    pub keys: Vec<Vec<u8>>,
+    /// See [`operator::Fleet`].
+    pub directory: PathBuf,
+}
+
+impl Setup {
+    /// What `[fleet]` sets; none where the file does not have it.
+    pub fn of(file: &OperatorFile) -> Result<Option<Setup>, OperatorError> {
+        let Some(fleet) = file.operator.fleet.clone() else { return Ok(None) };
+        if fleet.voters.is_empty() || fleet.voters.len() > 7 {
+            return Err(file
+                .error("fleet.voters", "one to seven are wanted; three bear the loss of one, five of two"));
+        }
+        for (i, voter) in fleet.voters.iter().enumerate() {
+            let key = format!("fleet.voters[{i}].number");
+            if voter.number == 0 {
+                return Err(file.error(&key, "is 0; numbers begin with 1"));
+            }
+            if fleet.voters[..i].iter().any(|other| other.number == voter.number) {
+                return Err(file.error(&key, format!("{} stands twice", voter.number)));
+            }
+        }
+        if let Some(own) = fleet.voter.filter(|own| fleet.voters.iter().all(|voter| voter.number != *own)) {
+            return Err(file.error("fleet.voter", format!("no voter has the number {own}")));
+        }
+        if !(200..=60_000).contains(&fleet.lease_ms) {
+            return Err(file.error("fleet.lease_ms", format!("is {}, outside 200 to 60000", fleet.lease_ms)));
+        }
+        let path = file.resolve(&fleet.keys);
+        let text = std::fs::read_to_string(&path)
+            .map_err(|e| file.error("fleet.keys", format!("{} cannot be read: {e}", path.display())))?;
+        let keys: Vec<Vec<u8>> = text
+            .lines()
+            .map(str::trim)
+            .filter(|line| !line.is_empty())
+            .map(|line| line.as_bytes().to_vec())
+            .collect();
+        if keys.is_empty() || keys.iter().any(|key| key.len() < KEY_LEAST) {
+            let what =
+                format!("{} wants keys of {KEY_LEAST} characters and more, one a line", path.display());
+            return Err(file.error("fleet.keys", what));
+        }
+        let directory = file.resolve(&fleet.directory);
+        Ok(Some(Setup { fleet, keys, directory }))
+    }
+
+    /// The number that stands for its name on the wire.
+    pub fn id(&self) -> u64 {
+        xxh3_64(self.fleet.id.as_bytes())
+    }
+
+    /// Whose ledger it is.
+    pub fn owner(&self) -> Owner {
+        Owner { fleet: self.fleet.id.clone(), voter: self.fleet.voter.unwrap_or(0) }
+    }
+
+    /// The numbers of the voters.
+    pub fn numbers(&self) -> Vec<u64> {
+        self.fleet.voters.iter().map(|voter| voter.number).collect()
+    }
+
+    /// Its times.
+    pub fn times(&self) -> Times {
+        let lease = self.fleet.lease_ms * 1_000;
+        Times { lease, renew: lease / 4, patience: self.fleet.patience_ms * 1_000, ..Times::default() }
+    }
+}
+
+/// Random bytes for a session.
+pub fn number() -> [u8; 16] {
+    let mut number = [0; 16];
+    // Without random numbers nothing may be sealed: a process that cannot have any must not go on.
+    getrandom::fill(&mut number).unwrap_or_else(|e| panic!("the system gives no random numbers: {e}"));
+    number
+}
+
+struct Wire {
+    socket: TcpStream,
+    session: Session,
+    /// The voter that was dialled; none for a link that came in.
+    voter: Option<u64>,
+    connecting: bool,
+    watched: Interest,
+    queue: VecDeque<Message>,
+    /// Since when it has taken nothing of what waits.
+    blocked: Option<Micros>,
+}
+
+/// See the module's text.
+pub struct Fleet {
+    setup: Setup,
+    name: String,
+    own: Rules,
+    decisions: Arc<Decisions>,
+    poller: Poller,
+    listener: Option<TcpListener>,
+    wires: BTreeMap<u64, Wire>,
+    next: u64,
+    /// The link to each voter, and when it was last dialled.
+    voters: BTreeMap<u64, (Option<u64>, Micros)>,
+    ledger: Option<Ledger>,
+    voter: Option<Voter>,
+    holder: Holder,
+    /// When the ledger is asked for again.
+    retry: Option<Micros>,
+    leads: Option<u64>,
+    admits: bool,
+    /// Messages of this process to its own voter, and answers of it.
+    inner: VecDeque<(u64, Message)>,
+}
+
+impl Fleet {
+    /// Opens what it needs. Until it has run, no client is admitted but where relays that are alone serve; `own` are the
+    /// operator file's own cells and parameters, for as long as the fleet has no policy.
+    pub fn open(
+        setup: Setup,
+        name: &str,
+        own: Rules,
+        decisions: Arc<Decisions>,
+    ) -> Result<Fleet, Box<dyn std::error::Error>> {
+        let listener = match setup.fleet.voters.iter().find(|voter| Some(voter.number) == setup.fleet.voter) {
+            Some(voter) => Some(listen(voter)?),
+            None => None,
+        };
+        let poller = Poller::new()?;
+        if let Some(listener) = &listener {
+            poller.watch(listener, LISTEN, None, Some(Interest { read: true, write: false }))?;
+        }
+        let mut start = [0; 8];
+        start.copy_from_slice(&number()[..8]);
+        let relay = Relay { name: name.into(), start: u64::from_be_bytes(start) };
+        let alone = match setup.fleet.alone {
+            operator::Alone::Refuse => Alone::Refuse,
+            operator::Alone::Serve => Alone::Serve,
+        };
+        let (mut ledger, mut kept, mut retry) = (None, Policy::default(), None);
+        match Ledger::open(&setup.directory, &setup.owner()) {
+            Ok(opened) => {
+                kept = opened.policy()?;
+                ledger = Some(opened);
+            }
+            Err(e) if e.held => retry = Some(0),
+            // It follows the fleet all the same; what it cannot do without its ledger is vote.
+            Err(e) => log(&format!("fleet: {e}; this relay does not vote")),
+        }
+        if kept.epoch > 0 {
+            match policy::read(Path::new("policy"), &kept.text) {
+                Ok(rules) => decisions.policy(rules.cells, rules.tuning),
+                Err(e) => {
+                    log(&format!(
+                        "fleet: the policy of epoch {} is not understood by this build: {e}",
+                        kept.epoch
+                    ));
+                    kept = Policy::default();
+                }
+            }
+        }
+        let holder = Holder::new(relay, setup.numbers(), kept, setup.times(), alone);
+        let now = boottime();
+        #[cfg(feature = "plants")]
+        let holder = holder.planted(planted(), now);
+        decisions.lease(holder.until(now));
+        let voters = setup.numbers().into_iter().map(|number| (number, (None, 0))).collect();
+        let mut fleet = Fleet {
+            name: name.into(),
+            own,
+            decisions,
+            poller,
+            listener,
+            wires: BTreeMap::new(),
+            next: FIRST,
+            voters,
+            ledger,
+            voter: None,
+            holder,
+            retry,
+            leads: None,
+            admits: false,
+            inner: VecDeque::new(),
+            setup,
+        };
+        fleet.take_vote()?;
+        Ok(fleet)
+    }
+
+    /// Becomes the voter that the ledger says.
+    fn take_vote(&mut self) -> Result<(), Box<dyn std::error::Error>> {
+        let (Some(ledger), Some(number)) = (&self.ledger, self.setup.fleet.voter) else { return Ok(()) };
+        let kept = ledger.kept()?;
+        let voter = Voter::new(number, &kept, self.setup.times(), boottime());
+        let voter = voter.map_err(|damaged| {
+            format!("{}: {}: it does not vote", self.setup.directory.display(), damaged.0)
+        })?;
+        #[cfg(feature = "plants")]
+        let voter = voter.planted(planted());
+        self.voter = Some(voter);
+        Ok(())
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> Option<std::net::SocketAddr> {
+        self.listener.as_ref().and_then(|listener| listener.local_addr().ok())
+    }
+
+    /// Runs for as long as the process does.
+    pub fn run(mut self) {
+        self.poller.own();
+        let (mut events, mut ready) = (Events::default(), Vec::new());
+        loop {
+            self.turn();
+            let now = boottime();
+            let beat = if self.voter.is_some() { now + self.setup.times().tick / 2 } else { Micros::MAX };
+            let due = self.holder.due().min(beat).min(self.retry.unwrap_or(Micros::MAX)).min(now + SECOND);
+            self.poller.wait(Duration::from_micros(due.saturating_sub(now)), &mut events, &mut ready);
+            for ready in ready.drain(..) {
+                self.ready(ready);
+            }
+        }
+    }
+
+    fn turn(&mut self) {
+        let now = boottime();
+        if self.retry.is_some_and(|at| now >= at) {
+            self.reopen(now);
+        }
+        if let Some(voter) = &mut self.voter {
+            voter.tick(now);
+        }
+        let effect = self.holder.tick(now);
+        self.carry_out(effect.into_iter().collect());
+        self.work();
+        self.publish();
+        let stuck = |wire: &Wire| wire.blocked.is_some_and(|since| now >= since + STUCK);
+        let stuck: Vec<u64> =
+            self.wires.iter().filter(|(_, wire)| stuck(wire)).map(|(token, _)| *token).collect();
+        stuck.into_iter().for_each(|token| self.close(token, "takes nothing"));
+    }
+
+    /// The older process of this relay may have ended.
+    fn reopen(&mut self, now: Micros) {
+        match Ledger::open(&self.setup.directory, &self.setup.owner()) {
+            Ok(ledger) => {
+                self.retry = None;
+                // It has followed the fleet meanwhile: what it has is newer than what stands there.
+                let policy = self.holder.policy().clone();
+                let newer = ledger.policy().is_ok_and(|kept| kept.epoch < policy.epoch);
+                if let Err(e) = if newer { ledger.adopt(&policy) } else { Ok(()) } {
+                    return log(&format!("fleet: {e}; this relay does not vote"));
+                }
+                self.ledger = Some(ledger);
+                if let Err(e) = self.take_vote() {
+                    log(&format!("fleet: {e}"));
+                }
+            }
+            Err(e) if e.held => self.retry = Some(now + HELD),
+            Err(e) => {
+                self.retry = None;
+                log(&format!("fleet: {e}; this relay does not vote"));
+            }
+        }
+    }
+
+    /// Tells the decisions up to when clients may be admitted. Always before anything is said that rests on it.
+    fn publish(&mut self) {
+        let now = boottime();
+        self.decisions.lease(self.holder.until(now));
+        let admits = self.holder.admits(now);
+        if std::mem::replace(&mut self.admits, admits) != admits {
+            let epoch = self.holder.policy().epoch;
+            let what = if admits { "clients are admitted" } else { "no lease: new clients are refused" };
+            log(&format!("fleet: {what}, policy of epoch {epoch}"));
+        }
+        let leads = self.voter.as_ref().and_then(Voter::leads);
+        if std::mem::replace(&mut self.leads, leads) != leads {
+            match leads {
+                Some(term) => log(&format!("fleet: leads in term {term}")),
+                None => log("fleet: leads no more"),
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        // A lease that has ended ends before the words that say so.
+        self.decisions.lease(self.holder.until(boottime()));
+        for effect in effects {
+            match effect {
+                Effect::Send(voter, renew) => self.tell(voter, Message::Renew(renew)),
+                Effect::Adopt(policy) => self.adopt(&policy),
+                Effect::Prepare(proposal) => {
+                    let stored = self.ledger.as_ref().map_or(Ok(()), |ledger| ledger.prepare(&proposal));
+                    if let Err(e) = stored {
+                        // Unanswered, it will be given up, and the fleet keeps what it has.
+                        log(&format!("fleet: a proposal cannot be stored: {e}"));
+                        continue;
+                    }
+                    let effect = self.holder.prepared(boottime(), proposal);
+                    self.carry_out(vec![effect]);
+                }
+            }
+        }
+    }
+
+    fn adopt(&mut self, policy: &Policy) {
+        if let Some(Err(e)) = self.ledger.as_ref().map(|ledger| ledger.adopt(policy)) {
+            // After a restart it asks for the policy before it admits anybody.
+            log(&format!("fleet: the policy cannot be stored: {e}"));
+        }
+        let rules = match (policy.epoch, policy::read(Path::new("policy"), &policy.text)) {
+            (0, _) => self.own.clone(),
+            (_, Ok(rules)) => rules,
+            (epoch, Err(e)) => {
+                // It came up after the others had agreed. It must serve nobody: not under this policy, and not under
+                // another.
+                log(&format!(
+                    "fleet: the policy of epoch {epoch} is not understood, clients are refused: {e}"
+                ));
+                return;
+            }
+        };
+        self.decisions.policy(rules.cells, rules.tuning);
+        log(&format!(
+            "fleet: policy of epoch {} ({}) in force, by {}: {}",
+            policy.epoch,
+            policy::digest(&policy.text),
+            policy.who,
+            policy.why
+        ));
+    }
+
+    /// Hands a message to a voter, which may be this process.
+    fn tell(&mut self, voter: u64, message: Message) {
+        if self.setup.fleet.voter == Some(voter) {
+            self.inner.push_back((LOCAL, message));
+            return;
+        }
+        let Some(&(link, dialled)) = self.voters.get(&voter) else { return };
+        let token = match link {
+            Some(token) => token,
+            None if boottime() < dialled + REDIAL => return,
+            None => {
+                let Some(token) = self.dial(voter) else { return };
+                token
+            }
+        };
+        self.say(token, message);
+    }
+
+    fn dial(&mut self, voter: u64) -> Option<u64> {
+        let addr = self.setup.fleet.voters.iter().find(|v| v.number == voter)?.address;
+        self.voters.insert(voter, (None, boottime()));
+        let socket = dial(addr).ok()?;
+        let session = Session::new(true, self.setup.keys.clone(), self.setup.id(), number());
+        let watched = Interest { read: false, write: true };
+        let token = self.enter(Wire {
+            socket,
+            session,
+            voter: Some(voter),
+            connecting: true,
+            watched,
+            queue: VecDeque::new(),
+            blocked: None,
+        })?;
+        self.voters.insert(voter, (Some(token), boottime()));
+        Some(token)
+    }
+
+    fn enter(&mut self, wire: Wire) -> Option<u64> {
+        let token = self.next;
+        self.next += 1;
+        self.poller.watch(&wire.socket, token, None, Some(wire.watched)).ok()?;
+        self.wires.insert(token, wire);
+        Some(token)
+    }
+
+    fn say(&mut self, token: u64, message: Message) {
+        let Some(wire) = self.wires.get_mut(&token) else { return };
+        if wire.queue.len() >= QUEUE {
+            // The oldest that a later one makes needless; where there is none, the link is of no use any more.
+            match wire.queue.iter().position(Message::replaceable) {
+                Some(at) => drop(wire.queue.remove(at)),
+                None => return self.close(token, "takes nothing"),
+            }
+        }
+        wire.queue.push_back(message);
+        self.flush(token);
+    }
+
+    fn flush(&mut self, token: u64) {
+        let Some(wire) = self.wires.get_mut(&token) else { return };
+        if wire.connecting {
+            return;
+        }
+        while wire.session.ready() && wire.session.out().len() < UNSENT {
+            let Some(message) = wire.queue.pop_front() else { break };
+            wire.session.send(&message.encode());
+        }
+        let out = wire.session.out();
+        let mut done = 0;
+        let mut fault = false;
+        while done < out.len() {
+            match (&wire.socket).write(&out[done..]) {
+                Ok(n) if n > 0 => done += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if timed_out(&e) => break,
+                _ => {
+                    fault = true;
+                    break;
+                }
+            }
+        }
+        out.drain(..done);
+        let waits = !out.is_empty();
+        if fault {
+            return self.close(token, "broke");
+        }
+        wire.blocked = if !waits {
+            None
+        } else if done > 0 {
+            Some(boottime())
+        } else {
+            wire.blocked.or(Some(boottime()))
+        };
+        let wanted = Interest { read: true, write: waits };
+        if wanted != wire.watched {
+            let _ = self.poller.watch(&wire.socket, token, Some(wire.watched), Some(wanted));
+            wire.watched = wanted;
+        }
+    }
+
+    fn close(&mut self, token: u64, why: &str) {
+        let Some(wire) = self.wires.remove(&token) else { return };
+        if let Some((link, _)) = wire.voter.and_then(|voter| self.voters.get_mut(&voter)) {
+            *link = None;
+        }
+        tracing::debug!(voter = ?wire.voter, why, "fleet: a link has ended");
+    }
+
+    fn ready(&mut self, Ready { token, read, write }: Ready) {
+        if token == LISTEN {
+            return self.accept();
+        }
+        let Some(wire) = self.wires.get_mut(&token) else { return };
+        if wire.connecting && (write || read) {
+            if !matches!(wire.socket.take_error(), Ok(None)) || !write {
+                return self.close(token, "could not be dialled");
+            }
+            wire.connecting = false;
+            return self.flush(token);
+        }
+        if read {
+            self.hear(token);
+        }
+        if write {
+            self.flush(token);
+        }
+    }
+
+    fn accept(&mut self) {
+        while let Some(Ok((socket, _))) = self.listener.as_ref().map(TcpListener::accept) {
+            if self.wires.len() >= LINKS || socket.set_nonblocking(true).is_err() {
+                // Dropped: whoever it was dials again.
+                continue;
+            }
+            let _ = socket.set_nodelay(true);
+            let session = Session::new(false, self.setup.keys.clone(), self.setup.id(), number());
+            let watched = Interest { read: true, write: false };
+            let queue = VecDeque::new();
+            self.enter(Wire {
+                socket,
+                session,
+                voter: None,
+                connecting: false,
+                watched,
+                queue,
+                blocked: None,
+            });
+        }
+    }
+
+    fn hear(&mut self, token: u64) {
+        let Some(wire) = self.wires.get_mut(&token) else { return };
+        let mut piece = vec![0; PIECE];
+        let n = match (&wire.socket).read(&mut piece) {
+            Ok(0) => return self.close(token, "ended"),
+            Ok(n) => n,
+            Err(e) if timed_out(&e) || e.kind() == io::ErrorKind::Interrupted => return,
+            Err(_) => return self.close(token, "broke"),
+        };
+        let messages = match wire.session.feed(&piece[..n]) {
+            Ok(messages) => messages,
+            Err(fault) => {
+                let peer = wire.socket.peer_addr().map_or("a process".into(), |addr| addr.to_string());
+                log(&format!("fleet: {peer} {fault}"));
+                return self.close(token, "fault");
+            }
+        };
+        for message in messages.iter().filter_map(|bytes| Message::decode(bytes)) {
+            self.inner.push_back((token, message));
+        }
+        self.work();
+        // Its hello may have come: what has waited for it goes out.
+        self.flush(token);
+    }
+
+    /// Takes what has come, and does what follows, until nothing does.
+    fn work(&mut self) {
+        loop {
+            let now = boottime();
+            if let Some((from, message)) = self.inner.pop_front() {
+                match (message, &mut self.voter) {
+                    (Message::Log(bytes), Some(voter)) => {
+                        if let Err(damaged) = voter.step(now, &bytes) {
+                            let remedy =
+                                "its disk must be replaced, and a voter of a new number take its place";
+                            self.give_up_vote(&format!("the ledger: {}: {remedy}", damaged.0));
+                        }
+                    }
+                    (Message::Renew(renew), Some(voter)) => voter.renew(now, from, renew),
+                    (Message::Ask(number, ask), Some(voter)) => voter.ask(now, from, number, ask),
+                    (Message::Reply(reply), _) => {
+                        let check = |text: &str| {
+                            policy::read(Path::new("policy"), text).map(drop).map_err(|e| e.to_string())
+                        };
+                        let effects = self.holder.heard(now, reply, check);
+                        self.carry_out(effects);
+                        self.publish();
+                    }
+                    _ => {}
+                }
+                continue;
+            }
+            let Some(voter) = &mut self.voter else { return };
+            let work = voter.work(now);
+            if work.is_empty() {
+                return;
+            }
+            if !work.store.is_empty() {
+                if let Some(Err(e)) = self.ledger.as_ref().map(|ledger| ledger.store(&work.store)) {
+                    return self.give_up_vote(&e.to_string());
+                }
+            }
+            for (to, message) in work.to_voters {
+                self.tell(to, message);
+            }
+            for (to, message) in work.answers {
+                if to == LOCAL {
+                    self.inner.push_back((LOCAL, message));
+                } else {
+                    self.say(to, message);
+                }
+            }
+        }
+    }
+
+    /// What it cannot store it must not say: it votes no more, and serves on.
+    fn give_up_vote(&mut self, e: &str) {
+        log(&format!("fleet: {e}; {} votes no more until it is started anew", self.name));
+        (self.voter, self.ledger) = (None, None);
+    }
+}
+
+const SECOND: Micros = crate::api::SECOND;
+
+fn listen(voter: &FleetVoter) -> Result<TcpListener, String> {
+    let addr = voter.listen.unwrap_or(voter.address);
+    let open = || -> io::Result<TcpListener> {
+        let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        // A second process of the same relay, during an upgrade, takes the port over from the first.
+        socket.set_reuse_port(true)?;
+        socket.bind(&addr.into())?;
+        socket.listen(128)?;
+        socket.set_nonblocking(true)?;
+        Ok(socket.into())
+    };
+    open().map_err(|e| format!("fleet.voters: cannot listen on {addr}: {e}"))
+}
+
+/// The fault that a test has planted in this process.
+#[cfg(feature = "plants")]
+fn planted() -> jaspermoor_control::Planted {
+    let name = std::env::var("JASPERMOOR_PLANT").unwrap_or_default();
+    jaspermoor_control::Planted(jaspermoor_control::Plant::named(&name))
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 mod conn;
 pub mod core;
 pub mod engine;
+pub mod fleet;
 mod forward;
 mod greet;
 mod link;
--- /dev/null
+++ b/src/platform/ledger.rs
@@ -0,0 +1,262 @@
+//! What a relay of a fleet keeps on its disk: the policy that it serves under, the one that it has prepared, and, where
+//! it is a voter, its log and vote. All of it is in one file of a kept store, which writes whole or not at all.
+//!
+//! Guards against: a disk that was lost and a voter that comes back under its old number without what it had answered
+//! for (its directory must have been made by `fleet init`), a directory of another fleet or relay, and a file that is
+//! damaged or of a newer build (refused with a remedy; nothing is overwritten).
+
+use jaspermoor_control::log::{Kept, Log, Stored};
+use jaspermoor_control::state::{Policy, Proposal};
+use redb::{Database, DatabaseError, ReadableTable, TableDefinition};
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+const FACTS: TableDefinition<&str, &[u8]> = TableDefinition::new("facts");
+const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
+/// The file in the directory.
+const FILE: &str = "ledger.redb";
+/// Any failure of the store, on its way to one sentence.
+type Failure = Box<dyn std::error::Error>;
+/// Format of what stands in the tables.
+const FORMAT: u8 = 1;
+
+/// A ledger that cannot be used, and what to do.
+#[derive(Debug)]
+pub struct LedgerError {
+    file: PathBuf,
+    what: String,
+    /// Another process has it: the older one of this relay, during an upgrade.
+    pub held: bool,
+}
+
+impl fmt::Display for LedgerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.file.display(), self.what)
+    }
+}
+
+impl std::error::Error for LedgerError {}
+
+/// See the module's text.
+pub struct Ledger {
+    file: PathBuf,
+    db: Database,
+}
+
+/// Whose ledger it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Owner {
+    /// The fleet's id.
+    pub fleet: String,
+    /// The voter's number; 0 for a relay that has no vote.
+    pub voter: u64,
+}
+
+impl Owner {
+    fn bytes(&self) -> Vec<u8> {
+        format!("{}\n{}", self.voter, self.fleet).into_bytes()
+    }
+}
+
+impl Ledger {
+    /// Opens a relay's ledger. Without a vote it is made where there is none; a voter's must have been made.
+    pub fn open(dir: &Path, owner: &Owner) -> Result<Ledger, LedgerError> {
+        let file = dir.join(FILE);
+        if owner.voter != 0 && !file.exists() {
+            return Err(LedgerError {
+                what: format!(
+                    "there is no ledger of voter {}: for a new fleet make it with 'jaspermoor fleet init'; if its disk \
+                     was lost, another voter under a new number must take its place",
+                    owner.voter
+                ),
+                file,
+                held: false,
+            });
+        }
+        Ledger::at(file, owner)
+    }
+
+    /// Makes the ledger of a voter of a new fleet.
+    pub fn found(dir: &Path, owner: &Owner, voters: &[u64]) -> Result<(), LedgerError> {
+        let file = dir.join(FILE);
+        if file.exists() {
+            return Err(LedgerError { file, what: "there is a ledger already".into(), held: false });
+        }
+        let ledger = Ledger::at(file, owner)?;
+        ledger.store(&Log::found(voters).stored())
+    }
+
+    fn at(file: PathBuf, owner: &Owner) -> Result<Ledger, LedgerError> {
+        let fail = |what: String, held: bool| LedgerError { file: file.clone(), what, held };
+        if let Some(dir) = file.parent() {
+            std::fs::create_dir_all(dir)
+                .map_err(|e| fail(format!("cannot make its directory: {e}"), false))?;
+        }
+        let db = Database::create(&file).map_err(|e| match e {
+            DatabaseError::DatabaseAlreadyOpen => fail("another process has it open".into(), true),
+            DatabaseError::UpgradeRequired(_) => fail("is of another build's store".into(), false),
+            e => fail(format!("cannot be read, and is left as it is: {e}"), false),
+        })?;
+        let ledger = Ledger { file: file.clone(), db };
+        match ledger.fact("format")? {
+            None => ledger.write(|facts, _| {
+                facts.insert("format", &[FORMAT][..])?;
+                facts.insert("owner", owner.bytes().as_slice())?;
+                Ok(())
+            })?,
+            Some(format) if format != [FORMAT] => {
+                return Err(fail(format!("is of format {}, this build knows {FORMAT}", format[0]), false))
+            }
+            Some(_) => {}
+        }
+        if ledger.fact("owner")?.is_some_and(|was| was != owner.bytes()) {
+            return Err(fail("is of another fleet or voter: compare fleet.id and fleet.voter".into(), false));
+        }
+        Ok(ledger)
+    }
+
+    fn error(&self, e: impl fmt::Display) -> LedgerError {
+        LedgerError { file: self.file.clone(), what: e.to_string(), held: false }
+    }
+
+    fn fact(&self, name: &str) -> Result<Option<Vec<u8>>, LedgerError> {
+        let read = || -> Result<_, Failure> {
+            let read = self.db.begin_read()?;
+            match read.open_table(FACTS) {
+                Ok(table) => Ok(table.get(name)?.map(|value| value.value().to_vec())),
+                Err(redb::TableError::TableDoesNotExist(_)) => Ok(None),
+                Err(e) => Err(e.into()),
+            }
+        };
+        read().map_err(|e| self.error(e))
+    }
+
+    /// Writes whole and synced, or not at all.
+    fn write(
+        &self,
+        work: impl FnOnce(&mut redb::Table<&str, &[u8]>, &mut redb::Table<u64, &[u8]>) -> Result<(), Failure>,
+    ) -> Result<(), LedgerError> {
+        let write = || -> Result<(), Failure> {
+            let mut write = self.db.begin_write()?;
+            write.set_durability(redb::Durability::Immediate);
+            work(&mut write.open_table(FACTS)?, &mut write.open_table(ENTRIES)?)?;
+            write.commit()?;
+            Ok(())
+        };
+        write().map_err(|e| self.error(e))
+    }
+
+    /// What the log had stored.
+    pub fn kept(&self) -> Result<Kept, LedgerError> {
+        let read = || -> Result<Vec<Vec<u8>>, Failure> {
+            let table = self.db.begin_read()?.open_table(ENTRIES)?;
+            let mut entries = Vec::new();
+            for entry in table.iter()? {
+                entries.push(entry?.1.value().to_vec());
+            }
+            Ok(entries)
+        };
+        let entries = read().map_err(|e| self.error(e))?;
+        Ok(Kept { vote: self.fact("vote")?, snapshot: self.fact("snapshot")?, entries })
+    }
+
+    /// Stores what the log has to store.
+    pub fn store(&self, stored: &Stored) -> Result<(), LedgerError> {
+        self.write(|facts, entries| {
+            if let Some(vote) = &stored.vote {
+                facts.insert("vote", vote.as_slice())?;
+            }
+            if let Some(snapshot) = &stored.snapshot {
+                facts.insert("snapshot", snapshot.as_slice())?;
+                let to = stored.compact.unwrap_or(u64::MAX);
+                entries.retain(|index, _| index > to)?;
+            }
+            if let Some((first, _)) = stored.entries.first() {
+                entries.retain_in(*first.., |_, _| false)?;
+            }
+            for (index, entry) in &stored.entries {
+                entries.insert(index, entry.as_slice())?;
+            }
+            Ok(())
+        })
+    }
+
+    /// The policy that it served under last; the empty one of a new fleet where there is none.
+    pub fn policy(&self) -> Result<Policy, LedgerError> {
+        match self.fact("policy")? {
+            None => Ok(Policy::default()),
+            Some(bytes) => {
+                postcard::from_bytes(&bytes).map_err(|_| self.error("the policy in it cannot be read"))
+            }
+        }
+    }
+
+    /// From now on it serves under this one.
+    pub fn adopt(&self, policy: &Policy) -> Result<(), LedgerError> {
+        let bytes = postcard::to_stdvec(policy).map_err(|e| self.error(e))?;
+        self.write(|facts, _| {
+            facts.insert("policy", bytes.as_slice())?;
+            facts.remove("prepared")?;
+            Ok(())
+        })
+    }
+
+    /// It has checked this one, and can serve under it.
+    pub fn prepare(&self, proposal: &Proposal) -> Result<(), LedgerError> {
+        let bytes = postcard::to_stdvec(proposal).map_err(|e| self.error(e))?;
+        self.write(|facts, _| facts.insert("prepared", bytes.as_slice()).map(drop).map_err(Into::into))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn dir() -> tempfile::TempDir {
+        tempfile::tempdir().unwrap()
+    }
+
+    fn owner(fleet: &str, voter: u64) -> Owner {
+        Owner { fleet: fleet.into(), voter }
+    }
+
+    #[test]
+    fn what_was_stored_is_there_at_the_next_start() {
+        let dir = dir();
+        let one = owner("f", 1);
+        Ledger::found(dir.path(), &one, &[1, 2, 3]).unwrap();
+        {
+            let ledger = Ledger::open(dir.path(), &one).unwrap();
+            let entry = |n: u64| (n, vec![n as u8]);
+            ledger
+                .store(&Stored { entries: vec![entry(2), entry(3), entry(4)], ..Stored::default() })
+                .unwrap();
+            // A new leader's entry takes the place of two.
+            let stored = Stored { vote: Some(vec![9]), entries: vec![(3, vec![33])], ..Stored::default() };
+            ledger.store(&stored).unwrap();
+            ledger.adopt(&Policy { epoch: 4, ..Policy::default() }).unwrap();
+            assert!(Ledger::open(dir.path(), &one).is_err_and(|e| e.held), "one process at a time");
+        }
+        let ledger = Ledger::open(dir.path(), &one).unwrap();
+        let kept = ledger.kept().unwrap();
+        assert_eq!((kept.vote, kept.entries), (Some(vec![9]), vec![vec![2], vec![33]]));
+        assert_eq!(ledger.policy().unwrap().epoch, 4);
+        let stored = Stored { snapshot: Some(vec![7]), compact: Some(2), ..Stored::default() };
+        ledger.store(&stored).unwrap();
+        assert_eq!(ledger.kept().unwrap().entries, [[33]]);
+    }
+
+    #[test]
+    fn a_ledger_that_is_lost_damaged_or_anothers_is_refused_and_left_alone() {
+        let dir = dir();
+        let error = |voter| Ledger::open(dir.path(), &owner("f", voter)).err().unwrap().to_string();
+        assert!(error(2).contains("fleet init"), "a voter's disk was lost: {}", error(2));
+        Ledger::found(dir.path(), &owner("f", 2), &[2]).unwrap();
+        assert!(Ledger::found(dir.path(), &owner("f", 2), &[2]).is_err(), "never made over");
+        assert!(error(3).contains("another fleet or voter"));
+        let file = dir.path().join(FILE);
+        std::fs::write(&file, b"not a ledger, and longer than the head of one would be").unwrap();
+        assert!(error(2).contains("left as it is"), "{}", error(2));
+        assert_eq!(std::fs::read(&file).unwrap().len(), 54);
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod directory;
 pub mod discovery;
+pub mod ledger;
 pub mod probe;
 pub mod takeover;
--- a/src/sys.rs
+++ b/src/sys.rs
@@ -62,6 +62,13 @@
     matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
 }
 
+/// Microseconds since the machine started, those that it slept counted: what a lease is measured by. No change of the
+/// wall clock moves it, and a process that was stopped finds that it has gone on.
+pub fn boottime() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000
+}
+
 /// Takes a lock, also one that a thread which failed has left behind: what it guards is changed in one step.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
