Fault laboratory: fleets of real processes, spoilt links, checkers on books, plots, planted faults

Need: policy changes have to be shown on processes that are killed, stopped and cut off, and the checkers shown to find what they are for.

Change: jaspermoor-lab faults run|list|replay|shrink|sim. A play starts relays with a proxy a link (late, held, lost, one way or both, reset), kills and stops processes, and has a client knock at each relay all the time. Each policy pins the site to a cell with one backend, so what a relay did shows its policy, not what it says; one_policy compares only clients of which one asked after the other was answered, so no clock of the laboratory decides. Books are JSON lines with their scenario in front, played again by replay, shortened by shrink, drawn as SVG. Six named scenarios; random ones from a seed.

--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -81,6 +81,7 @@
         replace: Vec::new(),
         listen: None,
         held: None,
+        plant: None,
         core: None,
     }
 }
--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -61,7 +61,7 @@
     shared: Arc<Shared>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- /dev/null
+++ b/crates/lab/src/faults/harness.rs
@@ -0,0 +1,638 @@
+//! A fleet of real processes: relays with links between them that can be spoilt, backends that tell by whom a client is
+//! served which policy it was admitted under, clients that knock all the time, and the book of it all.
+//!
+//! Each policy pins the one site to a cell of its own, and each cell has one backend: so what a relay did, not what it
+//! says, shows its policy.
+
+use super::books::{check, Broken, Fact, Line, Moment};
+use super::proxy::{Proxy, Way};
+use super::scenario::{Deed, Scenario, Step};
+use crate::discovery::{lock, Discovery, Entry};
+use crate::line::Backend;
+use crate::relay::{Relay, Setup};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// Cells, and so policies that can be told apart in one play; the first is where the site is before any.
+const CELLS: usize = 24;
+/// The pause of a client between two requests, and how long it waits for an answer.
+const KNOCK: Duration = Duration::from_millis(8);
+const ANSWER: Duration = Duration::from_secs(10);
+/// Clients that each relay must have had before a scenario that awaits them goes on.
+const SOME: usize = 5;
+/// A relay that is not there is looked for again after so long.
+const AWAY: Duration = Duration::from_millis(20);
+
+/// What a play is run with.
+#[derive(Clone, Debug)]
+pub struct Ground {
+    /// The relay's program.
+    pub program: PathBuf,
+    /// A directory for the files of this play.
+    pub dir: PathBuf,
+    /// The fault that is planted in every relay, by its name.
+    pub plant: Option<String>,
+}
+
+/// What a play has shown.
+#[derive(Debug)]
+pub struct Played {
+    /// Rules that did not hold.
+    pub broken: Vec<Broken>,
+    /// Everything, in the order of time.
+    pub book: Vec<Line>,
+    /// Proposals in force, and how long each took from propose to its outcome.
+    pub took: Vec<Duration>,
+    /// Clients that were admitted, and refused.
+    pub admitted: usize,
+    /// See `admitted`.
+    pub refused: usize,
+}
+
+#[derive(Default)]
+struct Spoilt {
+    /// Until when something is done to each relay.
+    until: BTreeMap<usize, Moment>,
+    /// What is to be undone, and when.
+    undo: Vec<(Moment, Undo)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Undo {
+    Start(usize),
+    Continue(usize),
+    Mend(usize),
+    MendAll,
+}
+
+/// One request as its client saw it.
+struct Request {
+    relay: usize,
+    id: String,
+    asked: Moment,
+    at: Moment,
+    word: String,
+}
+
+/// A change that somebody waits for.
+struct Change {
+    text: String,
+    thread: JoinHandle<(String, Duration)>,
+}
+
+struct Rig {
+    ground: Ground,
+    scenario: Scenario,
+    begin: Instant,
+    discovery: Discovery,
+    backends: Vec<Backend>,
+    entries: Vec<Entry>,
+    relays: Vec<Option<Relay>>,
+    /// Where each relay's clients come; none while it is away.
+    doors: Arc<Mutex<Vec<Option<SocketAddr>>>>,
+    /// Links by who dials and which voter.
+    links: BTreeMap<(usize, usize), Proxy>,
+    /// Logs of processes that have ended.
+    logs: Vec<(usize, Vec<String>)>,
+    voters_at: Vec<Option<SocketAddr>>,
+    spoilt: Spoilt,
+    book: Vec<Line>,
+    proposed: usize,
+    changes: Vec<Change>,
+    requests: Arc<Mutex<Vec<Request>>>,
+    stopped: BTreeSet<usize>,
+}
+
+/// Plays it, and looks at its book.
+pub fn play(ground: &Ground, scenario: &Scenario) -> io::Result<Played> {
+    let mut rig = Rig::build(ground, scenario)?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let requests = rig.requests.clone();
+    let clients: Vec<JoinHandle<()>> = (0..rig.relays.len())
+        .map(|relay| {
+            let (doors, stop, requests, begin) =
+                (rig.doors.clone(), stop.clone(), requests.clone(), rig.begin);
+            thread::spawn(move || knock(relay, &doors, &stop, &requests, begin))
+        })
+        .collect();
+    let played = rig.run();
+    let together = played.and_then(|()| rig.come_together(&requests));
+    stop.store(true, Relaxed);
+    clients.into_iter().for_each(|client| drop(client.join()));
+    let together = together?;
+    let requests = std::mem::take(&mut *lock(&requests));
+    Ok(rig.end(requests, together))
+}
+
+/// A client that asks again and again, one request after the other.
+fn knock(
+    relay: usize,
+    doors: &Mutex<Vec<Option<SocketAddr>>>,
+    stop: &AtomicBool,
+    requests: &Mutex<Vec<Request>>,
+    begin: Instant,
+) {
+    let now = || begin.elapsed().as_micros() as Moment;
+    let mut n = 0;
+    while !stop.load(Relaxed) {
+        let Some(door) = lock(doors)[relay] else {
+            thread::sleep(AWAY);
+            continue;
+        };
+        n += 1;
+        let id = format!("{relay:02x}{n:08x}");
+        let Ok(mut socket) = TcpStream::connect_timeout(&door, ANSWER) else {
+            thread::sleep(AWAY);
+            continue;
+        };
+        let asked = now();
+        let talk = |socket: &mut TcpStream| -> io::Result<String> {
+            socket.set_nodelay(true)?;
+            socket.set_read_timeout(Some(ANSWER))?;
+            write!(socket, "OPEN {id} {n:x} c=chat,d=1000,g=1\r\n")?;
+            let mut answer = String::new();
+            BufReader::new(&*socket).read_line(&mut answer)?;
+            Ok(answer)
+        };
+        let answer = talk(&mut socket).unwrap_or_default();
+        let word = answer.split([' ', '\r']).next().unwrap_or_default().to_string();
+        lock(requests).push(Request { relay, id, asked, at: now(), word });
+        thread::sleep(KNOCK);
+    }
+}
+
+/// The text of the policy that pins the site to a cell.
+fn policy(cell: usize) -> String {
+    let mut text = format!("# change {cell}\n[cells]\nmoves_per_second = 1000\n");
+    for n in 0..CELLS {
+        text += &format!("[[cells.cell]]\nname = \"c{n}\"\nservers = [\"s-{n}\"]\n");
+    }
+    text + &format!("[[cells.site]]\nkey = \"1\"\ncell = \"c{cell}\"\n")
+}
+
+impl Rig {
+    fn build(ground: &Ground, scenario: &Scenario) -> io::Result<Rig> {
+        std::fs::create_dir_all(&ground.dir)?;
+        let backends = (0..CELLS).map(|_| Backend::start(None)).collect::<io::Result<Vec<_>>>()?;
+        let entries: Vec<Entry> = backends
+            .iter()
+            .enumerate()
+            .map(|(n, backend)| Entry::active(&format!("s-{n}"), backend.addr))
+            .collect();
+        let discovery = Discovery::start(None, &entries)?;
+        std::fs::write(ground.dir.join("fleet.key"), "a key of the laboratory, long enough to be one\n")?;
+        let relays = scenario.voters + scenario.observers;
+        let mut links = BTreeMap::new();
+        for relay in 0..relays {
+            for voter in 0..scenario.voters {
+                links.insert((relay, voter), Proxy::start()?);
+            }
+        }
+        let mut rig = Rig {
+            ground: ground.clone(),
+            scenario: scenario.clone(),
+            begin: Instant::now(),
+            discovery,
+            backends,
+            entries,
+            relays: (0..relays).map(|_| None).collect(),
+            doors: Arc::new(Mutex::new(vec![None; relays])),
+            links,
+            logs: Vec::new(),
+            voters_at: vec![None; scenario.voters],
+            spoilt: Spoilt::default(),
+            book: Vec::new(),
+            proposed: 0,
+            changes: Vec::new(),
+            requests: Arc::default(),
+            stopped: BTreeSet::new(),
+        };
+        for relay in 0..relays {
+            let operator = rig.operator(relay);
+            if relay < scenario.voters {
+                let file = ground.dir.join(format!("init-{relay}.toml"));
+                std::fs::write(&file, operator)?;
+                rig.call(&["fleet", "--operator", &file.display().to_string(), "init"])?;
+            }
+            rig.start(relay)?;
+        }
+        // The play begins when every relay admits clients under the first policy, which is proposed like any other.
+        rig.begin = Instant::now();
+        let outcome = rig.change(policy(0), Duration::from_secs(30))?.join();
+        if !outcome.is_ok_and(|(outcome, _)| outcome == "in-force") {
+            return Err(io::Error::other(format!("the fleet did not begin: {}", rig.all_logs())));
+        }
+        for relay in rig.relays.iter().flatten() {
+            relay.wait_for("clients are admitted, policy of epoch 1");
+        }
+        rig.begin = Instant::now();
+        Ok(rig)
+    }
+
+    fn now(&self) -> Moment {
+        self.begin.elapsed().as_micros() as Moment
+    }
+
+    fn write(&mut self, fact: Fact) {
+        self.book.push(Line { at: self.now(), fact });
+    }
+
+    fn all_logs(&self) -> String {
+        let lines = self.relays.iter().flatten().flat_map(Relay::lines).filter(|line| line.contains("fleet"));
+        lines.collect::<Vec<_>>().join("; ")
+    }
+
+    fn operator(&self, relay: usize) -> String {
+        let lease = self.scenario.lease_ms;
+        let mut text = format!(
+            "[fleet]\nid = \"lab\"\ndirectory = \"ledger-{relay}\"\nkeys = \"fleet.key\"\nlease_ms = {lease}\npatience_ms = {}\n",
+            3 * lease
+        );
+        if relay < self.scenario.voters {
+            text += &format!("voter = {}\n", relay + 1);
+        }
+        for voter in 0..self.scenario.voters {
+            let addr = self.links[&(relay, voter)].addr;
+            text += &format!(
+                "[[fleet.voters]]\nnumber = {}\naddress = \"{addr}\"\nlisten = \"127.0.0.1:0\"\n",
+                voter + 1
+            );
+        }
+        text
+    }
+
+    fn start(&mut self, relay: usize) -> io::Result<()> {
+        if self.relays[relay].is_some() {
+            return Ok(());
+        }
+        let setup = Setup {
+            program: self.ground.program.clone(),
+            dir: self.ground.dir.clone(),
+            name: format!("n{relay}"),
+            discovery: self.discovery.addr,
+            known: self.entries.clone(),
+            operator: Some(self.operator(relay)),
+            sockets: 1024,
+            replace: Vec::new(),
+            listen: None,
+            core: None,
+            held: None,
+            plant: self.ground.plant.clone(),
+        };
+        let started = Relay::start(&setup)?;
+        if relay < self.scenario.voters {
+            let at = crate::until("a voter's address", || started.said_addr("votes in its fleet on "));
+            self.voters_at[relay] = Some(at);
+            for ((_, voter), link) in &self.links {
+                if *voter == relay {
+                    link.lead_to(Some(at));
+                }
+            }
+        }
+        lock(&self.doors)[relay] = Some(started.addr);
+        self.relays[relay] = Some(started);
+        Ok(())
+    }
+
+    fn kill(&mut self, relay: usize) {
+        lock(&self.doors)[relay] = None;
+        if let Some(process) = self.relays[relay].take() {
+            let lines = process.lines();
+            drop(process);
+            self.logs.push((relay, lines));
+        }
+    }
+
+    fn call(&self, words: &[&str]) -> io::Result<(bool, String)> {
+        let output = Command::new(&self.ground.program).args(words).stdin(Stdio::null()).output()?;
+        let said =
+            String::from_utf8_lossy(&output.stdout).to_string() + &String::from_utf8_lossy(&output.stderr);
+        Ok((output.status.success(), said))
+    }
+
+    /// Proposes a policy as staff do, and waits for its outcome in a thread.
+    fn change(&mut self, text: String, wait: Duration) -> io::Result<JoinHandle<(String, Duration)>> {
+        self.proposed += 1;
+        let file = self.ground.dir.join(format!("policy-{}.toml", self.proposed));
+        std::fs::write(&file, &text)?;
+        // Staff reach the voters by a way of their own, which no fault is done to.
+        let mut staff = String::from("[fleet]\nid = \"lab\"\ndirectory = \"none\"\nkeys = \"fleet.key\"\n");
+        for (voter, at) in self.voters_at.iter().enumerate() {
+            let at = at.unwrap_or_else(|| ([127, 0, 0, 1], 1).into());
+            staff += &format!("[[fleet.voters]]\nnumber = {}\naddress = \"{at}\"\n", voter + 1);
+        }
+        let operator = self.ground.dir.join(format!("staff-{}.toml", self.proposed));
+        std::fs::write(&operator, staff)?;
+        let mut command = Command::new(&self.ground.program);
+        command.arg("policy").arg("--operator").arg(operator).arg("--json");
+        command.args(["--wait", &wait.as_secs().to_string(), "propose"]).arg(file).args(["--why", "a play"]);
+        command.args(["--who", "the laboratory"]).stdin(Stdio::null());
+        Ok(thread::spawn(move || {
+            let begin = Instant::now();
+            let said = command.output().map(|output| String::from_utf8_lossy(&output.stdout).to_string());
+            let said: Option<serde_json::Value> = said.ok().and_then(|said| serde_json::from_str(&said).ok());
+            let outcome = said.and_then(|said| said["outcome"].as_str().map(String::from));
+            (outcome.unwrap_or_else(|| "unknown".into()), begin.elapsed())
+        }))
+    }
+
+    fn propose(&mut self, text: Option<String>) -> io::Result<()> {
+        // The last cell is for the change after all; with all others used up, no more can be told apart.
+        if self.proposed + 1 >= CELLS {
+            return Ok(());
+        }
+        let text = text.unwrap_or_else(|| policy(self.proposed));
+        let thread = self.change(text.clone(), Duration::from_secs(20))?;
+        self.changes.push(Change { text, thread });
+        Ok(())
+    }
+
+    fn run(&mut self) -> io::Result<()> {
+        let steps = self.scenario.step.clone();
+        let mut steps = steps.into_iter().peekable();
+        loop {
+            let step = steps.peek().map(|step| step.at_ms * 1_000);
+            let undo = self.spoilt.undo.iter().map(|(at, _)| *at).min();
+            let Some(next) = [step, undo].into_iter().flatten().min() else { return Ok(()) };
+            thread::sleep(Duration::from_micros(next.saturating_sub(self.now())));
+            let due: Vec<Undo> =
+                self.spoilt.undo.iter().filter(|(at, _)| *at <= next).map(|(_, undo)| *undo).collect();
+            self.spoilt.undo.retain(|(at, _)| *at > next);
+            for undo in due {
+                self.undo(undo)?;
+            }
+            if let Some(step) = steps.next_if(|step| step.at_ms * 1_000 <= next) {
+                self.step(&step)?;
+            }
+        }
+    }
+
+    /// Something is done to a relay for so long.
+    fn spoil(&mut self, relay: usize, for_ms: u64, undo: Undo) {
+        let until = self.now() + for_ms * 1_000;
+        self.spoilt.undo.push((until, undo));
+        // A while longer, until what waited meanwhile has been served.
+        self.mark(relay, until + 1_500_000);
+    }
+
+    fn mark(&mut self, relay: usize, until: Moment) {
+        let now = self.now();
+        self.write(Fact::Fault { text: format!("n{relay} until {:.3} s", until as f64 / 1e6) });
+        let known = self.spoilt.until.entry(relay).or_default();
+        *known = until.max(*known);
+        self.book.push(Line { at: now, fact: Fact::Spoilt { relay: format!("n{relay}"), until } });
+    }
+
+    fn step(&mut self, step: &Step) -> io::Result<()> {
+        self.write(Fact::Fault { text: format!("{:?}", step.deed) });
+        match step.deed {
+            Deed::Propose => self.propose(None)?,
+            Deed::ProposeBad => self.propose(Some("[of_a_later_build]\n".into()))?,
+            Deed::ProposeTwo => {
+                self.propose(None)?;
+                self.propose(None)?;
+            }
+            Deed::Kill { relay, for_ms } => {
+                self.spoil(relay, for_ms, Undo::Start(relay));
+                self.kill(relay);
+            }
+            Deed::KillAll { for_ms } => {
+                for relay in 0..self.relays.len() {
+                    self.spoil(relay, for_ms, Undo::Start(relay));
+                    self.kill(relay);
+                }
+            }
+            Deed::Stop { relay, for_ms } => self.stop(relay, for_ms)?,
+            Deed::StopLeader { for_ms } => {
+                let leads = |relay: &Option<Relay>| {
+                    let lines = relay.as_ref().map(Relay::lines).unwrap_or_default();
+                    let last = lines.into_iter().rev().find(|line| line.contains("fleet: leads"));
+                    last.is_some_and(|line| line.contains("leads in term"))
+                };
+                let leader = self.relays.iter().position(leads).unwrap_or(0);
+                self.stop(leader, for_ms)?;
+            }
+            Deed::Cut { relay, out, back, held, for_ms } => {
+                let what = if held { Way::Hold } else { Way::Lose };
+                let way = |on: bool| if on { what } else { Way::Pass };
+                for ((from, to), link) in &self.links {
+                    if *from == relay {
+                        link.set([way(out), way(back)]);
+                    } else if *to == relay {
+                        link.set([way(back), way(out)]);
+                    }
+                }
+                self.spoil(relay, for_ms, Undo::Mend(relay));
+            }
+            Deed::Slow { by_ms, for_ms } => {
+                let late = Way::Late(Duration::from_millis(by_ms));
+                self.links.values().for_each(|link| link.set([late, late]));
+                let until = self.now() + for_ms * 1_000;
+                self.spoilt.undo.push((until, Undo::MendAll));
+            }
+            Deed::Reset => self.links.values().for_each(Proxy::reset),
+            Deed::Await => self.settle(),
+        }
+        Ok(())
+    }
+
+    fn settle(&self) {
+        crate::until("the outcomes of all changes", || {
+            self.changes.iter().all(|change| change.thread.is_finished()).then_some(())
+        });
+        let since = self.now();
+        let runs = |relay: &usize| self.relays[*relay].is_some() && !self.stopped.contains(relay);
+        crate::until("clients at every relay", || {
+            let requests = lock(&self.requests);
+            let had = |relay: usize| {
+                requests.iter().filter(|r| r.relay == relay && r.asked > since).count() >= SOME
+            };
+            (0..self.relays.len()).filter(runs).all(had).then_some(())
+        });
+    }
+
+    fn stop(&mut self, relay: usize, for_ms: u64) -> io::Result<()> {
+        if let Some(process) = &self.relays[relay] {
+            process.signal("STOP")?;
+            self.stopped.insert(relay);
+            self.spoil(relay, for_ms, Undo::Continue(relay));
+        }
+        Ok(())
+    }
+
+    fn undo(&mut self, undo: Undo) -> io::Result<()> {
+        self.write(Fact::Fault { text: format!("{undo:?}") });
+        match undo {
+            Undo::Start(relay) => self.start(relay),
+            Undo::Continue(relay) => {
+                self.stopped.remove(&relay);
+                // It may have been killed meanwhile.
+                self.relays[relay].as_ref().map_or(Ok(()), |process| process.signal("CONT"))
+            }
+            Undo::Mend(relay) => {
+                let own = |(from, to): &(usize, usize)| *from == relay || *to == relay;
+                self.links.iter().filter(|(key, _)| own(key)).for_each(|(_, link)| link.set([Way::Pass; 2]));
+                Ok(())
+            }
+            Undo::MendAll => {
+                self.links.values().for_each(|link| link.set([Way::Pass; 2]));
+                Ok(())
+            }
+        }
+    }
+
+    /// All is mended: every change has an outcome, one more takes hold, and every relay admits clients under it.
+    fn come_together(&mut self, requests: &Mutex<Vec<Request>>) -> io::Result<Vec<Broken>> {
+        self.links.values().for_each(|link| link.set([Way::Pass; 2]));
+        for relay in self.relays.iter().flatten() {
+            relay.signal("CONT")?;
+        }
+        let last = self.now();
+        let cell = CELLS - 1;
+        // A change under way makes a new one be refused: it is proposed until it takes hold.
+        let end = Instant::now() + crate::PATIENCE;
+        let mut outcome = String::new();
+        while outcome != "in-force" && Instant::now() < end {
+            let thread = self.change(policy(cell), Duration::from_secs(10))?;
+            outcome = thread.join().map_or_else(|_| "unknown".into(), |(outcome, _)| outcome);
+        }
+        if outcome != "in-force" {
+            let text = format!("a change after all was mended is {outcome}: {}", self.all_logs());
+            return Ok(vec![Broken { rule: "the fleet comes together", at: self.now(), text }]);
+        }
+        let end = Instant::now() + crate::PATIENCE;
+        let all: BTreeSet<usize> = (0..self.relays.len()).collect();
+        loop {
+            let here: BTreeSet<String> =
+                self.backends[cell].book(|book| book.opened.iter().map(|(_, id)| id.clone()).collect());
+            let served = lock(requests)
+                .iter()
+                .filter(|r| r.asked > last && here.contains(&r.id))
+                .map(|r| r.relay)
+                .collect();
+            if all == served {
+                return Ok(Vec::new());
+            }
+            if Instant::now() > end {
+                let missing: Vec<&usize> = all.difference(&served).collect();
+                let requests = lock(requests);
+                let words = requests.iter().rev().filter(|r| missing.contains(&&r.relay)).take(5);
+                let words: Vec<_> = words.map(|r| (r.id.as_str(), r.asked, r.at, r.word.as_str())).collect();
+                let text =
+                    format!("relays {missing:?} admit nobody after all was mended at {last}; their clients last {words:?}: {}", self.all_logs());
+                return Ok(vec![Broken { rule: "the fleet comes together", at: self.now(), text }]);
+            }
+            thread::sleep(KNOCK);
+        }
+    }
+
+    fn end(mut self, requests: Vec<Request>, mut broken: Vec<Broken>) -> Played {
+        let mut cells: BTreeMap<String, usize> = BTreeMap::new();
+        for (cell, backend) in self.backends.iter().enumerate() {
+            backend.book(|book| cells.extend(book.opened.iter().map(|(_, id)| (id.clone(), cell))));
+        }
+        let mut took = Vec::new();
+        for change in std::mem::take(&mut self.changes) {
+            let (outcome, time) = change.thread.join().unwrap_or_else(|_| ("unknown".into(), Duration::ZERO));
+            if outcome == "in-force" {
+                took.push(time);
+            }
+            let first = change.text.lines().next().unwrap_or_default().to_string();
+            self.write(Fact::Fault { text: format!("{first}: {outcome} after {} ms", time.as_millis()) });
+        }
+        // Which cell each epoch means, as the relays that took it said: by its text's digest.
+        let digests: BTreeMap<String, usize> =
+            (0..CELLS).map(|cell| (jaspermoor::config::policy::digest(&policy(cell)), cell)).collect();
+        let mut logs = std::mem::take(&mut self.logs);
+        for (relay, process) in self.relays.iter().enumerate() {
+            logs.extend(process.iter().map(|process| (relay, process.lines())));
+        }
+        let mut epochs: BTreeMap<usize, u64> = BTreeMap::new();
+        for (relay, line) in
+            logs.iter().flat_map(|(relay, lines)| lines.iter().map(move |line| (*relay, line)))
+        {
+            if let Some((epoch, digest)) = adopted(line) {
+                let at = self.now();
+                self.book.push(Line {
+                    at,
+                    fact: Fact::Holds { relay: format!("n{relay}"), epoch, text: digest.clone() },
+                });
+                if let Some(cell) = digests.get(&digest) {
+                    epochs.insert(*cell, epoch);
+                }
+            }
+            if let Some(term) =
+                line.split_once("fleet: leads in term ").and_then(|(_, n)| n.trim().parse().ok())
+            {
+                let at = self.now();
+                self.book.push(Line { at, fact: Fact::Leads { voter: relay as u64 + 1, term } });
+            }
+            if line.contains("fleet: the ledger:") || line.contains("panicked") {
+                broken.push(Broken {
+                    rule: "a voter keeps what it has answered for",
+                    at: self.now(),
+                    text: line.clone(),
+                });
+            }
+        }
+        let (mut admitted, mut refused) = (0, 0);
+        for request in &requests {
+            let relay = format!("n{}", request.relay);
+            let epoch = cells.get(&request.id).and_then(|cell| epochs.get(cell));
+            let fact = match (request.word.as_str(), epoch) {
+                ("UP", Some(epoch)) => {
+                    admitted += 1;
+                    Fact::Admitted { relay, epoch: *epoch, asked: request.asked }
+                }
+                ("", _) => Fact::Unanswered { relay, id: request.id.clone() },
+                _ => {
+                    refused += 1;
+                    continue;
+                }
+            };
+            self.book.push(Line { at: request.at, fact });
+        }
+        // Whoever was killed, stopped or restarted meanwhile owes no answer.
+        let spoilt: Vec<(String, Moment, Moment)> = self
+            .book
+            .iter()
+            .filter_map(|line| match &line.fact {
+                Fact::Spoilt { relay, until } => Some((relay.clone(), line.at, *until)),
+                _ => None,
+            })
+            .collect();
+        let waits = ANSWER.as_micros() as Moment;
+        self.book.retain(|line| match &line.fact {
+            Fact::Unanswered { relay, .. } => !spoilt
+                .iter()
+                .any(|(of, from, until)| of == relay && line.at + 1 >= *from && line.at <= until + waits),
+            _ => true,
+        });
+        self.book.sort_by_key(|line| line.at);
+        broken.extend(check(&self.book));
+        Played { broken, book: std::mem::take(&mut self.book), took, admitted, refused }
+    }
+}
+
+/// The epoch and digest of a policy that a relay says to have taken.
+fn adopted(line: &str) -> Option<(u64, String)> {
+    let (epoch, rest) = line.split_once("fleet: policy of epoch ")?.1.split_once(" (")?;
+    Some((epoch.parse().ok()?, rest.split_once(") in force")?.0.to_string()))
+}
+
+/// Writes a book as lines of JSON, its scenario in front.
+pub fn write_book(path: &Path, scenario: &Scenario, book: &[Line]) -> io::Result<()> {
+    let mut file = io::BufWriter::new(std::fs::File::create(path)?);
+    writeln!(file, "{}", serde_json::to_string(scenario)?)?;
+    for line in book {
+        writeln!(file, "{}", serde_json::to_string(line)?)?;
+    }
+    file.flush()
+}
--- /dev/null
+++ b/crates/lab/src/faults/scenario.rs
@@ -0,0 +1,227 @@
+//! What is done to a fleet of processes, and when: written down, or drawn from a seed, and shortened to its cause.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+/// What happens at one moment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "do", deny_unknown_fields)]
+pub enum Deed {
+    /// A policy is proposed, which pins the site to the next cell. Nobody waits for it.
+    Propose,
+    /// A policy is proposed that no relay of this build understands.
+    ProposeBad,
+    /// Two policies are proposed at once.
+    ProposeTwo,
+    /// A relay is killed, and started again with its disk after so long.
+    Kill {
+        /// Which one, from 0; voters come first.
+        relay: usize,
+        /// In milliseconds.
+        for_ms: u64,
+    },
+    /// All relays are killed at once, and started again.
+    KillAll {
+        /// In milliseconds.
+        for_ms: u64,
+    },
+    /// A relay is stopped (SIGSTOP) and goes on after so long.
+    Stop {
+        /// Which one.
+        relay: usize,
+        /// In milliseconds.
+        for_ms: u64,
+    },
+    /// The voter that leads is stopped.
+    StopLeader {
+        /// In milliseconds.
+        for_ms: u64,
+    },
+    /// A relay's links to the voters, and of the others to it, are spoilt.
+    Cut {
+        /// Which one.
+        relay: usize,
+        /// What it says is not heard.
+        out: bool,
+        /// What is said to it is not heard.
+        back: bool,
+        /// Bytes wait for the end of the fault; else they are lost.
+        held: bool,
+        /// In milliseconds.
+        for_ms: u64,
+    },
+    /// All links between processes are slow.
+    Slow {
+        /// By so much, in milliseconds.
+        by_ms: u64,
+        /// In milliseconds.
+        for_ms: u64,
+    },
+    /// All connections between processes are reset.
+    Reset,
+    /// Nothing goes on before every change so far has its outcome and every relay that runs has had some clients since.
+    Await,
+}
+
+/// A deed and when it is done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// Milliseconds from the begin.
+    pub at_ms: u64,
+    /// What.
+    #[serde(flatten)]
+    pub deed: Deed,
+}
+
+/// A whole play.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// What it shows.
+    pub about: String,
+    /// How many voters, and relays beside them.
+    pub voters: usize,
+    /// See `voters`.
+    #[serde(default)]
+    pub observers: usize,
+    /// How long a lease is, in milliseconds.
+    #[serde(default = "lease_ms")]
+    pub lease_ms: u64,
+    /// What is done, in the order of time.
+    #[serde(default)]
+    pub step: Vec<Step>,
+}
+
+fn lease_ms() -> u64 {
+    600
+}
+
+/// Scenarios that come with the program: name and text.
+pub const NAMED: [(&str, &str); 6] = [
+    ("change", include_str!("../../faults/change.toml")),
+    ("majority-killed", include_str!("../../faults/majority-killed.toml")),
+    ("leader-stopped", include_str!("../../faults/leader-stopped.toml")),
+    ("observer-away", include_str!("../../faults/observer-away.toml")),
+    ("one-way", include_str!("../../faults/one-way.toml")),
+    ("all-restarted", include_str!("../../faults/all-restarted.toml")),
+];
+
+impl Scenario {
+    /// Reads one; an error names line and key.
+    pub fn read(text: &str) -> Result<Scenario, String> {
+        let scenario: Scenario = toml::from_str(text).map_err(|e| e.to_string())?;
+        if scenario.voters == 0 || scenario.voters > 7 || scenario.observers > 43 {
+            return Err("voters must be 1 to 7, observers 0 to 43: each is a process of its own".into());
+        }
+        let relays = scenario.voters + scenario.observers;
+        for (n, step) in scenario.step.iter().enumerate() {
+            let named = match step.deed {
+                Deed::Kill { relay, .. } | Deed::Stop { relay, .. } | Deed::Cut { relay, .. } => relay,
+                _ => 0,
+            };
+            if named >= relays {
+                return Err(format!("step[{n}].relay: is {named}; there are {relays}, from 0"));
+            }
+            if n > 0 && step.at_ms < scenario.step[n - 1].at_ms {
+                return Err(format!("step[{n}].at_ms: is before that of the step in front of it"));
+            }
+        }
+        Ok(scenario)
+    }
+
+    /// As it is written.
+    pub fn text(&self) -> String {
+        toml::to_string(self).unwrap_or_default()
+    }
+
+    /// A play drawn from a seed: changes of policy all along, and faults among them.
+    pub fn random(seed: u64) -> Scenario {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let voters = if rng.random_bool(0.3) { 5 } else { 3 };
+        let observers = rng.random_range(2..=4);
+        let relays = voters + observers;
+        let mut step = Vec::new();
+        let mut at_ms = 300;
+        while at_ms < 5_000 {
+            let relay = rng.random_range(0..relays);
+            let for_ms =
+                if rng.random_bool(0.7) { rng.random_range(50..900) } else { rng.random_range(900..2_500) };
+            let deed = match rng.random_range(0..16) {
+                0..=5 => Deed::Propose,
+                6 => Deed::ProposeBad,
+                7 => Deed::ProposeTwo,
+                8 | 9 => Deed::Kill { relay, for_ms },
+                10 | 11 => Deed::Stop { relay, for_ms },
+                12 => Deed::StopLeader { for_ms },
+                13 => {
+                    let (out, back) = *[(true, true), (true, false), (false, true)]
+                        .get(rng.random_range(0..3))
+                        .unwrap_or(&(true, true));
+                    Deed::Cut { relay, out, back, held: rng.random_bool(0.5), for_ms }
+                }
+                14 => Deed::Slow { by_ms: rng.random_range(5..200), for_ms },
+                _ if rng.random_bool(0.3) => Deed::KillAll { for_ms: 100 },
+                _ => Deed::Reset,
+            };
+            step.push(Step { at_ms, deed });
+            at_ms += rng.random_range(50..600);
+        }
+        let about = format!("drawn from seed {seed}");
+        Scenario { about, voters, observers, lease_ms: lease_ms(), step }
+    }
+
+    /// The fewest steps with which `broken` still holds: parts are left out, halves first, then single ones.
+    pub fn shrink(&self, mut broken: impl FnMut(&Scenario) -> bool) -> Scenario {
+        let mut best = self.clone();
+        let mut size = best.step.len().div_ceil(2);
+        while size > 0 {
+            let mut at = 0;
+            while at < best.step.len() {
+                let mut less = best.clone();
+                less.step.drain(at..(at + size).min(best.step.len()));
+                if broken(&less) {
+                    best = less;
+                } else {
+                    at += size;
+                }
+            }
+            size = if size == 1 { 0 } else { size.div_ceil(2) };
+        }
+        best
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn scenarios_are_read_as_they_are_written_and_wrong_ones_are_named() {
+        for (name, text) in NAMED {
+            Scenario::read(text).unwrap_or_else(|e| panic!("{name}: {e}"));
+        }
+        for seed in 0..50 {
+            let drawn = Scenario::random(seed);
+            assert_eq!(Scenario::read(&drawn.text()).unwrap(), drawn);
+            assert_eq!(Scenario::random(seed), drawn);
+        }
+        let wrong = |steps: &str| Scenario::read(&format!("about = 'x'\nvoters = 3\n{steps}")).unwrap_err();
+        assert!(
+            wrong("[[step]]\nat_ms = 1\ndo = 'kill'\nrelay = 3\nfor_ms = 1").contains("step[0].relay: is 3")
+        );
+        assert!(wrong("[[step]]\nat_ms = 1\ndo = 'kil'").contains("unknown variant `kil`"));
+        assert!(wrong("[[step]]\nat_ms = 2\ndo = 'reset'\n[[step]]\nat_ms = 1\ndo = 'reset'")
+            .contains("step[1].at_ms"));
+    }
+
+    #[test]
+    fn what_is_left_is_the_cause() {
+        let all = Scenario::random(5);
+        let cause = |s: &Scenario| {
+            s.step.iter().any(|step| step == &all.step[3]) && s.step.iter().any(|step| step == &all.step[7])
+        };
+        let least = all.shrink(cause);
+        assert_eq!(least.step, [all.step[3].clone(), all.step[7].clone()]);
+    }
+}
--- a/crates/lab/src/faults/virtual_fleet.rs
+++ b/crates/lab/src/faults/virtual_fleet.rs
@@ -323,7 +323,8 @@
             || self.now % 500_000 < BEAT
             || self.admitted.values().any(|e| *e != epoch)
         {
-            self.write(Fact::Admitted { relay: name, epoch });
+            // It asks and is answered in the same moment: what was admitted in an earlier one came before.
+            self.write(Fact::Admitted { relay: name, epoch, asked: self.now });
         }
     }
 
--- /dev/null
+++ b/crates/lab/src/faults_cli.rs
@@ -0,0 +1,308 @@
+//! `jaspermoor-lab faults`: fleets of processes under faults, from the command line.
+
+use argh::FromArgs;
+use indicatif::{ProgressBar, ProgressStyle};
+use jaspermoor_control::Plant;
+use jaspermoor_lab::faults::harness::{play, write_book, Ground, Played};
+use jaspermoor_lab::faults::plot;
+use jaspermoor_lab::faults::scenario::{Scenario, NAMED};
+use jaspermoor_lab::faults::virtual_fleet;
+use jaspermoor_lab::relay;
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+type Failure = Box<dyn Error>;
+
+/// Starts fleets of relays, does harm to them, and looks whether the rules held.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "faults")]
+pub struct Faults {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Run(Run),
+    List(List),
+    Replay(Replay),
+    Shrink(Shrink),
+    Sim(Sim),
+}
+
+/// Plays a scenario with real processes: exit code 1 where a rule is broken.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+struct Run {
+    /// a scenario's name, a file, or 'policy' for random plays
+    #[argh(positional)]
+    what: String,
+    /// the seed of the first random play (default 1); each further one has the next
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how many plays (default 1)
+    #[argh(option, default = "1")]
+    plays: u64,
+    /// a planted fault, or 'list' for their names
+    #[argh(option)]
+    plant: Option<String>,
+    /// where books, scenarios and pictures go (default: faults-out)
+    #[argh(option, default = "PathBuf::from(\"faults-out\")")]
+    out: PathBuf,
+    /// keep book and picture of each play, not only of those that broke a rule
+    #[argh(switch)]
+    keep: bool,
+    /// one JSON object a play
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Names the scenarios and the planted faults.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct List {}
+
+/// Plays the scenario of a saved book, or of a file, again.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+struct Replay {
+    /// the book or scenario
+    #[argh(positional)]
+    file: PathBuf,
+    /// a planted fault
+    #[argh(option)]
+    plant: Option<String>,
+    /// where book and picture go (default: faults-out)
+    #[argh(option, default = "PathBuf::from(\"faults-out\")")]
+    out: PathBuf,
+}
+
+/// Leaves out of a scenario what is not needed for a rule to break, and prints the rest.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "shrink")]
+struct Shrink {
+    /// the book or scenario
+    #[argh(positional)]
+    file: PathBuf,
+    /// a planted fault
+    #[argh(option)]
+    plant: Option<String>,
+    /// plays of each shortened scenario before it counts as sound (default 2)
+    #[argh(option, default = "2")]
+    tries: u32,
+}
+
+/// Plays fleets in one process, on a virtual network, disk and clock.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sim")]
+struct Sim {
+    /// the first seed (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how many (default 1000)
+    #[argh(option, default = "1000")]
+    plays: u64,
+    /// voters, and relays beside them (default 3 and 3)
+    #[argh(option, default = "3")]
+    voters: usize,
+    /// see --voters
+    #[argh(option, default = "3")]
+    observers: usize,
+    /// a planted fault
+    #[argh(option)]
+    plant: Option<String>,
+}
+
+/// Runs it.
+pub fn run(faults: Faults) -> Result<(), Failure> {
+    match faults.command {
+        Command::List(_) => {
+            for (name, text) in NAMED {
+                println!("{name:<16} {}", Scenario::read(text)?.about);
+            }
+            println!("{:<16} random plays, by --seed and --plays", "policy");
+            println!("planted faults: {}", Plant::ALL.map(|(name, _)| name).join(" "));
+            Ok(())
+        }
+        Command::Run(run) if run.plant.as_deref() == Some("list") => {
+            Plant::ALL.iter().for_each(|(name, _)| println!("{name}"));
+            Ok(())
+        }
+        Command::Run(run) => run_plays(&run),
+        Command::Replay(replay) => {
+            let scenario = read(&replay.file)?;
+            let played = one(&scenario, replay.plant.as_deref())?;
+            keep(&replay.out, "replay", &scenario, &played)?;
+            say(&played);
+            closing(1, u64::from(!played.broken.is_empty()))
+        }
+        Command::Shrink(shrink) => {
+            let scenario = read(&shrink.file)?;
+            let mut last = None;
+            let mut broken = |scenario: &Scenario| {
+                (0..shrink.tries).any(|_| match one(scenario, shrink.plant.as_deref()) {
+                    Ok(played) => {
+                        last = played.broken.first().map(ToString::to_string).or(last.take());
+                        !played.broken.is_empty()
+                    }
+                    Err(_) => false,
+                })
+            };
+            if !broken(&scenario) {
+                return Err(
+                    "the whole scenario breaks no rule: give more --tries, or the --plant it was found with"
+                        .into(),
+                );
+            }
+            let least = scenario.shrink(broken);
+            eprintln!(
+                "{} of {} steps are left; {}",
+                least.step.len(),
+                scenario.step.len(),
+                last.unwrap_or_default()
+            );
+            println!("{}", least.text());
+            Ok(())
+        }
+        Command::Sim(sim) => run_sim(&sim),
+    }
+}
+
+fn planted(name: Option<&str>) -> Result<Option<Plant>, Failure> {
+    match name {
+        None => Ok(None),
+        Some(name) => match Plant::named(name) {
+            Some(plant) => Ok(Some(plant)),
+            None => Err(format!("no planted fault is named '{name}'; --plant list names them").into()),
+        },
+    }
+}
+
+/// A scenario from its file, or from the first line of a book.
+fn read(file: &Path) -> Result<Scenario, Failure> {
+    let text =
+        std::fs::read_to_string(file).map_err(|e| format!("{}: cannot be read: {e}", file.display()))?;
+    if text.starts_with('{') {
+        let first = text.lines().next().unwrap_or_default();
+        return Ok(serde_json::from_str(first).map_err(|e| format!("{}:1: {e}", file.display()))?);
+    }
+    Ok(Scenario::read(&text).map_err(|e| format!("{}: {e}", file.display()))?)
+}
+
+fn one(scenario: &Scenario, plant: Option<&str>) -> Result<Played, Failure> {
+    planted(plant)?;
+    let dir = tempfile::tempdir()?;
+    let ground =
+        Ground { program: relay::program()?, dir: dir.path().into(), plant: plant.map(String::from) };
+    Ok(play(&ground, scenario)?)
+}
+
+fn keep(out: &Path, name: &str, scenario: &Scenario, played: &Played) -> Result<(), Failure> {
+    std::fs::create_dir_all(out)?;
+    write_book(&out.join(format!("{name}.jsonl")), scenario, &played.book)?;
+    std::fs::write(out.join(format!("{name}.toml")), scenario.text())?;
+    let title = format!("{}: {}", name, scenario.about);
+    plot::draw(&out.join(format!("{name}.svg")), &title, &played.book)?;
+    Ok(())
+}
+
+fn say(played: &Played) {
+    for broken in &played.broken {
+        eprintln!("broken: {broken}");
+    }
+}
+
+/// The last line, and the exit code that follows from it.
+fn closing(plays: u64, broken: u64) -> Result<(), Failure> {
+    println!("plays {plays}, broken {broken}");
+    if broken > 0 {
+        Err(format!("{broken} of {plays} plays broke a rule").into())
+    } else {
+        Ok(())
+    }
+}
+
+fn progress(plays: u64) -> ProgressBar {
+    let bar = ProgressBar::new(plays);
+    let style = ProgressStyle::with_template("{bar:30} {pos}/{len} {msg} {eta}");
+    bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()))
+}
+
+fn run_plays(run: &Run) -> Result<(), Failure> {
+    planted(run.plant.as_deref())?;
+    let bar = progress(run.plays);
+    let (mut broken, mut took, mut admitted): (u64, Vec<Duration>, usize) = (0, Vec::new(), 0);
+    for n in 0..run.plays {
+        let seed = run.seed + n;
+        let (name, scenario) = match NAMED.iter().find(|(name, _)| *name == run.what) {
+            _ if run.what == "policy" => (format!("policy-{seed}"), Scenario::random(seed)),
+            Some((name, text)) => (format!("{name}-{n}"), Scenario::read(text)?),
+            None => (format!("play-{n}"), read(Path::new(&run.what))?),
+        };
+        let played = one(&scenario, run.plant.as_deref())?;
+        if !played.broken.is_empty() {
+            broken += 1;
+            bar.suspend(|| {
+                eprintln!("{name} (seed {seed}):");
+                say(&played);
+            });
+        }
+        if run.keep || !played.broken.is_empty() {
+            keep(&run.out, &name, &scenario, &played)?;
+        }
+        if run.json {
+            let line = serde_json::json!({
+                "play": name, "seed": seed, "admitted": played.admitted, "refused": played.refused,
+                "took_ms": played.took.iter().map(|t| t.as_millis() as u64).collect::<Vec<_>>(),
+                "broken": played.broken.iter().map(ToString::to_string).collect::<Vec<_>>(),
+            });
+            bar.suspend(|| println!("{line}"));
+        }
+        admitted += played.admitted;
+        took.extend(&played.took);
+        bar.set_message(format!("broken {broken}"));
+        bar.inc(1);
+    }
+    bar.finish_and_clear();
+    took.sort();
+    if let (Some(median), Some(most)) = (took.get(took.len() / 2), took.last()) {
+        let (median, most) = (median.as_millis(), most.as_millis());
+        println!(
+            "{admitted} clients admitted; {} changes in force, median {median} ms, worst {most} ms",
+            took.len()
+        );
+    }
+    closing(run.plays, broken)
+}
+
+fn run_sim(sim: &Sim) -> Result<(), Failure> {
+    let plant = planted(sim.plant.as_deref())?;
+    let (bar, begin) = (progress(sim.plays), Instant::now());
+    let (mut broken, mut epochs, mut faults) = (0, 0, 0);
+    for seed in sim.seed..sim.seed + sim.plays {
+        let play = virtual_fleet::Play {
+            seed,
+            voters: sim.voters,
+            observers: sim.observers,
+            plant,
+            ..Default::default()
+        };
+        let seen = virtual_fleet::run(play);
+        (epochs, faults) = (epochs + seen.epoch, faults + seen.faults);
+        if let Some(first) = seen.broken.first() {
+            broken += 1;
+            bar.suspend(|| eprintln!("seed {seed}: {first}"));
+            if plant.is_some() {
+                bar.finish_and_clear();
+                println!("found at seed {seed}, play {}", seed - sim.seed + 1);
+                return closing(seed - sim.seed + 1, broken);
+            }
+        }
+        bar.inc(1);
+    }
+    bar.finish_and_clear();
+    println!("{epochs} policies came into force, {faults} faults, {:.1} s", begin.elapsed().as_secs_f64());
+    closing(sim.plays, broken)
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! `jaspermoor-lab`: stand-ins, a first run, and measurements.
 
+mod faults_cli;
 mod fleet_cli;
 
 use argh::FromArgs;
@@ -33,6 +34,7 @@
     Bench(Bench),
     Sim(Sim),
     Fleet(fleet_cli::Fleet),
+    Faults(faults_cli::Faults),
 }
 
 /// Starts a relay, discovery, three servers and clients, drains one server half-way and checks the rules.
@@ -247,6 +249,7 @@
             Ok(true)
         }
         Command::Fleet(f) => fleet_cli::run(f),
+        Command::Faults(faults) => faults_cli::run(faults).map(|()| true),
         Command::Sim(s) => {
             let Sim { seed, seeds, servers, relays, cell, sites, load, factor, jobs } = s;
             if servers == 0 || relays == 0 || seeds == 0 || !(0.01..=10.0).contains(&load) || factor < 0.0 {
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -35,6 +35,8 @@
     pub core: Option<usize>,
     /// A listening socket that the platform holds and all processes of the relay inherit.
     pub held: Option<Arc<TcpListener>>,
+    /// A fault of the fleet's control that is planted in it; builds that serve know none.
+    pub plant: Option<String>,
 }
 
 impl Setup {
@@ -101,6 +103,10 @@
             }
         };
         command.arg("serve").env("BALANCER_CONFIG", &config).env("TMPDIR", &setup.dir);
+        match &setup.plant {
+            Some(plant) => command.env("JASPERMOOR_PLANT", plant),
+            None => command.env_remove("JASPERMOOR_PLANT"),
+        };
         for key in ["NAME", "LISTEN", "DISCOVERY", "ADMIN", "ACCEPT_FD"] {
             command.env_remove(format!("BALANCER_{key}"));
         }
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -593,7 +593,11 @@
             if work.is_empty() {
                 return;
             }
-            if !work.store.is_empty() {
+            #[cfg(feature = "plants")]
+            let skip = planted().is(jaspermoor_control::Plant::SkipStore);
+            #[cfg(not(feature = "plants"))]
+            let skip = false;
+            if !work.store.is_empty() && !skip {
                 if let Some(Err(e)) = self.ledger.as_ref().map(|ledger| ledger.store(&work.store)) {
                     return self.give_up_vote(&e.to_string());
                 }
