--- a/crates/lab/src/bench/line.rs
+++ b/crates/lab/src/bench/line.rs
@@ -30,6 +30,8 @@
     pub program: PathBuf,
     /// See `program`; none measures one alone.
     pub against: Option<PathBuf>,
+    /// Whether the build is measured in a fleet of its own, and the one beside it without.
+    pub fleet: bool,
     /// A directory for files.
     pub dir: PathBuf,
     /// Runs of each measurement.
@@ -128,7 +130,29 @@
     threads: [usize; 2],
 }
 
-fn start(plan: &Plan, name: &'static str, program: &Path, discovery: &Discovery) -> Result<Variant, Failure> {
+/// The operator file of the one voter of a fleet, whose ledger is made.
+fn found(program: &Path, dir: &Path) -> Result<String, Failure> {
+    std::fs::create_dir_all(dir)?;
+    std::fs::write(dir.join("fleet.key"), "a key of the laboratory, long enough to be one\n")?;
+    let text = "[fleet]\nid = \"bench\"\ndirectory = \"ledger\"\nkeys = \"fleet.key\"\nvoter = 1\n\
+                [[fleet.voters]]\nnumber = 1\naddress = \"127.0.0.1:0\"\n";
+    let file = dir.join("found.toml");
+    std::fs::write(&file, text)?;
+    let made =
+        std::process::Command::new(program).args(["fleet", "--operator"]).arg(file).arg("init").output()?;
+    match made.status.success() {
+        true => Ok(text.into()),
+        false => Err(String::from_utf8_lossy(&made.stderr).to_string().into()),
+    }
+}
+
+fn start(
+    plan: &Plan,
+    name: &'static str,
+    program: &Path,
+    discovery: &Discovery,
+    fleet: bool,
+) -> Result<Variant, Failure> {
     let mut setup = setup(program, &plan.dir, discovery);
     setup.name = name.into();
     // A relay has one core on the platform; with more, threads would hide what they cost.
@@ -137,7 +161,13 @@
     // Room for all of them, as `admit` reckons it.
     let memory = (plan.idle / 8).max(512);
     setup.replace.push(("\"memory_mb\": 192".into(), format!("\"memory_mb\": {memory}")));
+    if fleet {
+        setup.operator = Some(found(program, &plan.dir)?);
+    }
     let relay = Relay::start(&setup)?;
+    if fleet {
+        relay.wait_for("fleet: clients are admitted");
+    }
     Ok(Variant { name, relay, seen: Default::default(), memory: [0; 2], threads: [0; 2] })
 }
 
@@ -147,9 +177,9 @@
     let at = listener.local_addr()?;
     thread::spawn(move || mirror(listener));
     let discovery = Discovery::start(None, &[Entry::active("s-1", at)])?;
-    let mut variants = vec![start(plan, "now", &plan.program, &discovery)?];
+    let mut variants = vec![start(plan, "now", &plan.program, &discovery, plan.fleet)?];
     if let Some(against) = &plan.against {
-        variants.push(start(plan, "against", against, &discovery)?);
+        variants.push(start(plan, "against", against, &discovery, false)?);
     }
     for variant in &mut variants {
         // What the start needs is over by then.
--- a/crates/lab/src/faults/proxy.rs
+++ b/crates/lab/src/faults/proxy.rs
@@ -140,7 +140,10 @@
             return;
         }
         if held < MOST {
-            match from.read(&mut piece) {
+            let read = from.read(&mut piece);
+            // What is wanted now, not when the read began: it may have waited for these bytes.
+            let now = lock(shared).ways[way];
+            match read {
                 Ok(0) => return,
                 Ok(_) if now == Way::Lose => {
                     lost = true;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -117,6 +117,9 @@
     /// line: another build of the relay, measured in turn with this one
     #[argh(option)]
     against: Option<PathBuf>,
+    /// line: this build as the one voter of a fleet, the other one (by default this build, too) without
+    #[argh(switch)]
+    fleet: bool,
     /// runs of each measurement, whose median is shown (default 5)
     #[argh(option, default = "5")]
     runs: usize,
@@ -266,8 +269,9 @@
         Command::Bench(b) if b.what == "line" => {
             let (program, dir) = (relay::program()?, scratch());
             let plan = bench::line::Plan {
+                against: b.against.or_else(|| b.fleet.then(|| program.clone())),
+                fleet: b.fleet,
                 program,
-                against: b.against,
                 dir: dir.clone(),
                 runs: b.runs,
                 idle: b.idle,
