A relay without a lease is not ready, and a voter listens only once its ledger is its own

Seen, on reading the change once more: GET /control/ready said yes while a relay of a fleet held no lease, so a front would send it clients that it refuses; and during an upgrade both processes listened at the voter's port (SO_REUSEPORT), so half of the links led to a process that has no vote until the older one has ended. A log that cannot be read ended the start, against its own words.

Change: the call asks the decisions, too; the listener is opened with the ledger, which one process has at a time; a voter with a damaged log starts without its vote.

Measured: tests/faults.rs, a relay whose voters are gone: BUSY 250 at once and 503, or UP and 200 with alone = "serve"; the test fails on either half of the old code. Without [fleet] the call and the decisions are as before: one atomic read.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -140,9 +140,6 @@
         spawn("admin", STACK, move || admin.run())?;
     }
     if let Some(fleet) = fleet {
-        if let Some(addr) = fleet.addr() {
-            log(&format!("{}: votes in its fleet on {addr}", config.name));
-        }
         // A ledger's sync waits for the disk, and no client may wait for that.
         let ended = signals.handle();
         spawn("fleet", FLEET_STACK, move || {
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -177,14 +177,7 @@
         own: Rules,
         decisions: Arc<Decisions>,
     ) -> Result<Fleet, Box<dyn std::error::Error>> {
-        let listener = match setup.fleet.voters.iter().find(|voter| Some(voter.number) == setup.fleet.voter) {
-            Some(voter) => Some(listen(voter)?),
-            None => None,
-        };
         let poller = Poller::new()?;
-        if let Some(listener) = &listener {
-            poller.watch(listener, LISTEN, None, Some(Interest { read: true, write: false }))?;
-        }
         let mut start = [0; 8];
         start.copy_from_slice(&number()[..8]);
         let relay = Relay { name: name.into(), start: u64::from_be_bytes(start) };
@@ -225,7 +218,7 @@
             own,
             decisions,
             poller,
-            listener,
+            listener: None,
             wires: BTreeMap::new(),
             next: FIRST,
             voters,
@@ -242,25 +235,33 @@
         Ok(fleet)
     }
 
-    /// Becomes the voter that the ledger says.
+    /// Becomes the voter that the ledger says, and listens: not before, or links would lead to a process that cannot
+    /// answer while the older one of this relay still votes.
     fn take_vote(&mut self) -> Result<(), Box<dyn std::error::Error>> {
         let (Some(ledger), Some(number)) = (&self.ledger, self.setup.fleet.voter) else { return Ok(()) };
         let kept = ledger.kept()?;
         let voter = Voter::new(number, &kept, self.setup.times(), boottime());
-        let voter = voter.map_err(|damaged| {
-            format!("{}: {}: it does not vote", self.setup.directory.display(), damaged.0)
-        })?;
+        let voter = match voter {
+            Ok(voter) => voter,
+            Err(damaged) => {
+                let place = self.setup.directory.display();
+                log(&format!(
+                    "fleet: {place}: {}; it is left as it is, and this relay does not vote",
+                    damaged.0
+                ));
+                return Ok(());
+            }
+        };
         #[cfg(feature = "plants")]
         let voter = voter.planted(planted());
-        self.voter = Some(voter);
+        let own = self.setup.fleet.voters.iter().find(|voter| voter.number == number);
+        let listener = listen(own.ok_or("fleet.voter: no voter has this number")?)?;
+        self.poller.watch(&listener, LISTEN, None, Some(Interest { read: true, write: false }))?;
+        log(&format!("{}: votes in its fleet on {}", self.name, listener.local_addr()?));
+        (self.voter, self.listener) = (Some(voter), Some(listener));
         Ok(())
     }
 
-    /// Where it listens.
-    pub fn addr(&self) -> Option<std::net::SocketAddr> {
-        self.listener.as_ref().and_then(|listener| listener.local_addr().ok())
-    }
-
     /// Runs for as long as the process does.
     pub fn run(mut self) {
         self.poller.own();
@@ -629,8 +630,6 @@
     let open = || -> io::Result<TcpListener> {
         let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
-        // A second process of the same relay, during an upgrade, takes the port over from the first.
-        socket.set_reuse_port(true)?;
         socket.bind(&addr.into())?;
         socket.listen(128)?;
         socket.set_nonblocking(true)?;
--- a/src/ops/admin.rs
+++ b/src/ops/admin.rs
@@ -285,7 +285,10 @@
 
     fn serve(&mut self, call: &Call) -> Answer {
         match call {
-            Call::Ready if self.staffed.open.load(Relaxed) => answer(200, "ready"),
+            // Whoever may admit nobody is not ready: a front must not send its clients there.
+            Call::Ready if self.staffed.open.load(Relaxed) && self.staffed.decisions.admits() => {
+                answer(200, "ready")
+            }
             Call::Ready => answer(503, "takes no clients"),
             Call::Backend(id, out_of_use) => self.by_hand(id, *out_of_use),
             Call::Counters => {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -1,8 +1,13 @@
 //! Fleets of real processes with faults between them: what must hold does, and planted faults are found.
 
+use jaspermoor_lab::discovery::{Discovery, Entry};
 use jaspermoor_lab::faults::harness::{play, Ground, Played};
 use jaspermoor_lab::faults::scenario::{Scenario, NAMED};
-use std::path::PathBuf;
+use jaspermoor_lab::line::Backend;
+use jaspermoor_lab::relay::{Relay, Setup};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
 
 fn run(scenario: &Scenario, plant: Option<&str>) -> Played {
     let dir = tempfile::tempdir().unwrap();
@@ -65,3 +70,50 @@
         assert!(played.broken.iter().any(|b| b.rule == "one policy"), "{plant}: {:?}", played.broken);
     }
 }
+
+/// A relay of a fleet whose voters cannot be reached, with what its operator wants then.
+fn lonely(dir: &Path, discovery: &Discovery, alone: &str) -> Relay {
+    std::fs::write(dir.join("fleet.key"), "a key of a test, and long enough to be one of a fleet").unwrap();
+    // Nobody listens at port 1 of the loopback addresses.
+    let fleet = format!(
+        "[fleet]\nid = 'f'\ndirectory = 'ledger'\nkeys = 'fleet.key'\nalone = '{alone}'\n\
+         [[fleet.voters]]\nnumber = 1\naddress = '127.0.0.1:1'\n"
+    );
+    let setup = Setup {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_jaspermoor")),
+        dir: dir.into(),
+        name: format!("lonely-{alone}"),
+        discovery: discovery.addr,
+        known: discovery.entries(),
+        operator: Some(fleet),
+        sockets: 1024,
+        replace: Vec::new(),
+        listen: None,
+        core: None,
+        held: None,
+        plant: None,
+    };
+    Relay::start(&setup).unwrap()
+}
+
+fn asked(relay: &Relay) -> String {
+    let mut client = TcpStream::connect(relay.addr).unwrap();
+    client.write_all(b"OPEN 1 7f c=chat,d=1000\r\n").unwrap();
+    let mut answer = String::new();
+    BufReader::new(client).read_line(&mut answer).unwrap();
+    answer.trim_end().into()
+}
+
+#[test]
+fn with_no_voter_left_a_relay_refuses_at_once_and_is_not_ready_or_serves_as_its_operator_wants() {
+    let dir = tempfile::tempdir().unwrap();
+    let backend = Backend::start(None).unwrap();
+    let discovery = Discovery::start(None, &[Entry::active("s-1", backend.addr)]).unwrap();
+    let refuses = lonely(dir.path(), &discovery, "refuse");
+    assert_eq!(asked(&refuses), "BUSY 250");
+    assert_eq!(refuses.call("GET", "/control/ready").unwrap().0, 503);
+    drop(refuses);
+    let serves = lonely(dir.path(), &discovery, "serve");
+    assert_eq!(asked(&serves), "UP lab-1");
+    assert_eq!(serves.call("GET", "/control/ready").unwrap().0, 200);
+}
