One confirmation at a time for all relays that ask, and the cost of a fleet of 300 in figures

Need: every renewal had the leader ask a majority anew: 300 relays, 600 rounds of heartbeats a second.

--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -87,6 +87,8 @@
     office: Option<Office>,
     beat: Micros,
     reads: u64,
+    /// When a confirmation was last asked for.
+    read_at: Micros,
     /// What waits for the next confirmation, and what waits for one that is under way.
     next: Vec<Waiting>,
     under_way: BTreeMap<u64, Vec<Waiting>>,
@@ -126,7 +128,20 @@
             RawNode::new(&config, log, &quiet).map_err(|_| Damaged("the log does not fit its voters"))?;
         let (beat, planted) = (now, Planted::default());
         let (next, under_way, answers) = (Vec::new(), BTreeMap::new(), Vec::new());
-        Ok(Voter { raw, times, planted, state, office: None, beat, reads: 0, next, under_way, answers, now })
+        Ok(Voter {
+            raw,
+            times,
+            planted,
+            state,
+            office: None,
+            beat,
+            reads: 0,
+            read_at: 0,
+            next,
+            under_way,
+            answers,
+            now,
+        })
     }
 
     /// The same with a fault in it: for tests of the checkers.
@@ -235,7 +250,12 @@
             }
             return;
         }
-        self.reads += 1;
+        // One at a time: what comes meanwhile shares the next, so hundreds of relays cost no more of them than a few. One
+        // that was lost on its way is not waited for.
+        if !self.under_way.is_empty() && self.now < self.read_at + self.times.tick {
+            return;
+        }
+        (self.reads, self.read_at) = (self.reads + 1, self.now);
         let waiting = std::mem::take(&mut self.next);
         if self.planted.is(Plant::GrantAlone) {
             return waiting.into_iter().for_each(|waiting| self.answer(waiting));
--- a/crates/lab/src/faults/virtual_fleet.rs
+++ b/crates/lab/src/faults/virtual_fleet.rs
@@ -35,11 +35,13 @@
     pub length: Moment,
     /// A fault in the program.
     pub plant: Option<Plant>,
+    /// Whether faults happen at all: without, what is seen is what the fleet costs.
+    pub faults: bool,
 }
 
 impl Default for Play {
     fn default() -> Play {
-        Play { seed: 1, voters: 3, observers: 3, length: 40_000_000, plant: None }
+        Play { seed: 1, voters: 3, observers: 3, length: 40_000_000, plant: None, faults: true }
     }
 }
 
@@ -56,6 +58,12 @@
     pub faults: usize,
     /// Everything, in the order of time.
     pub book: Vec<Line>,
+    /// Time from each proposal that came into force to when the last relay had it, in microseconds.
+    pub took: Vec<Moment>,
+    /// Bytes that each process has sent to others, voters first, and how long that took.
+    pub sent: Vec<u64>,
+    /// See `sent`.
+    pub length: Moment,
 }
 
 struct Process {
@@ -107,6 +115,8 @@
     proposals: Vec<ProposalId>,
     seen: Seen,
     admitted: BTreeMap<usize, u64>,
+    /// When each text was proposed, and when the last relay took it.
+    texts: BTreeMap<String, (Moment, Moment)>,
     leads: BTreeMap<u64, u64>,
 }
 
@@ -166,6 +176,7 @@
             proposals: Vec::new(),
             seen: Seen::default(),
             admitted: BTreeMap::new(),
+            texts: BTreeMap::new(),
             leads: BTreeMap::new(),
         }
     }
@@ -214,7 +225,7 @@
             self.later(0, Event::Start(n));
         }
         let mut at = 3_000_000;
-        while at < self.play.length {
+        while self.play.faults && at < self.play.length {
             self.later(at, Event::Fault);
             at += self.rng.random_range(200_000..2_500_000);
         }
@@ -390,6 +401,8 @@
                     let (relay, epoch, text) =
                         (self.processes[n].name.clone(), policy.epoch, policy.text.clone());
                     self.processes[n].policy = policy;
+                    let now = self.now;
+                    self.texts.entry(text.clone()).and_modify(|(_, last)| *last = now);
                     self.write(Fact::Holds { relay, epoch, text });
                 }
                 Effect::Send(voter, renew) => self.send(n, voter as usize - 1, Message::Renew(renew)),
@@ -432,6 +445,10 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: Message) {
+        if from != to {
+            self.seen.sent.resize(self.processes.len(), 0);
+            self.seen.sent[from] += message.encode().len() as u64;
+        }
         let (loss, delay, until) = self.weather;
         let mut wait = self.rng.random_range(100..3_000);
         if self.now < until && from != to {
@@ -528,6 +545,7 @@
             self.proposals.push(id);
             let bad = if self.rng.random_bool(0.1) { "bad" } else { "good" };
             let text = format!("{bad} {}", old + 1);
+            self.texts.insert(text.clone(), (self.now, 0));
             Ask::Propose(Proposal { id, base: 0, text, who: "staff".into(), why: "a play".into() })
         };
         // Every voter is asked: the one that leads answers.
@@ -550,6 +568,10 @@
 
     fn end(mut self) -> Seen {
         self.seen.broken.extend(super::books::check(&self.seen.book));
+        self.seen.length = self.now;
+        let took = self.texts.values().filter(|(_, last)| *last > 0).map(|(begin, last)| last - begin);
+        self.seen.took = took.collect();
+        self.seen.took.sort_unstable();
         // Once all is mended the fleet must have come together: every relay admits, all under one policy.
         let states: Vec<(bool, u64)> = (0..self.processes.len())
             .map(|n| {
--- a/crates/lab/src/faults_cli.rs
+++ b/crates/lab/src/faults_cli.rs
@@ -113,6 +113,9 @@
     /// a planted fault
     #[argh(option)]
     plant: Option<String>,
+    /// no faults: what the fleet costs, in time and bytes
+    #[argh(switch)]
+    calm: bool,
     /// where the book of the last play goes, as lines of JSON
     #[argh(option)]
     book: Option<PathBuf>,
@@ -280,6 +283,22 @@
     closing(run.plays, broken)
 }
 
+/// What a play without faults has cost.
+fn say_cost(sim: &Sim, seen: &virtual_fleet::Seen) {
+    let ms = |n: usize| seen.took.get(n).map_or(0.0, |us| *us as f64 / 1e3);
+    let (median, most) = (ms(seen.took.len() / 2), ms(seen.took.len().saturating_sub(1)));
+    let rate = |sent: &u64| *sent as f64 * 1e6 / seen.length.max(1) as f64;
+    let (voters, others) = seen.sent.split_at(sim.voters.min(seen.sent.len()));
+    let most_of = |sent: &[u64]| sent.iter().map(rate).fold(0.0, f64::max);
+    println!(
+        "{} changes; until the last relay has one: median {median:.0} ms, worst {most:.0} ms; bytes sent a second, at most: \
+         voter {:.0}, other relay {:.0}",
+        seen.took.len(),
+        most_of(voters),
+        most_of(others)
+    );
+}
+
 fn run_sim(sim: &Sim) -> Result<(), Failure> {
     let plant = planted(sim.plant.as_deref())?;
     let (bar, begin) = (progress(sim.plays), Instant::now());
@@ -290,10 +309,14 @@
             voters: sim.voters,
             observers: sim.observers,
             plant,
+            faults: !sim.calm,
             ..Default::default()
         };
         let seen = virtual_fleet::run(play);
         (epochs, faults) = (epochs + seen.epoch, faults + seen.faults);
+        if sim.calm {
+            bar.suspend(|| say_cost(sim, &seen));
+        }
         if let Some(book) = sim.book.as_ref().filter(|_| seed + 1 == sim.seed + sim.plays) {
             let lines: Result<Vec<String>, _> = seen.book.iter().map(serde_json::to_string).collect();
             std::fs::write(book, lines?.join("\n") + "\n")?;
--- a/src/cli/policy.rs
+++ b/src/cli/policy.rs
@@ -15,6 +15,8 @@
 
 /// How long one voter is waited for before the next is asked.
 const ANSWER: Duration = Duration::from_secs(2);
+/// Pause between two questions for an outcome: a change takes some round trips.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
 /// Pause before all voters are asked again.
 const AGAIN: Duration = Duration::from_millis(200);
 
@@ -189,13 +191,18 @@
 
     /// Proposes, then asks until it is decided. Says what is waited for.
     fn propose(&mut self, proposal: Proposal, json: bool) -> Result<(), Failure> {
-        let (id, mut said, mut ask) = (proposal.id, String::new(), Ask::Propose(proposal));
+        let (id, mut said) = (proposal.id, String::from("nobody has heard of it"));
+        let ask = Ask::Propose(proposal);
         loop {
-            let unknown = |e: Failure| -> Failure {
+            let unknown = |why: &str| -> Failure {
                 let id = name(id);
-                format!("unknown whether it takes hold: {e}; ask with 'policy outcome {id}', or propose again with --id {id}").into()
+                let remedy = format!("ask with 'policy outcome {id}', or propose again with --id {id}");
+                format!("unknown whether it takes hold: {why}; {remedy}").into()
             };
-            match self.ask(&ask).map_err(unknown)? {
+            if Instant::now() >= self.until {
+                return Err(unknown(&format!("the time to wait is up, and at last {said}")));
+            }
+            match self.ask(&ask).map_err(|e| unknown(&e.to_string()))? {
                 Answer::Outcome(outcome) => return report(id, &outcome, json),
                 Answer::UnderWay(step, relays) => {
                     let news = match relays.as_slice() {
@@ -210,13 +217,8 @@
                 // The log has not taken it yet, or lost it with its leader: the same again changes nothing twice.
                 _ => {}
             }
-            if !matches!(ask, Ask::Propose(_)) || said != "handed to the log" {
-                std::thread::sleep(Duration::from_millis(50));
-            }
-            // Repeated as it is: once known, it is answered like a question for its outcome.
-            if let Ask::Propose(p) = &mut ask {
-                p.base = if said.is_empty() { p.base } else { 0 };
-            }
+            // Once it is known, the same call is answered like a question for its outcome.
+            std::thread::sleep(ASK_AGAIN);
         }
     }
 }
