--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -4,8 +4,10 @@
 use argh::FromArgs;
 use jaspermoor::cells::Cells;
 use jaspermoor::config::operator::OperatorFile;
+use jaspermoor::config::policy;
 use jaspermoor::config::Config;
 use jaspermoor::net::core::Xmpp;
+use jaspermoor::net::fleet::Setup;
 use std::path::PathBuf;
 
 /// Reads and checks a configuration.
@@ -44,5 +46,10 @@
         Some(xmpp) => println!("{}: XMPP for {}", path.display(), xmpp.terms.domains.join(", ")),
         None => println!("{}: opens no XMPP", path.display()),
     }
+    policy::tuning(&file)?;
+    if let Some(setup) = Setup::of(&file)? {
+        let vote = setup.fleet.voter.map_or("without a vote".into(), |n| format!("as voter {n}"));
+        println!("{}: in the fleet '{}' {vote}", path.display(), setup.fleet.id);
+    }
     Ok(())
 }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -100,6 +100,12 @@
         ("[xmpp]", "[xmpp]\nmechanisms = [\"EXTERNAL\"]", ":2: xmpp.mechanisms: 'EXTERNAL'"),
         ("[xmpp]", "[xmpp]\ngroup = \"site\"", ":2: xmpp.group: 'site' is none of"),
         ("[xmpp]", "[xmp]", ":1: xmp: unknown field `xmp`"),
+        ("[xmpp]", "[parameters]\nepsilom = 1\n[xmpp]", ":2: parameters.epsilom: no parameter"),
+        (
+            "[xmpp]",
+            "[fleet]\nid = 'f'\ndirectory = 'd'\nkeys = 'none'\nvoters = []\n[xmpp]",
+            ":5: fleet.voters: one to seven",
+        ),
     ];
     for (from, to, named) in cases {
         assert!(sound.contains(from), "{from}");
