Admit nobody under a policy that this build does not understand

Seen, on reading the change once more: a relay of an older build that comes back to a policy it does not know logged "clients are refused" (adopt in src/net/fleet.rs) and returned, but its lease was granted with the next answer, and it served under its own rules with the new epoch. After a restart with that policy on its disk, alone = "serve" served at once. Two relays under rules that may not meet: what the fleet is there to prevent.

Change: such a policy closes the relay, at adoption and at the start, until one comes that it understands.

Measured: the test adopts one, restarts on it, and adopts a sound one; it fails on the old code. tests/faults.rs passes.

--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -164,6 +164,8 @@
     retry: Option<Micros>,
     leads: Option<u64>,
     admits: bool,
+    /// The policy in force is one that this build does not understand: nobody is admitted, whatever lease it has.
+    foreign: bool,
     /// Messages of this process to its own voter, and answers of it.
     inner: VecDeque<(u64, Message)>,
 }
@@ -195,6 +197,7 @@
             // It follows the fleet all the same; what it cannot do without its ledger is vote.
             Err(e) => log(&format!("fleet: {e}; this relay does not vote")),
         }
+        let mut foreign = false;
         if kept.epoch > 0 {
             match policy::read(Path::new("policy"), &kept.text) {
                 Ok(rules) => decisions.policy(rules.cells, rules.tuning),
@@ -203,7 +206,7 @@
                         "fleet: the policy of epoch {} is not understood by this build: {e}",
                         kept.epoch
                     ));
-                    kept = Policy::default();
+                    (kept, foreign) = (Policy::default(), true);
                 }
             }
         }
@@ -211,7 +214,7 @@
         let now = boottime();
         #[cfg(feature = "plants")]
         let holder = holder.planted(planted(), now);
-        decisions.lease(holder.until(now));
+        decisions.lease(if foreign { 0 } else { holder.until(now) });
         let voters = setup.numbers().into_iter().map(|number| (number, (None, 0))).collect();
         let mut fleet = Fleet {
             name: name.into(),
@@ -228,6 +231,7 @@
             retry,
             leads: None,
             admits: false,
+            foreign,
             inner: VecDeque::new(),
             setup,
         };
@@ -323,8 +327,9 @@
     /// Tells the decisions up to when clients may be admitted. Always before anything is said that rests on it.
     fn publish(&mut self) {
         let now = boottime();
-        self.decisions.lease(self.holder.until(now));
-        let admits = self.holder.admits(now);
+        let until = self.until(now);
+        self.decisions.lease(until);
+        let admits = now < until;
         if std::mem::replace(&mut self.admits, admits) != admits {
             let epoch = self.holder.policy().epoch;
             let what = if admits { "clients are admitted" } else { "no lease: new clients are refused" };
@@ -339,9 +344,18 @@
         }
     }
 
+    /// Up to when clients may be admitted.
+    fn until(&self, now: Micros) -> Micros {
+        if self.foreign {
+            0
+        } else {
+            self.holder.until(now)
+        }
+    }
+
     fn carry_out(&mut self, effects: Vec<Effect>) {
         // A lease that has ended ends before the words that say so.
-        self.decisions.lease(self.holder.until(boottime()));
+        self.decisions.lease(self.until(boottime()));
         for effect in effects {
             match effect {
                 Effect::Send(voter, renew) => self.tell(voter, Message::Renew(renew)),
@@ -374,9 +388,11 @@
                 log(&format!(
                     "fleet: the policy of epoch {epoch} is not understood, clients are refused: {e}"
                 ));
-                return;
+                self.foreign = true;
+                return self.decisions.lease(0);
             }
         };
+        self.foreign = false;
         self.decisions.policy(rules.cells, rules.tuning);
         log(&format!(
             "fleet: policy of epoch {} ({}) in force, by {}: {}",
@@ -644,3 +660,46 @@
     let name = std::env::var("JASPERMOOR_PLANT").unwrap_or_default();
     jaspermoor_control::Planted(jaspermoor_control::Plant::named(&name))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::api::Settings;
+    use crate::decide::Orders;
+    use crossbeam_channel::bounded;
+
+    /// A relay of an older build comes back to a policy that it does not know: it once logged that it refuses clients,
+    /// and served them under its own rules.
+    #[test]
+    fn nobody_is_admitted_under_a_policy_that_this_build_does_not_understand() {
+        let dir = tempfile::tempdir().unwrap();
+        let voter = FleetVoter { number: 1, address: ([127, 0, 0, 1], 1).into(), listen: None };
+        let fleet = operator::Fleet {
+            id: "f".into(),
+            directory: dir.path().into(),
+            keys: PathBuf::new(),
+            voter: None,
+            voters: vec![voter],
+            alone: operator::Alone::Serve,
+            lease_ms: 2_000,
+            patience_ms: 10_000,
+        };
+        let setup = Setup { fleet, keys: vec![vec![7; KEY_LEAST]], directory: dir.path().into() };
+        let ((watch, _), (probe, _)) = (bounded(1), bounded(1));
+        let decisions = Decisions::new(Settings::default(), 1, Vec::new(), Orders { watch, probe });
+        let open = || Fleet::open(setup.clone(), "n1", Rules::default(), decisions.clone()).unwrap();
+        let policy = |epoch, text: &str| Policy { epoch, text: text.into(), ..Policy::default() };
+        let mut fleet = open();
+        assert!(decisions.admits());
+        fleet.adopt(&policy(1, "[of_a_later_build]"));
+        fleet.publish();
+        assert!(!decisions.admits());
+        // Nor after a restart, with that policy on its disk.
+        drop(fleet);
+        let mut fleet = open();
+        assert!(!decisions.admits());
+        fleet.adopt(&policy(2, "[parameters]\nepsilon = 1.5"));
+        fleet.publish();
+        assert!(decisions.admits());
+    }
+}
