--- a/crates/control/src/holder.rs
+++ b/crates/control/src/holder.rs
@@ -8,6 +8,7 @@
 //! a proposal that this build does not understand (it is refused, with the reason, and the fleet keeps what it has).
 
 use crate::message::{Relay, Renew, Reply};
+use crate::seats::Seats;
 use crate::state::{Policy, Proposal, ProposalId};
 use crate::{Micros, Plant, Planted, Times};
 use std::collections::VecDeque;
@@ -32,6 +33,8 @@
     Prepare(Proposal),
     /// Store it as the policy to start with, then serve under it.
     Adopt(Policy),
+    /// Who votes has changed: store it, and know where to reach them.
+    Seats(Seats),
     /// Send this to that voter.
     Send(u64, Renew),
 }
@@ -44,6 +47,8 @@
     alone: Alone,
     planted: Planted,
     voters: Vec<u64>,
+    /// The version of the seats that it knows; 0 for those of the operator file.
+    seats: u64,
     policy: Policy,
     prepared: Option<Proposal>,
     refused: Option<(ProposalId, String)>,
@@ -74,6 +79,7 @@
             alone,
             planted: Planted::default(),
             voters,
+            seats: 0,
             policy: kept,
             prepared: None,
             refused: None,
@@ -98,6 +104,21 @@
         self
     }
 
+    /// Asks these from now on, and not those that it was made with. A relay that votes knows them from its log, too.
+    pub fn seated(&mut self, seats: &Seats) -> bool {
+        if seats.version <= self.seats {
+            return false;
+        }
+        let asked = self.voters[self.voter % self.voters.len()];
+        let voters: Vec<u64> = seats.voters().collect();
+        if voters.is_empty() {
+            return false;
+        }
+        (self.voters, self.seats) = (voters, seats.version);
+        self.voter = self.voters.iter().position(|voter| *voter == asked).unwrap_or(self.voter);
+        true
+    }
+
     /// The policy that it has.
     pub fn policy(&self) -> &Policy {
         &self.policy
@@ -144,6 +165,7 @@
             prepared: self.prepared.as_ref().map(|p| p.id),
             refused: self.refused.clone(),
             yielded: self.yielded.map(|(id, _)| id),
+            seats: self.seats,
         };
         Effect::Send(self.voters[self.voter % self.voters.len()], renew)
     }
@@ -163,24 +185,28 @@
         let asked = self.asked.iter().find(|(number, _)| *number == reply.number && *number > self.barrier);
         let Some(&(_, asked)) = asked else { return Vec::new() };
         let last = reply.number == self.number;
+        let mut effects = Vec::new();
+        if let Some(seats) = reply.seats.filter(|seats| seats.version > self.seats) {
+            self.seated(&seats);
+            effects.push(Effect::Seats(seats));
+        }
         if let Some(leader) = reply.elsewhere {
             if !last || !std::mem::take(&mut self.waits) {
-                return Vec::new();
+                return effects;
             }
             match leader.and_then(|id| self.voters.iter().position(|v| *v == id)) {
                 Some(at) if at != self.voter % self.voters.len() => {
                     self.voter = at;
-                    return vec![self.ask(now)];
+                    effects.push(self.ask(now));
                 }
                 // Nobody leads just now: the next voter, when it is time.
                 _ => self.voter += 1,
             }
-            return Vec::new();
+            return effects;
         }
         if std::mem::take(&mut self.waits) {
             self.next = self.asked.back().map_or(now, |(_, at)| at + self.times.renew);
         }
-        let mut effects = Vec::new();
         let mut news = false;
         if let Some(policy) = reply.policy.filter(|policy| policy.epoch > self.policy.epoch) {
             (self.prepared, self.refused, self.yielded) = (None, None, None);
@@ -308,6 +334,21 @@
         assert!(holder.admits(3 * SECOND));
     }
 
+    /// Found by seed 5915 of the virtual fleet: a relay came back when all voters that it knew had been replaced.
+    #[test]
+    fn whoever_does_not_lead_says_who_votes_now_and_the_leader_is_asked_at_once() {
+        let mut holder = holder(1);
+        let renew = asks(&mut holder, SECOND);
+        let mut seats = Seats::found(&[1]);
+        seats.apply(&crate::seats::Change::Add(2, "host:1".into(), 5));
+        seats.apply(&crate::seats::Change::Promote(2));
+        let reply = Reply { elsewhere: Some(Some(2)), seats: Some(seats.clone()), ..Reply::to(&renew) };
+        let effects = holder.heard(SECOND, reply, any);
+        assert_eq!(effects[0], Effect::Seats(seats.clone()));
+        assert!(matches!(&effects[1], Effect::Send(2, renew) if renew.seats == seats.version));
+        assert!(!holder.seated(&Seats::found(&[1])), "an older word counts for nothing");
+    }
+
     #[test]
     fn what_is_not_understood_is_refused_with_its_reason_and_what_is_understood_is_stored_first() {
         let mut holder = holder(1);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod log;
 pub mod message;
 pub mod seal;
+pub mod seats;
 pub mod state;
 pub mod voter;
 
@@ -66,11 +67,13 @@
     GrantClosed,
     /// A voter answers before its log is stored, and loses it in a crash.
     SkipStore,
+    /// Voters take one whose disk was lost and made anew for the one that they knew.
+    TrustReborn,
 }
 
 impl Plant {
     /// All of them, by the names that the command line knows.
-    pub const ALL: [(&'static str, Plant); 9] = [
+    pub const ALL: [(&'static str, Plant); 10] = [
         ("ignore-lease", Plant::IgnoreLease),
         ("lease-from-grant", Plant::LeaseFromGrant),
         ("keep-after-yield", Plant::KeepAfterYield),
@@ -80,6 +83,7 @@
         ("grant-alone", Plant::GrantAlone),
         ("grant-closed", Plant::GrantClosed),
         ("skip-store", Plant::SkipStore),
+        ("trust-reborn", Plant::TrustReborn),
     ];
 
     /// The fault of that name.
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -2,6 +2,8 @@
 //! in memory for the consensus library to read; every change goes out as [`Stored`] for the disk, and comes back as a
 //! [`Kept`] at the next start.
 
+use crate::seats::Seats;
+use crate::state::State;
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::{Error, GetEntriesContext, RaftState, Storage, StorageError};
 
@@ -64,10 +66,17 @@
         // The library takes an index of 0 for a voter that knows nothing yet.
         (meta.index, meta.term) = (1, 1);
         meta.set_conf_state(ConfState::from((voters.to_vec(), Vec::new())));
+        let state = State { seats: Seats::found(voters), ..State::default() };
+        log.snapshot.data = postcard::to_stdvec(&state).unwrap_or_default().into();
         (log.vote.term, log.vote.commit) = (1, 1);
         log
     }
 
+    /// The log of a voter that joins a fleet: it knows nothing, and learns all from the leader.
+    pub fn joining() -> Log {
+        Log::default()
+    }
+
     /// The log as it was stored.
     pub fn read(kept: &Kept) -> Result<Log, Damaged> {
         let mut log = Log::default();
@@ -88,7 +97,7 @@
             }
             log.entries.push(entry);
         }
-        if log.base() == 0 {
+        if kept.snapshot.is_none() {
             return Err(Damaged("there is no snapshot"));
         }
         if log.vote.commit > log.end() {
@@ -98,6 +107,12 @@
         Ok(log)
     }
 
+    /// Lets a founder's first snapshot say who the others are.
+    pub(crate) fn met(&mut self, state: Vec<u8>) -> Stored {
+        self.snapshot.data = state.into();
+        Stored { snapshot: Some(bytes(&self.snapshot)), compact: Some(self.base()), ..Stored::default() }
+    }
+
     /// All of it, as the first thing that is stored.
     pub fn stored(&self) -> Stored {
         let entries = self.entries.iter().map(|e| (e.index, bytes(e))).collect();
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -1,5 +1,6 @@
 //! What relays say to each other.
 
+use crate::seats::{Change, Number, Seats};
 use crate::state::{Outcome, Policy, Proposal, ProposalId, State};
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +28,8 @@
     pub refused: Option<(ProposalId, String)>,
     /// The proposal for which it has stopped admitting under the old policy.
     pub yielded: Option<ProposalId>,
+    /// The version of the seats that it knows.
+    pub seats: u64,
 }
 
 /// What a voter says to that.
@@ -46,6 +49,8 @@
     pub prepare: Option<Proposal>,
     /// Stop admitting clients under the policy that you have, for this proposal's sake.
     pub close: Option<ProposalId>,
+    /// Who votes, where the relay knows an older version.
+    pub seats: Option<Seats>,
 }
 
 impl Reply {
@@ -64,13 +69,17 @@
     Outcome(ProposalId),
     /// How things stand.
     Status,
+    /// Change who votes.
+    Seat(Change),
+    /// Which voter this is, and the incarnation of its disk. Answered by any.
+    Who,
 }
 
 /// What they are told.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
-    /// Ask this voter; none where there is no leader just now.
-    Elsewhere(Option<u64>),
+    /// Ask this voter, at that address where no operator file may name it; none where there is no leader just now.
+    Elsewhere(Option<(Number, String)>),
     /// It is under way: how far, and which relays are waited for.
     UnderWay(String, Vec<String>),
     /// What became of it.
@@ -79,6 +88,10 @@
     Unknown,
     /// How things stand.
     Status(Box<Status>),
+    /// Who votes is as it was asked for, or why it cannot be.
+    Seat(Result<(), String>),
+    /// See [`Ask::Who`].
+    Who(Number, u64),
 }
 
 /// How things stand with the fleet, as its leader knows.
@@ -92,13 +105,19 @@
     pub state: State,
     /// Relays that have asked for a lease of this leader: whether it still runs, their epoch, and what they refuse.
     pub relays: Vec<(Relay, bool, u64)>,
+    /// Each seat's number, whether it was heard of lately, and how many entries it is behind.
+    pub seats: Vec<(Number, bool, u64)>,
 }
 
 /// Anything that one process says to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// The log's own, as its library writes it.
-    Log(Vec<u8>),
+    /// The log's own, as its library writes it, with the incarnation of the sender's disk.
+    Log(u64, Vec<u8>),
+    /// A founder, and the incarnation of its disk: each has to have heard all others before it votes.
+    Founding(Number, u64),
+    /// Who says to be this voter, with a disk of that incarnation, is none (any more).
+    Gone(Number, u64),
     /// See [`Renew`].
     Renew(Renew),
     /// See [`Reply`].
@@ -122,6 +141,6 @@
 
     /// Whether one that comes later makes it needless: what must go first where a queue is full.
     pub fn replaceable(&self) -> bool {
-        matches!(self, Message::Log(_) | Message::Renew(_) | Message::Reply(_))
+        matches!(self, Message::Log(..) | Message::Renew(_) | Message::Reply(_))
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -5,6 +5,7 @@
 //! force, one that is proposed twice (the same outcome), and an entry of a leader that has lost its office meanwhile
 //! (each step names its proposal, and holds in one phase only).
 
+use crate::seats::Seats;
 use serde::{Deserialize, Serialize};
 
 /// Names a proposal for good; random, so that a repeated call is recognised.
@@ -94,6 +95,8 @@
     pub outcomes: Vec<(ProposalId, Outcome)>,
     /// Policies that were in force, the newest last, without the present one.
     pub history: Vec<Policy>,
+    /// Who votes.
+    pub seats: Seats,
 }
 
 impl State {
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -9,10 +9,11 @@
 
 use crate::log::{bytes, Damaged, Kept, Log, Stored};
 use crate::message::{Answer, Ask, Message, Relay, Renew, Reply, Status};
+use crate::seats::{Change, Verdict};
 use crate::state::{Command, Phase, ProposalId, State};
 use crate::{Micros, Plant, Planted, Times};
 use protobuf::Message as _;
-use raft::eraftpb::{EntryType, MessageType};
+use raft::eraftpb::{ConfChange, ConfChangeType, Entry, EntryType, MessageType};
 use raft::{Config, RawNode, StateRole};
 use std::collections::BTreeMap;
 
@@ -26,6 +27,10 @@
 /// Renewals and questions that wait for one confirmation, and relays that a leader remembers: more are told to come
 /// again.
 const WAITING: usize = 8192;
+/// A founder says so often who it is, until it has heard all others.
+const INTRODUCE: Micros = 200_000;
+/// A newcomer that is no more entries behind has caught up: the rest is on its way.
+const BEHIND: u64 = 8;
 /// A proposal that the log has not taken is handed to it again after so long.
 const AGAIN: Micros = 1_000_000;
 
@@ -71,6 +76,10 @@
     step: Option<(ProposalId, bool, Micros)>,
     /// When its next step was last handed to the log.
     asked: Option<Micros>,
+    /// When a change of the seats was.
+    seated: Option<Micros>,
+    /// When each voter that a snapshot is on its way to was sent it.
+    snapshots: BTreeMap<u64, Micros>,
 }
 
 enum Waiting {
@@ -81,6 +90,8 @@
 /// See the module's text.
 pub struct Voter {
     raw: RawNode<Log>,
+    /// Of its disk.
+    incarnation: u64,
     times: Times,
     planted: Planted,
     state: State,
@@ -93,16 +104,24 @@
     next: Vec<Waiting>,
     under_way: BTreeMap<u64, Vec<Waiting>>,
     answers: Vec<(From, Message)>,
+    /// The seats have changed, and a snapshot has to say so: a newcomer takes none that does not know it.
+    reseated: bool,
+    /// Founders meet before they vote; what they know then is stored first.
+    founding: Option<Founding>,
+    met: Option<Stored>,
     now: Micros,
 }
 
-impl Voter {
-    /// The voter of that number, with what it had stored. The others are in the log.
-    pub fn new(id: u64, kept: &Kept, times: Times, now: Micros) -> Result<Voter, Damaged> {
-        Voter::of(id, Log::read(kept)?, times, now)
-    }
+/// What a founder has heard of the others, itself among them, and when it says again who it is.
+struct Founding {
+    heard: BTreeMap<u64, u64>,
+    next: Micros,
+}
 
-    fn of(id: u64, log: Log, times: Times, now: Micros) -> Result<Voter, Damaged> {
+impl Voter {
+    /// The voter of that number, with a disk of that incarnation and what it has stored. The others are in the log.
+    pub fn new(id: u64, incarnation: u64, kept: &Kept, times: Times, now: Micros) -> Result<Voter, Damaged> {
+        let log = Log::read(kept)?;
         let applied = raft::Storage::first_index(&log).map_or(0, |first| first - 1);
         let state = match log.state() {
             [] => State::default(),
@@ -126,10 +145,13 @@
         let quiet = slog::Logger::root(slog::Discard, slog::o!());
         let raw =
             RawNode::new(&config, log, &quiet).map_err(|_| Damaged("the log does not fit its voters"))?;
+        let founding = state.seats.founding();
+        let founding = founding.then(|| Founding { heard: BTreeMap::from([(id, incarnation)]), next: now });
         let (beat, planted) = (now, Planted::default());
         let (next, under_way, answers) = (Vec::new(), BTreeMap::new(), Vec::new());
         Ok(Voter {
             raw,
+            incarnation,
             times,
             planted,
             state,
@@ -140,6 +162,9 @@
             next,
             under_way,
             answers,
+            reseated: false,
+            founding,
+            met: None,
             now,
         })
     }
@@ -156,15 +181,19 @@
         self.raw.raft.id
     }
 
+    /// The incarnation of its disk.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Whether it leads, as far as it knows; and its term.
     pub fn leads(&self) -> Option<u64> {
         (self.raw.raft.state == StateRole::Leader).then_some(self.raw.raft.term)
     }
 
-    /// The other voters.
-    pub fn others(&self) -> Vec<u64> {
-        let voters = self.raw.raft.prs().conf().voters();
-        voters.ids().iter().filter(|id| *id != self.id()).collect()
+    /// Whether the log says that it votes no more.
+    pub fn removed(&self) -> bool {
+        self.founding.is_none() && self.state.seats.gone(self.id(), self.incarnation)
     }
 
     /// What it has applied.
@@ -175,6 +204,10 @@
     /// Time has passed.
     pub fn tick(&mut self, now: Micros) {
         self.now = now;
+        if self.founding.is_some() {
+            self.beat = now;
+            return self.meet();
+        }
         // One that was stopped for long makes up for a few beats only: its leader may have been heard of meanwhile,
         // and the messages that say so wait to be read.
         self.beat = self.beat.max(now.saturating_sub(3 * self.times.tick));
@@ -187,10 +220,17 @@
     }
 
     /// A message of another voter's log. An error is final: this voter's disk has lost what it had answered for, and it
-    /// must not vote any more.
-    pub fn step(&mut self, now: Micros, bytes: &[u8]) -> Result<(), Damaged> {
+    /// must not vote any more. Who is no voter is told so where the message came from.
+    pub fn step(&mut self, now: Micros, from: From, incarnation: u64, bytes: &[u8]) -> Result<(), Damaged> {
         self.now = now;
         let Ok(message) = raft::eraftpb::Message::parse_from_bytes(bytes) else { return Ok(()) };
+        if self.founding.is_some() {
+            return Ok(());
+        }
+        if self.state.seats.gone(message.from, incarnation) && !self.planted.is(Plant::TrustReborn) {
+            self.answers.push((from, Message::Gone(message.from, incarnation)));
+            return Ok(());
+        }
         let current = message.term >= self.raw.raft.term;
         // A leader tells a voter that entries are committed only as far as that voter has said that it has them.
         if current && message.get_msg_type() == MessageType::MsgHeartbeat {
@@ -210,9 +250,77 @@
         self.wait(Waiting::Renew(from, renew));
     }
 
+    /// A founder has said which disk it has. Whoever is past the founding tells it the same, or that it is none.
+    pub fn founder(&mut self, now: Micros, from: From, number: u64, incarnation: u64) {
+        self.now = now;
+        let trusts = self.planted.is(Plant::TrustReborn);
+        let Some(founding) = &mut self.founding else {
+            let answer = if self.state.seats.gone(number, incarnation) && !trusts {
+                Message::Gone(number, incarnation)
+            } else {
+                Message::Founding(self.id(), self.incarnation)
+            };
+            return self.answers.push((from, answer));
+        };
+        if self.state.seats.of.contains_key(&number) {
+            founding.heard.insert(number, incarnation);
+        }
+        self.meet();
+    }
+
+    /// Once all founders have been heard, what each knows of the others is the same, and it votes.
+    fn meet(&mut self) {
+        let Some(founding) = &self.founding else { return };
+        if self.state.seats.of.keys().any(|number| !founding.heard.contains_key(number)) {
+            return;
+        }
+        self.state.seats.met(&founding.heard);
+        self.founding = None;
+        if let Ok(state) = postcard::to_stdvec(&self.state) {
+            self.met = Some(self.raw.mut_store().met(state));
+        }
+    }
+
+    /// Founders that have not been heard yet.
+    pub fn missing(&self) -> Vec<u64> {
+        let Some(founding) = &self.founding else { return Vec::new() };
+        let missing = self.state.seats.of.keys().filter(|number| !founding.heard.contains_key(number));
+        missing.copied().collect()
+    }
+
+    /// Says to the other founders who it is.
+    fn introduce(&mut self) -> Vec<(u64, Message)> {
+        let (now, own) = (self.now, Message::Founding(self.id(), self.incarnation));
+        let Some(founding) = self.founding.as_mut().filter(|founding| now >= founding.next) else {
+            return Vec::new();
+        };
+        founding.next = now + INTRODUCE;
+        let others = self.state.seats.of.keys().filter(|number| **number != self.raw.raft.id);
+        others.map(|number| (*number, own.clone())).collect()
+    }
+
+    /// Whether a change of the seats may be handed to the log now: by a leader that has an entry of its own term, as the
+    /// change of one seat at a time wants, and not too often.
+    fn may_reseat(&mut self) -> bool {
+        let (now, term) = (self.now, self.raw.raft.term);
+        if !self.raw.raft.commit_to_current_term() {
+            return false;
+        }
+        let Some(office) = self.office.as_mut().filter(|office| office.term == term) else { return false };
+        let due = office.seated.is_none_or(|at| now >= at + self.times.tick);
+        if due {
+            office.seated = Some(now);
+        }
+        due
+    }
+
     /// Staff ask.
     pub fn ask(&mut self, now: Micros, from: From, number: u64, ask: Ask) {
         self.now = now;
+        if ask == Ask::Who {
+            let answer = Answer::Who(self.id(), self.incarnation);
+            return self.answers.push((from, Message::Answer(number, answer)));
+        }
         self.wait(Waiting::Ask(from, number, ask));
     }
 
@@ -231,10 +339,19 @@
         let elsewhere = self.leader().filter(|leader| *leader != self.id());
         self.answers.push(match waiting {
             Waiting::Renew(from, renew) => {
-                let reply = Reply { elsewhere: Some(elsewhere), ..Reply::to(&renew) };
+                // With who votes: the leader may be one that the relay's operator file does not name.
+                let newer = renew.seats < self.state.seats.version;
+                let seats = newer.then(|| self.state.seats.clone());
+                let reply = Reply { elsewhere: Some(elsewhere), seats, ..Reply::to(&renew) };
                 (from, Message::Reply(reply))
             }
-            Waiting::Ask(from, number, _) => (from, Message::Answer(number, Answer::Elsewhere(elsewhere))),
+            Waiting::Ask(from, number, _) => {
+                let seat = |number: u64| {
+                    let address = self.state.seats.of.get(&number).map(|seat| seat.address.clone());
+                    (number, address.unwrap_or_default())
+                };
+                (from, Message::Answer(number, Answer::Elsewhere(elsewhere.map(seat))))
+            }
         });
     }
 
@@ -300,6 +417,9 @@
         if !current {
             reply.policy = Some(self.state.policy.clone());
         }
+        if renew.seats < self.state.seats.version {
+            reply.seats = Some(self.state.seats.clone());
+        }
         let mut refusal = None;
         match &self.state.phase {
             Phase::Closing(p) if !self.planted.is(Plant::GrantClosed) => reply.close = Some(p.id),
@@ -332,8 +452,11 @@
                     |known: &Known| known.granted.is_some_and(|at| self.now < self.times.lapsed_by(at));
                 let relays = self.office.iter().flat_map(|office| &office.relays);
                 let relays = relays.map(|(relay, known)| (relay.clone(), runs(known), known.epoch)).collect();
-                return Answer::Status(Box::new(Status { leader, term, state, relays }));
+                let seats = self.seats();
+                return Answer::Status(Box::new(Status { leader, term, state, relays, seats }));
             }
+            Ask::Who => return Answer::Who(self.id(), self.incarnation),
+            Ask::Seat(change) => return self.reseat(&change),
             Ask::Outcome(id) => id,
             Ask::Propose(proposal) => {
                 let id = proposal.id;
@@ -360,6 +483,89 @@
         }
     }
 
+    /// Each seat's number, whether it was heard of lately, and how many entries it is behind.
+    fn seats(&self) -> Vec<(u64, bool, u64)> {
+        let end = self.raw.raft.raft_log.last_index();
+        let seat = |(number, progress): (&u64, &raft::Progress)| {
+            let own = *number == self.id();
+            (*number, own || progress.recent_active, end.saturating_sub(progress.matched))
+        };
+        self.raw.raft.prs().iter().map(seat).collect()
+    }
+
+    /// Changes who votes, where that can be.
+    fn reseat(&mut self, change: &Change) -> Answer {
+        let active: Vec<u64> =
+            self.seats().iter().filter(|(_, active, _)| *active).map(|(number, ..)| *number).collect();
+        match self.state.seats.judge(change, &active) {
+            Verdict::Done => Answer::Seat(Ok(())),
+            Verdict::Refused(why) => Answer::Seat(Err(why)),
+            Verdict::UnderWay(what) => Answer::UnderWay(what, Vec::new()),
+            Verdict::Make if *change == Change::Remove(self.id()) => {
+                // Its successor removes it: a leader that removes itself would lead voters it is none of.
+                let seats = self.seats();
+                let others = seats.iter().filter(|(number, active, _)| {
+                    *active && *number != self.id() && self.state.seats.voters().any(|voter| voter == *number)
+                });
+                if let Some((next, ..)) = others.min_by_key(|(_, _, behind)| *behind) {
+                    self.raw.transfer_leader(*next);
+                }
+                Answer::UnderWay(
+                    "the voter to be removed leads, and hands its office over".into(),
+                    Vec::new(),
+                )
+            }
+            Verdict::Make => {
+                if self.may_reseat() {
+                    self.hand_in(change);
+                }
+                Answer::UnderWay("handed to the log".into(), Vec::new())
+            }
+        }
+    }
+
+    /// Hands a change of the seats to the log. While one is under way the library takes no other.
+    fn hand_in(&mut self, change: &Change) {
+        let (kind, number) = match change {
+            Change::Add(number, ..) => (ConfChangeType::AddLearnerNode, *number),
+            Change::Promote(number) => (ConfChangeType::AddNode, *number),
+            Change::Remove(number) => (ConfChangeType::RemoveNode, *number),
+        };
+        let mut conf = ConfChange { node_id: number, ..ConfChange::default() };
+        conf.set_change_type(kind);
+        if let Ok(context) = postcard::to_stdvec(change) {
+            let _ = self.raw.propose_conf_change(context, conf);
+        }
+    }
+
+    /// A newcomer that has caught up gets its vote.
+    fn promote(&mut self) {
+        let learner = self.state.seats.of.iter().find(|(_, seat)| !seat.votes).map(|(number, _)| *number);
+        let Some(number) = learner else { return };
+        let caught_up = self.raw.raft.prs().get(number).is_some_and(|progress| {
+            progress.recent_active && progress.matched + BEHIND >= self.raw.raft.raft_log.committed
+        });
+        if caught_up && self.may_reseat() {
+            self.hand_in(&Change::Promote(number));
+        }
+    }
+
+    /// A snapshot that was lost on its way is sent again: the library waits for it for good, and sends that voter nothing
+    /// else. Found by seed 18 of the virtual fleet: a newcomer never learnt the log.
+    fn resend(&mut self) {
+        let waits = |progress: &raft::Progress| progress.state == raft::ProgressState::Snapshot;
+        let waiting: Vec<u64> =
+            self.raw.raft.prs().iter().filter(|(_, p)| waits(p)).map(|(number, _)| *number).collect();
+        let (now, Some(office)) = (self.now, &mut self.office) else { return };
+        office.snapshots.retain(|number, _| waiting.contains(number));
+        for number in waiting {
+            if now >= *office.snapshots.entry(number).or_insert(now) + AGAIN {
+                office.snapshots.remove(&number);
+                self.raw.report_snapshot(number, raft::SnapshotStatus::Failure);
+            }
+        }
+    }
+
     fn propose(&mut self, command: &Command) {
         if let Ok(data) = postcard::to_stdvec(command) {
             let _ = self.raw.propose(Vec::new(), data);
@@ -399,6 +605,8 @@
             // Not since it was elected but since it knows that it was: later, and so on the safe side.
             self.office = Some(Office { term, since: now, ..Office::default() });
         }
+        self.promote();
+        self.resend();
         let at = match &self.state.phase {
             Phase::Rest => None,
             Phase::Preparing(p) => Some((p.id, false)),
@@ -440,6 +648,12 @@
     pub fn work(&mut self, now: Micros) -> Work {
         self.now = now;
         let mut work = Work::default();
+        if self.founding.is_some() {
+            work.to_voters = self.introduce();
+            work.answers.append(&mut self.answers);
+            return work;
+        }
+        work.store = self.met.take().unwrap_or_default();
         if self.raw.has_ready() {
             self.ready(&mut work);
         }
@@ -495,29 +709,42 @@
             let lost: Vec<Waiting> = std::mem::take(&mut self.under_way).into_values().flatten().collect();
             lost.into_iter().for_each(|waiting| self.turn_away(waiting));
         }
-        if work.store.snapshot.is_none() && self.raw.store().len() > COMPACT {
+        if work.store.snapshot.is_none() && (self.reseated || self.raw.store().len() > COMPACT) {
             self.compact(work);
         }
-        work.to_voters = messages.iter().map(|m| (m.to, Message::Log(bytes(m)))).collect();
+        work.to_voters = messages.iter().map(|m| (m.to, Message::Log(self.incarnation, bytes(m)))).collect();
     }
 
-    fn apply(&mut self, entries: Vec<raft::eraftpb::Entry>) {
+    fn apply(&mut self, entries: Vec<Entry>) {
         for entry in entries {
-            // Voters change by no command yet; an empty entry is a new leader's first.
-            if entry.get_entry_type() != EntryType::EntryNormal || entry.data.is_empty() {
-                continue;
-            }
-            if let Ok(command) = postcard::from_bytes(&entry.data) {
-                self.state.apply(command);
+            match entry.get_entry_type() {
+                // An empty entry is a new leader's first.
+                EntryType::EntryNormal if entry.data.is_empty() => {}
+                EntryType::EntryNormal => {
+                    if let Ok(command) = postcard::from_bytes(&entry.data) {
+                        self.state.apply(command);
+                    }
+                }
+                _ => self.apply_seat(&entry),
             }
         }
     }
 
+    fn apply_seat(&mut self, entry: &Entry) {
+        let Ok(conf) = ConfChange::parse_from_bytes(&entry.data) else { return };
+        let Ok(change) = postcard::from_bytes::<Change>(&entry.context) else { return };
+        if self.raw.apply_conf_change(&conf).is_ok() {
+            self.state.seats.apply(&change);
+            self.reseated = true;
+        }
+    }
+
     fn compact(&mut self, work: &mut Work) {
         let applied = self.raw.raft.raft_log.applied;
         let conf = self.raw.raft.prs().conf().to_conf_state();
         let Ok(state) = postcard::to_stdvec(&self.state) else { return };
         let stored = self.raw.mut_store().compact(applied, &conf, state);
         (work.store.snapshot, work.store.compact) = (stored.snapshot, stored.compact);
+        self.reseated = false;
     }
 }
--- a/crates/lab/src/faults/harness.rs
+++ b/crates/lab/src/faults/harness.rs
@@ -6,7 +6,7 @@
 
 use super::books::{check, Broken, Fact, Line, Moment};
 use super::proxy::{Proxy, Way};
-use super::scenario::{Deed, Scenario, Step};
+use super::scenario::{Deed, Disk, Scenario, Step};
 use crate::discovery::{lock, Discovery, Entry};
 use crate::line::Backend;
 use crate::relay::{Relay, Setup};
@@ -67,6 +67,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Undo {
     Start(usize),
+    Restart(usize),
     Continue(usize),
     Mend(usize),
     MendAll,
@@ -108,6 +109,12 @@
     changes: Vec<Change>,
     requests: Arc<Mutex<Vec<Request>>>,
     stopped: BTreeSet<usize>,
+    /// The fail points that a relay is started with.
+    armed: BTreeMap<usize, String>,
+    /// Relays that have become voters, each with the one link by which all others reach it.
+    joined: BTreeMap<usize, Proxy>,
+    /// Replacements of voters that staff wait for.
+    replacements: Vec<JoinHandle<Result<(), String>>>,
 }
 
 /// Plays it, and looks at its book.
@@ -206,13 +213,16 @@
             doors: Arc::new(Mutex::new(vec![None; relays])),
             links,
             logs: Vec::new(),
-            voters_at: vec![None; scenario.voters],
+            voters_at: vec![None; relays],
             spoilt: Spoilt::default(),
             book: Vec::new(),
             proposed: 0,
             changes: Vec::new(),
             requests: Arc::default(),
             stopped: BTreeSet::new(),
+            armed: BTreeMap::new(),
+            joined: BTreeMap::new(),
+            replacements: Vec::new(),
         };
         for relay in 0..relays {
             let operator = rig.operator(relay);
@@ -255,7 +265,7 @@
             "[fleet]\nid = \"lab\"\ndirectory = \"ledger-{relay}\"\nkeys = \"fleet.key\"\nlease_ms = {lease}\npatience_ms = {}\n",
             3 * lease
         );
-        if relay < self.scenario.voters {
+        if relay < self.scenario.voters || self.joined.contains_key(&relay) {
             text += &format!("voter = {}\n", relay + 1);
         }
         for voter in 0..self.scenario.voters {
@@ -265,6 +275,12 @@
                 voter + 1
             );
         }
+        for (voter, link) in &self.joined {
+            let (number, addr) = (voter + 1, link.addr);
+            text += &format!(
+                "[[fleet.voters]]\nnumber = {number}\naddress = \"{addr}\"\nlisten = \"127.0.0.1:0\"\n"
+            );
+        }
         text
     }
 
@@ -285,16 +301,20 @@
             core: None,
             held: None,
             plant: self.ground.plant.clone(),
+            fail_points: self.armed.get(&relay).cloned(),
         };
         let started = Relay::start(&setup)?;
-        if relay < self.scenario.voters {
-            let at = crate::until("a voter's address", || started.said_addr("votes in its fleet on "));
-            self.voters_at[relay] = Some(at);
-            for ((_, voter), link) in &self.links {
-                if *voter == relay {
-                    link.lead_to(Some(at));
-                }
-            }
+        if relay < self.scenario.voters || self.joined.contains_key(&relay) {
+            // One whose disk was lost or torn, or that was removed, says so and listens no more.
+            let at = crate::until("a voter's address, or why it has none", || {
+                let at = started.said_addr("votes in its fleet on ").map(Some);
+                let not =
+                    || started.lines().iter().any(|line| line.contains("does not vote")).then_some(None);
+                at.or_else(not)
+            });
+            self.voters_at[relay] = at;
+            let own = self.links.iter().filter(|((_, voter), _)| *voter == relay).map(|(_, link)| link);
+            own.chain(self.joined.get(&relay)).for_each(|link| link.lead_to(at));
         }
         lock(&self.doors)[relay] = Some(started.addr);
         self.relays[relay] = Some(started);
@@ -317,19 +337,64 @@
         Ok((output.status.success(), said))
     }
 
+    /// The operator file of staff, who reach the voters by a way of their own, which no fault is done to.
+    fn staff(&self) -> String {
+        let mut staff = String::from("[fleet]\nid = \"lab\"\ndirectory = \"none\"\nkeys = \"fleet.key\"\n");
+        let voters = (0..self.scenario.voters).chain(self.joined.keys().copied());
+        for voter in voters {
+            let at = self.voters_at[voter].unwrap_or_else(|| ([127, 0, 0, 1], 1).into());
+            staff += &format!("[[fleet.voters]]\nnumber = {}\naddress = \"{at}\"\n", voter + 1);
+        }
+        staff
+    }
+
+    /// A voter's place is taken by a relay that had no vote, as the pages say.
+    fn replace(&mut self, old: usize, new: usize, disk: Disk) -> io::Result<()> {
+        if self.joined.contains_key(&new) {
+            return Ok(());
+        }
+        if disk != Disk::Whole {
+            self.spoil(old, 200, Undo::Start(old));
+            self.kill(old);
+            std::fs::remove_dir_all(self.ground.dir.join(format!("ledger-{old}")))?;
+        }
+        if disk == Disk::Remade {
+            let file = self.ground.dir.join(format!("init-{old}.toml"));
+            self.call(&["fleet", "--operator", &file.display().to_string(), "init"])?;
+        }
+        self.spoil(new, 200, Undo::Start(new));
+        self.kill(new);
+        let link = Proxy::start()?;
+        let address = link.addr.to_string();
+        self.joined.insert(new, link);
+        let file = self.ground.dir.join(format!("join-{new}.toml"));
+        std::fs::write(&file, self.operator(new))?;
+        let (done, said) = self.call(&["fleet", "--operator", &file.display().to_string(), "join"])?;
+        if !done {
+            return Err(io::Error::other(said));
+        }
+        self.start(new)?;
+        let operator = self.ground.dir.join(format!("staff-replace-{new}.toml"));
+        std::fs::write(&operator, self.staff())?;
+        let (goes, comes) = ((old + 1).to_string(), (new + 1).to_string());
+        let mut command = Command::new(&self.ground.program);
+        command.args(["fleet", "--wait", "40", "--operator"]).arg(operator);
+        command.args(["replace", &goes, "--by", &comes, "--address", &address]).stdin(Stdio::null());
+        self.replacements.push(thread::spawn(move || {
+            let output = command.output().map_err(|e| e.to_string())?;
+            let said = String::from_utf8_lossy(&output.stderr).to_string();
+            output.status.success().then_some(()).ok_or(said)
+        }));
+        Ok(())
+    }
+
     /// Proposes a policy as staff do, and waits for its outcome in a thread.
     fn change(&mut self, text: String, wait: Duration) -> io::Result<JoinHandle<(String, Duration)>> {
         self.proposed += 1;
         let file = self.ground.dir.join(format!("policy-{}.toml", self.proposed));
         std::fs::write(&file, &text)?;
-        // Staff reach the voters by a way of their own, which no fault is done to.
-        let mut staff = String::from("[fleet]\nid = \"lab\"\ndirectory = \"none\"\nkeys = \"fleet.key\"\n");
-        for (voter, at) in self.voters_at.iter().enumerate() {
-            let at = at.unwrap_or_else(|| ([127, 0, 0, 1], 1).into());
-            staff += &format!("[[fleet.voters]]\nnumber = {}\naddress = \"{at}\"\n", voter + 1);
-        }
         let operator = self.ground.dir.join(format!("staff-{}.toml", self.proposed));
-        std::fs::write(&operator, staff)?;
+        std::fs::write(&operator, self.staff())?;
         let mut command = Command::new(&self.ground.program);
         command.arg("policy").arg("--operator").arg(operator).arg("--json");
         command.args(["--wait", &wait.as_secs().to_string(), "propose"]).arg(file).args(["--why", "a play"]);
@@ -437,6 +502,38 @@
                 let until = self.now() + for_ms * 1_000;
                 self.spoilt.undo.push((until, Undo::MendAll));
             }
+            Deed::Narrow { bytes_per_s, for_ms } => {
+                let narrow = Way::Narrow(bytes_per_s);
+                self.links.values().for_each(|link| link.set([narrow, narrow]));
+                self.spoilt.undo.push((self.now() + for_ms * 1_000, Undo::MendAll));
+            }
+            Deed::Lossy { permille, by_ms, for_ms } => {
+                let lossy = Way::Lossy(permille, Duration::from_millis(by_ms));
+                self.links.values().for_each(|link| link.set([lossy, lossy]));
+                self.spoilt.undo.push((self.now() + for_ms * 1_000, Undo::MendAll));
+            }
+            Deed::Arm { relay, ref points, for_ms } => {
+                self.spoil(relay, for_ms, Undo::Restart(relay));
+                self.kill(relay);
+                self.armed.insert(relay, points.clone());
+                // At some points it ends before it serves.
+                if let Err(e) = self.start(relay) {
+                    self.write(Fact::Fault { text: format!("n{relay} does not start: {e}") });
+                }
+                self.armed.remove(&relay);
+            }
+            Deed::Tear { relay, bytes, for_ms } => {
+                self.spoil(relay, for_ms, Undo::Start(relay));
+                self.kill(relay);
+                let file = std::fs::OpenOptions::new()
+                    .write(true)
+                    .open(self.ground.dir.join(format!("ledger-{relay}/ledger.redb")))?;
+                file.set_len(file.metadata()?.len().saturating_sub(bytes))?;
+            }
+            Deed::Replace { relay, by, disk } => self.replace(relay, by, disk)?,
+            Deed::Keys { ref keys } => {
+                std::fs::write(self.ground.dir.join("fleet.key"), keys.join("\n") + "\n")?
+            }
             Deed::Reset => self.links.values().for_each(Proxy::reset),
             Deed::Await => self.settle(),
         }
@@ -447,6 +544,10 @@
         crate::until("the outcomes of all changes", || {
             self.changes.iter().all(|change| change.thread.is_finished()).then_some(())
         });
+        // Each ends by itself when its time to wait is up, and says what it waited for.
+        while !self.replacements.iter().all(JoinHandle::is_finished) {
+            thread::sleep(KNOCK);
+        }
     }
 
     fn settle(&self) {
@@ -475,6 +576,10 @@
         self.write(Fact::Fault { text: format!("{undo:?}") });
         match undo {
             Undo::Start(relay) => self.start(relay),
+            Undo::Restart(relay) => {
+                self.kill(relay);
+                self.start(relay)
+            }
             Undo::Continue(relay) => {
                 self.stopped.remove(&relay);
                 // It may have been killed meanwhile.
@@ -500,6 +605,11 @@
         }
         // One that was lost with its leader is proposed again by whoever waits for it: it must not come after the last.
         self.wait_for_outcomes();
+        for replacement in std::mem::take(&mut self.replacements) {
+            if let Err(text) = replacement.join().unwrap_or_else(|_| Err("its thread ended".into())) {
+                return Ok(vec![Broken { rule: "a voter can be replaced", at: self.now(), text }]);
+            }
+        }
         let last = self.now();
         let cell = CELLS - 1;
         // A change under way makes a new one be refused: it is proposed until it takes hold.
--- a/crates/lab/src/faults/proxy.rs
+++ b/crates/lab/src/faults/proxy.rs
@@ -5,6 +5,8 @@
 //! link is; bytes never change their order on a connection; what is held back comes later, as from a stalled machine.
 
 use crate::discovery::lock;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -26,6 +28,10 @@
     Pass,
     /// Bytes come so much later.
     Late(Duration),
+    /// Bytes go at this rate a second.
+    Narrow(u64),
+    /// Of a thousand pieces so many are lost and sent again, as TCP does; all come so much later.
+    Lossy(u32, Duration),
     /// Bytes wait until the link is mended.
     Hold,
     /// Bytes are lost; the connection ends once the link is mended.
@@ -120,6 +126,12 @@
     Ok(())
 }
 
+/// How much later a piece comes that may be lost several times over: TCP waits 200 ms, then twice as long each time.
+fn resent(rng: &mut ChaCha8Rng, lost: u32) -> Duration {
+    let times = (0..4).take_while(|_| rng.random_range(0..1_000) < lost).count();
+    Duration::from_millis(200 * ((1 << times) - 1))
+}
+
 fn pump(
     mut from: &TcpStream,
     mut to: &TcpStream,
@@ -131,6 +143,7 @@
     let resets = lock(shared).resets;
     let mut queue: VecDeque<(Instant, Vec<u8>)> = VecDeque::new();
     let (mut held, mut lost, mut piece) = (0, false, vec![0; 16 * 1024]);
+    let (mut narrow, mut rng) = (Instant::now(), ChaCha8Rng::seed_from_u64(way as u64));
     loop {
         let (now, spoilt) = {
             let shared = lock(shared);
@@ -150,7 +163,16 @@
                     lock(shared).lost += 1;
                 }
                 Ok(n) => {
-                    let late = if let Way::Late(by) = now { by } else { Duration::ZERO };
+                    let late = match now {
+                        Way::Late(by) => by,
+                        Way::Narrow(rate) => {
+                            let from = narrow.max(Instant::now());
+                            narrow = from + Duration::from_micros(n as u64 * 1_000_000 / rate.max(1));
+                            narrow - Instant::now()
+                        }
+                        Way::Lossy(lost, by) => by + resent(&mut rng, lost),
+                        _ => Duration::ZERO,
+                    };
                     queue.push_back((Instant::now() + late, piece[..n].to_vec()));
                     held += n;
                 }
@@ -204,6 +226,18 @@
         hears(&mut far, b"held");
     }
 
+    #[test]
+    fn what_is_lost_and_sent_again_and_what_goes_slowly_comes_whole_and_in_order() {
+        for way in [Way::Lossy(300, Duration::from_millis(3)), Way::Narrow(200_000)] {
+            let (proxy, mut near, mut far) = pair();
+            proxy.set([way, Way::Pass]);
+            for n in 0..30 {
+                near.write_all(&[n; 100]).unwrap();
+            }
+            hears(&mut far, &(0..30).flat_map(|n| [n; 100]).collect::<Vec<u8>>());
+        }
+    }
+
     #[test]
     fn a_connection_that_has_lost_bytes_ends_with_the_fault_and_a_reset_at_once() {
         let (proxy, mut near, mut far) = pair();
--- a/crates/lab/src/faults/scenario.rs
+++ b/crates/lab/src/faults/scenario.rs
@@ -58,12 +58,73 @@
         /// In milliseconds.
         for_ms: u64,
     },
+    /// All links between processes carry so many bytes a second.
+    Narrow {
+        /// See there.
+        bytes_per_s: u64,
+        /// In milliseconds.
+        for_ms: u64,
+    },
+    /// All links lose pieces, which are sent again, and are slow.
+    Lossy {
+        /// Of a thousand pieces.
+        permille: u32,
+        /// In milliseconds.
+        by_ms: u64,
+        /// In milliseconds.
+        for_ms: u64,
+    },
+    /// A relay is killed and started at once with fail points (`before-store=3*off->return`, and so on), at which it ends
+    /// or its disk fails; after so long it is started anew without them.
+    Arm {
+        /// Which one.
+        relay: usize,
+        /// As the library `fail` reads them.
+        points: String,
+        /// In milliseconds.
+        for_ms: u64,
+    },
+    /// A relay is killed, the last bytes of its ledger are cut off, and it is started anew.
+    Tear {
+        /// Which one.
+        relay: usize,
+        /// How many.
+        bytes: u64,
+        /// In milliseconds.
+        for_ms: u64,
+    },
+    /// A voter's place is taken by a relay that had no vote.
+    Replace {
+        /// Which one goes.
+        relay: usize,
+        /// Which one comes. Numbers are given once: of several, the lower comes first.
+        by: usize,
+        /// What has become of the one that goes.
+        disk: Disk,
+    },
+    /// The key file has these lines from now on; a relay reads them when it is started anew.
+    Keys {
+        /// See there.
+        keys: Vec<String>,
+    },
     /// All connections between processes are reset.
     Reset,
     /// Nothing goes on before every change so far has its outcome and every relay that runs has had some clients since.
     Await,
 }
 
+/// What has become of a voter that is replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Disk {
+    /// It runs on, and is removed.
+    Whole,
+    /// Its disk was lost.
+    Lost,
+    /// Its disk was lost, and made anew as if the fleet were: what the pages say that nobody should do.
+    Remade,
+}
+
 /// A deed and when it is done.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
@@ -93,18 +154,38 @@
     pub step: Vec<Step>,
 }
 
+/// Fail points of the relay: before and after each of its durable steps.
+pub const POINTS: [&str; 8] = [
+    "before-store",
+    "after-store",
+    "before-prepare",
+    "after-prepare",
+    "before-adopt",
+    "after-adopt",
+    "before-seat",
+    "after-seat",
+];
+
 fn lease_ms() -> u64 {
     600
 }
 
 /// Scenarios that come with the program: name and text.
-pub const NAMED: [(&str, &str); 6] = [
+pub const NAMED: [(&str, &str); 14] = [
     ("change", include_str!("../../faults/change.toml")),
     ("majority-killed", include_str!("../../faults/majority-killed.toml")),
     ("leader-stopped", include_str!("../../faults/leader-stopped.toml")),
     ("observer-away", include_str!("../../faults/observer-away.toml")),
     ("one-way", include_str!("../../faults/one-way.toml")),
     ("all-restarted", include_str!("../../faults/all-restarted.toml")),
+    ("voter-replaced", include_str!("../../faults/voter-replaced.toml")),
+    ("voter-remade", include_str!("../../faults/voter-remade.toml")),
+    ("disk-full", include_str!("../../faults/disk-full.toml")),
+    ("torn-tail", include_str!("../../faults/torn-tail.toml")),
+    ("between-steps", include_str!("../../faults/between-steps.toml")),
+    ("bad-weather", include_str!("../../faults/bad-weather.toml")),
+    ("key-change", include_str!("../../faults/key-change.toml")),
+    ("never-answers", include_str!("../../faults/never-answers.toml")),
 ];
 
 impl Scenario {
@@ -118,6 +199,11 @@
         for (n, step) in scenario.step.iter().enumerate() {
             let named = match step.deed {
                 Deed::Kill { relay, .. } | Deed::Stop { relay, .. } | Deed::Cut { relay, .. } => relay,
+                Deed::Arm { relay, .. } | Deed::Tear { relay, .. } => relay,
+                Deed::Replace { relay, by, .. } if by < scenario.voters || relay == by => {
+                    return Err(format!("step[{n}].by: is {by}, which votes already"));
+                }
+                Deed::Replace { relay, by, .. } => relay.max(by),
                 _ => 0,
             };
             if named >= relays {
@@ -142,12 +228,12 @@
         let observers = rng.random_range(2..=4);
         let relays = voters + observers;
         let mut step = Vec::new();
-        let mut at_ms = 300;
+        let (mut at_ms, mut replaced) = (300, false);
         while at_ms < 5_000 {
             let relay = rng.random_range(0..relays);
             let for_ms =
                 if rng.random_bool(0.7) { rng.random_range(50..900) } else { rng.random_range(900..2_500) };
-            let deed = match rng.random_range(0..16) {
+            let deed = match rng.random_range(0..22) {
                 0..=5 => Deed::Propose,
                 6 => Deed::ProposeBad,
                 7 => Deed::ProposeTwo,
@@ -161,6 +247,23 @@
                     Deed::Cut { relay, out, back, held: rng.random_bool(0.5), for_ms }
                 }
                 14 => Deed::Slow { by_ms: rng.random_range(5..200), for_ms },
+                15 => Deed::Lossy {
+                    permille: rng.random_range(0..300),
+                    by_ms: rng.random_range(1..100),
+                    for_ms,
+                },
+                16 => Deed::Narrow { bytes_per_s: rng.random_range(1_000..50_000), for_ms },
+                17 | 18 => {
+                    let point = POINTS[rng.random_range(0..POINTS.len())];
+                    let points = format!("{point}={}*off->return", rng.random_range(0..12));
+                    Deed::Arm { relay, points, for_ms }
+                }
+                // One voter's disk at most, so that the others bear it.
+                19 if !replaced => {
+                    replaced = true;
+                    let disk = [Disk::Whole, Disk::Lost, Disk::Remade][rng.random_range(0..3)];
+                    Deed::Replace { relay: rng.random_range(0..voters), by: voters, disk }
+                }
                 _ if rng.random_bool(0.3) => Deed::KillAll { for_ms: 100 },
                 _ => Deed::Reset,
             };
--- a/crates/lab/src/faults/virtual_fleet.rs
+++ b/crates/lab/src/faults/virtual_fleet.rs
@@ -9,6 +9,7 @@
 use jaspermoor_control::holder::{Alone, Effect, Holder};
 use jaspermoor_control::log::{Kept, Log, Stored};
 use jaspermoor_control::message::{Answer, Ask, Message, Relay};
+use jaspermoor_control::seats::{Change, Seats};
 use jaspermoor_control::state::{Policy, Proposal, ProposalId};
 use jaspermoor_control::voter::Voter;
 use jaspermoor_control::{Micros, Plant, Planted, Times};
@@ -19,6 +20,8 @@
 
 /// The beat at which processes look at their time and clients knock, in microseconds.
 const BEAT: Moment = 10_000;
+/// Staff look so often how far the replacement of a voter is.
+const STAFF_LOOK: Moment = 300_000;
 /// The sender that stands for staff.
 const STAFF: usize = usize::MAX;
 
@@ -70,8 +73,13 @@
     name: String,
     voter: Option<Voter>,
     holder: Option<Holder>,
-    /// What its disk has.
+    /// What its disk has: a log where it is a voter, and the disk's incarnation.
     kept: Kept,
+    incarnation: u64,
+    /// The voters that it knows.
+    seats: Seats,
+    /// Its voter's disk was lost and made anew by mistake, as if it were new: it may find that out itself.
+    reborn: bool,
     policy: Policy,
     /// What it has not stored, though it should have: lost in a crash.
     unstored: Vec<Stored>,
@@ -90,6 +98,8 @@
     Fault,
     Start(usize),
     Propose,
+    /// Staff look after the replacement of a voter that is under way.
+    Staff,
     Mend,
 }
 
@@ -112,6 +122,10 @@
     cuts: BTreeMap<(usize, usize), Cut>,
     /// Loss in thousandths and the longest delay, fleet-wide, up to then.
     weather: (u32, Moment, Moment),
+    /// The process that takes the place of another among the voters.
+    replaced: Option<(usize, usize)>,
+    /// The lowest process that can take one: a number is given once.
+    free: usize,
     proposals: Vec<ProposalId>,
     seen: Seen,
     admitted: BTreeMap<usize, u64>,
@@ -173,6 +187,8 @@
             processes: Vec::new(),
             cuts: BTreeMap::new(),
             weather: (0, 0, 0),
+            replaced: None,
+            free: play.voters,
             proposals: Vec::new(),
             seen: Seen::default(),
             admitted: BTreeMap::new(),
@@ -214,6 +230,9 @@
                 voter: None,
                 holder: None,
                 kept,
+                incarnation: 1_000 + n as u64,
+                seats: Seats::default(),
+                reborn: false,
                 policy: Policy::default(),
                 unstored: Vec::new(),
                 starts: 0,
@@ -244,6 +263,7 @@
             Event::Fault => self.fault(),
             Event::Start(n) => self.start(n),
             Event::Propose => self.propose(),
+            Event::Staff => self.staff(),
             Event::Mend => {
                 self.cuts.clear();
                 self.weather = (0, 0, 0);
@@ -251,6 +271,7 @@
                 for n in 0..self.processes.len() {
                     self.processes[n].stopped_until = self.processes[n].stopped_until.min(self.now);
                 }
+                self.find();
             }
         }
     }
@@ -264,15 +285,21 @@
             return;
         }
         let (local, planted, times) = (self.local(n), self.planted(), self.times);
+        if let Some(seats) = self.strange(n) {
+            self.processes[n].seats = seats;
+        }
         let voters: Vec<u64> = (1..=self.play.voters as u64).collect();
         let p = &mut self.processes[n];
         p.starts += 1;
         let relay = Relay { name: p.name.clone(), start: p.starts };
-        let holder =
+        let mut holder =
             Holder::new(relay, voters, p.policy.clone(), times, Alone::Refuse).planted(planted, local);
+        holder.seated(&p.seats);
         p.holder = Some(holder);
-        if n < self.play.voters {
-            match Voter::new(n as u64 + 1, &p.kept, times, local) {
+        // A disk without a log is that of a relay that has no vote, or was lost.
+        if p.kept.snapshot.is_some() {
+            match Voter::new(n as u64 + 1, p.incarnation, &p.kept, times, local) {
+                Ok(voter) if voter.removed() => {}
                 Ok(voter) => p.voter = Some(voter.planted(planted)),
                 Err(damaged) => {
                     let text = format!("n{n} cannot start: {damaged:?}");
@@ -288,6 +315,29 @@
         self.later(self.now, Event::Beat(n));
     }
 
+    /// The voters, where a process knows none of them any more: each was replaced while it was away. It cannot find its
+    /// fleet before staff have put one into its operator file, as the pages ask for, and have started it again.
+    fn strange(&self, n: usize) -> Option<Seats> {
+        let p = &self.processes[n];
+        let now = &self.leader()?.state().seats;
+        let known: Vec<u64> = match p.seats.version {
+            0 => (1..=self.play.voters as u64).collect(),
+            _ => p.seats.voters().collect(),
+        };
+        let known = known.iter().any(|number| now.voters().any(|voter| voter == *number));
+        (!known && now.version > p.seats.version).then(|| now.clone())
+    }
+
+    /// Staff start those anew that cannot find their fleet.
+    fn find(&mut self) {
+        for n in 0..self.processes.len() {
+            if self.strange(n).is_some() {
+                self.kill(n);
+                self.later(self.now, Event::Start(n));
+            }
+        }
+    }
+
     fn kill(&mut self, n: usize) {
         let p = &mut self.processes[n];
         (p.voter, p.holder) = (None, None);
@@ -312,6 +362,10 @@
         let local = self.local(n);
         if let Some(voter) = &mut self.processes[n].voter {
             voter.tick(local);
+            let seats = voter.state().seats.clone();
+            if let Some(holder) = &mut self.processes[n].holder {
+                holder.seated(&seats);
+            }
         }
         self.work(n);
         let effect = self.processes[n].holder.as_mut().and_then(|holder| holder.tick(local));
@@ -362,9 +416,20 @@
         let local = self.local(n);
         let p = &mut self.processes[n];
         match (message, &mut p.voter, &mut p.holder) {
-            (Message::Log(bytes), Some(voter), _) => {
-                if let Err(damaged) = voter.step(local, &bytes) {
+            (Message::Founding(number, incarnation), Some(voter), _) => {
+                voter.founder(local, from as u64, number, incarnation);
+            }
+            (Message::Gone(number, incarnation), Some(voter), _)
+                if (number, incarnation) == (voter.id(), voter.incarnation()) =>
+            {
+                p.voter = None;
+            }
+            (Message::Log(incarnation, bytes), Some(voter), _) => {
+                if let Err(damaged) = voter.step(local, from as u64, incarnation, &bytes) {
                     p.voter = None;
+                    if p.reborn {
+                        return;
+                    }
                     let text = format!("n{n}: {}", damaged.0);
                     let rule = "a voter keeps what it has answered for";
                     self.seen.broken.push(Broken { rule, at: self.now, text });
@@ -405,6 +470,7 @@
                     self.texts.entry(text.clone()).and_modify(|(_, last)| *last = now);
                     self.write(Fact::Holds { relay, epoch, text });
                 }
+                Effect::Seats(seats) => self.processes[n].seats = seats,
                 Effect::Send(voter, renew) => self.send(n, voter as usize - 1, Message::Renew(renew)),
             }
         }
@@ -415,8 +481,8 @@
         loop {
             let Some(voter) = &mut self.processes[n].voter else { return };
             let work = voter.work(local);
-            if let Some(term) = voter.leads() {
-                let id = voter.id();
+            let (leads, id, removed) = (voter.leads(), voter.id(), voter.removed());
+            if let Some(term) = leads {
                 if self.leads.insert(id, term) != Some(term) {
                     self.write(Fact::Leads { voter: id, term });
                 }
@@ -435,6 +501,10 @@
             } else {
                 store(&mut p.kept, work.store);
             }
+            if removed {
+                self.processes[n].voter = None;
+                return;
+            }
             for (to, message) in work.to_voters {
                 self.send(n, to as usize - 1, message);
             }
@@ -480,7 +550,8 @@
             _ => self.rng.random_range(4_000_000..15_000_000),
         };
         let until = self.now + span;
-        let text = match self.rng.random_range(0..9) {
+        let text = match self.rng.random_range(0..10) {
+            8 if self.replaced.is_none() && self.free < self.processes.len() => self.replace(),
             0 | 1 => {
                 self.kill(n);
                 self.later(until, Event::Start(n));
@@ -514,8 +585,8 @@
                 format!("{loss} in 1000 lost, up to {} ms late, for {} ms", delay / 1_000, span / 1_000)
             }
             7 => {
-                for n in 0..self.play.voters {
-                    if self.rng.random_bool(0.6) {
+                for n in 0..self.processes.len() {
+                    if self.processes[n].voter.is_some() && self.rng.random_bool(0.6) {
                         self.kill(n);
                         self.later(until, Event::Start(n));
                     }
@@ -524,7 +595,7 @@
             }
             _ => {
                 // The leader, at the worst of times.
-                let leader = (0..self.play.voters)
+                let leader = (0..self.processes.len())
                     .find(|n| self.processes[*n].voter.as_ref().is_some_and(|v| v.leads().is_some()));
                 let n = leader.unwrap_or(n);
                 self.processes[n].stopped_until = until;
@@ -534,6 +605,74 @@
         self.write(Fact::Fault { text });
     }
 
+    /// A voter's place is taken by a relay that had no vote: while the voter runs, or since its disk was lost; then it
+    /// may have been made anew, as the pages say that nobody should.
+    fn replace(&mut self) -> String {
+        let new = self.free;
+        let Some(known) = self.leader().map(|leader| leader.state().seats.clone()) else {
+            return "no voter leads, and none is replaced".into();
+        };
+        // Not one more disk than the others can bear the loss of.
+        if known.of.values().any(|seat| !seat.votes) {
+            return "a voter learns the log, and none is replaced".into();
+        }
+        let voters: Vec<u64> = known.voters().collect();
+        let old = voters[self.rng.random_range(0..voters.len())] as usize - 1;
+        let lost = self.rng.random_range(0..3);
+        if lost < 2 {
+            self.kill(old);
+            let p = &mut self.processes[old];
+            // Its operator file names those that vote now, as the pages ask for.
+            (p.kept, p.policy, p.seats) = (Kept::default(), Policy::default(), known);
+            if lost == 1 {
+                let ids: Vec<u64> = (1..=self.play.voters as u64).collect();
+                store(&mut p.kept, Log::found(&ids).stored());
+                (p.incarnation, p.reborn) = (p.incarnation + 100, true);
+            }
+            let at = self.now + self.rng.random_range(50_000..2_000_000);
+            self.later(at, Event::Start(old));
+        }
+        // Joins, and is started anew.
+        self.kill(new);
+        let p = &mut self.processes[new];
+        p.kept = Kept::default();
+        store(&mut p.kept, Log::joining().stored());
+        self.free += 1;
+        self.replaced = Some((old, new));
+        self.later(self.now, Event::Start(new));
+        self.later(self.now + STAFF_LOOK, Event::Staff);
+        let what = ["with its disk lost", "with its disk made anew", "while it runs"][lost];
+        format!("n{new} takes the place of n{old} {what}")
+    }
+
+    fn leader(&self) -> Option<&Voter> {
+        let voters = self.processes.iter().filter_map(|p| p.voter.as_ref());
+        voters.filter(|voter| voter.leads().is_some()).max_by_key(|voter| voter.leads())
+    }
+
+    fn staff(&mut self) {
+        let Some((old, new)) = self.replaced else { return };
+        self.later(self.now + STAFF_LOOK, Event::Staff);
+        let Some(seats) = self.leader().map(|leader| leader.state().seats.clone()) else { return };
+        let (goes, comes) = (old as u64 + 1, new as u64 + 1);
+        let votes = seats.of.get(&comes).is_some_and(|seat| seat.votes);
+        let change = match votes {
+            false => Change::Add(comes, format!("n{new}"), self.processes[new].incarnation),
+            true if seats.of.contains_key(&goes) => Change::Remove(goes),
+            true => {
+                self.replaced = None;
+                if self.now > self.play.length {
+                    self.find();
+                }
+                return self.write(Fact::Fault { text: format!("n{new} has the place of n{old}") });
+            }
+        };
+        for n in 0..self.processes.len() {
+            let ask = Message::Ask(1, Ask::Seat(change.clone()));
+            self.later(self.now, Event::Arrives(n, STAFF, Box::new(ask)));
+        }
+    }
+
     fn propose(&mut self) {
         // Sometimes asks again for what became of an earlier one, sometimes proposes one twice.
         let old = self.proposals.len();
@@ -549,7 +688,7 @@
             Ask::Propose(Proposal { id, base: 0, text, who: "staff".into(), why: "a play".into() })
         };
         // Every voter is asked: the one that leads answers.
-        for n in 0..self.play.voters {
+        for n in 0..self.processes.len() {
             self.later(self.now, Event::Arrives(n, STAFF, Box::new(Message::Ask(1, ask.clone()))));
         }
     }
@@ -573,6 +712,11 @@
         self.seen.took = took.collect();
         self.seen.took.sort_unstable();
         // Once all is mended the fleet must have come together: every relay admits, all under one policy.
+        if let Some((old, new)) = self.replaced {
+            let text =
+                format!("n{new} has not taken the place of n{old}, 20 s and more after all was mended");
+            self.seen.broken.push(Broken { rule: "a voter can be replaced", at: self.now, text });
+        }
         let states: Vec<(bool, u64)> = (0..self.processes.len())
             .map(|n| {
                 let holder = self.processes[n].holder.as_ref();
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -37,6 +37,8 @@
     pub held: Option<Arc<TcpListener>>,
     /// A fault of the fleet's control that is planted in it; builds that serve know none.
     pub plant: Option<String>,
+    /// Where it ends or its disk fails, as the library `fail` writes it.
+    pub fail_points: Option<String>,
 }
 
 impl Setup {
@@ -107,6 +109,10 @@
             Some(plant) => command.env("JASPERMOOR_PLANT", plant),
             None => command.env_remove("JASPERMOOR_PLANT"),
         };
+        match &setup.fail_points {
+            Some(points) => command.env("FAILPOINTS", points),
+            None => command.env_remove("FAILPOINTS"),
+        };
         for key in ["NAME", "LISTEN", "DISCOVERY", "ADMIN", "ACCEPT_FD"] {
             command.env_remove(format!("BALANCER_{key}"));
         }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod policy;
 pub mod serve;
+mod voters;
 
 /// What ends a sub-command early.
 pub type Failure = Box<dyn std::error::Error>;
--- a/src/cli/policy.rs
+++ b/src/cli/policy.rs
@@ -1,25 +1,18 @@
 //! `policy`: what a fleet's policy is, and how it is changed.
 
+use super::voters::Voters;
 use super::Failure;
 use argh::FromArgs;
 use jaspermoor::config::operator::OperatorFile;
 use jaspermoor::config::policy;
 use jaspermoor::net::fleet::{number, Setup};
-use jaspermoor_control::message::{Answer, Ask, Message, Status};
-use jaspermoor_control::seal::Session;
+use jaspermoor_control::message::{Answer, Ask};
 use jaspermoor_control::state::{Outcome, Phase, Policy, Proposal, ProposalId};
-use std::io::{Read, Write};
-use std::net::TcpStream;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-/// How long one voter is waited for before the next is asked.
-const ANSWER: Duration = Duration::from_secs(2);
 /// Pause between two questions for an outcome: a change takes some round trips.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
-/// Pause before all voters are asked again.
-const AGAIN: Duration = Duration::from_millis(200);
-
 /// Shows and changes what all relays of the fleet serve under.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "policy")]
@@ -119,107 +112,36 @@
     id: String,
 }
 
-/// Asks the voters, one after the other, until the leader answers or the time is up.
-struct Voters {
-    setup: Setup,
-    until: Instant,
-    /// The one that answered last.
-    at: usize,
-}
-
-impl Voters {
-    fn ask(&mut self, ask: &Ask) -> Result<Answer, Failure> {
-        let mut last = String::from("none was asked");
-        while Instant::now() < self.until {
-            for _ in 0..self.setup.fleet.voters.len() {
-                let voter = &self.setup.fleet.voters[self.at % self.setup.fleet.voters.len()];
-                match self.one(voter.address, ask) {
-                    Ok(Answer::Elsewhere(Some(leader))) => {
-                        last = format!("voter {leader} should lead");
-                        let leader = self.setup.fleet.voters.iter().position(|v| v.number == leader);
-                        self.at = leader.unwrap_or(self.at + 1);
-                    }
-                    Ok(Answer::Elsewhere(None)) => {
-                        last = "no voter leads: a majority of them must be up and reach each other".into();
-                        self.at += 1;
-                    }
-                    Ok(answer) => return Ok(answer),
-                    Err(e) => {
-                        last = format!("voter {} at {}: {e}", voter.number, voter.address);
-                        self.at += 1;
-                    }
-                }
-            }
-            std::thread::sleep(AGAIN);
-        }
-        Err(format!("no answer: {last}").into())
-    }
-
-    fn one(&self, addr: std::net::SocketAddr, ask: &Ask) -> Result<Answer, Failure> {
-        let mut socket = TcpStream::connect_timeout(&addr, ANSWER)?;
-        socket.set_read_timeout(Some(ANSWER))?;
-        socket.set_write_timeout(Some(ANSWER))?;
-        let mut session = Session::new(true, self.setup.keys.clone(), self.setup.id(), number());
-        socket.write_all(session.out())?;
-        session.out().clear();
-        let (mut piece, mut asked, end) = (vec![0; 64 * 1024], false, Instant::now() + ANSWER);
-        loop {
-            let n = socket.read(&mut piece)?;
-            if n == 0 || Instant::now() > end {
-                return Err("it ended the connection: compare fleet.id and fleet.keys".into());
-            }
-            let messages = session.feed(&piece[..n]).map_err(|fault| fault.to_string())?;
-            for message in messages {
-                if let Some(Message::Answer(1, answer)) = Message::decode(&message) {
-                    return Ok(answer);
-                }
-            }
-            if session.ready() && !std::mem::replace(&mut asked, true) {
-                session.send(&Message::Ask(1, ask.clone()).encode());
-                socket.write_all(session.out())?;
-                session.out().clear();
-            }
-        }
-    }
-
-    fn status(&mut self) -> Result<Status, Failure> {
-        match self.ask(&Ask::Status)? {
-            Answer::Status(status) => Ok(*status),
-            other => Err(format!("an answer to something else: {other:?}").into()),
+/// Proposes, then asks until it is decided. Says what is waited for.
+fn propose(voters: &mut Voters, proposal: Proposal, json: bool) -> Result<(), Failure> {
+    let (id, mut said) = (proposal.id, String::from("nobody has heard of it"));
+    let ask = Ask::Propose(proposal);
+    loop {
+        let unknown = |why: &str| -> Failure {
+            let id = name(id);
+            let remedy = format!("ask with 'policy outcome {id}', or propose again with --id {id}");
+            format!("unknown whether it takes hold: {why}; {remedy}").into()
+        };
+        if Instant::now() >= voters.until {
+            return Err(unknown(&format!("the time to wait is up, and at last {said}")));
         }
-    }
-
-    /// Proposes, then asks until it is decided. Says what is waited for.
-    fn propose(&mut self, proposal: Proposal, json: bool) -> Result<(), Failure> {
-        let (id, mut said) = (proposal.id, String::from("nobody has heard of it"));
-        let ask = Ask::Propose(proposal);
-        loop {
-            let unknown = |why: &str| -> Failure {
-                let id = name(id);
-                let remedy = format!("ask with 'policy outcome {id}', or propose again with --id {id}");
-                format!("unknown whether it takes hold: {why}; {remedy}").into()
-            };
-            if Instant::now() >= self.until {
-                return Err(unknown(&format!("the time to wait is up, and at last {said}")));
-            }
-            match self.ask(&ask).map_err(|e| unknown(&e.to_string()))? {
-                Answer::Outcome(outcome) => return report(id, &outcome, json),
-                Answer::UnderWay(step, relays) => {
-                    let news = match relays.as_slice() {
-                        [] => step,
-                        relays => format!("{step}; waited for: {}", relays.join(", ")),
-                    };
-                    if news != said && !json {
-                        eprintln!("{}: {news}", name(id));
-                    }
-                    said = news;
+        match voters.ask(&ask).map_err(|e| unknown(&e.to_string()))? {
+            Answer::Outcome(outcome) => return report(id, &outcome, json),
+            Answer::UnderWay(step, relays) => {
+                let news = match relays.as_slice() {
+                    [] => step,
+                    relays => format!("{step}; waited for: {}", relays.join(", ")),
+                };
+                if news != said && !json {
+                    eprintln!("{}: {news}", name(id));
                 }
-                // The log has not taken it yet, or lost it with its leader: the same again changes nothing twice.
-                _ => {}
+                said = news;
             }
-            // Once it is known, the same call is answered like a question for its outcome.
-            std::thread::sleep(ASK_AGAIN);
+            // The log has not taken it yet, or lost it with its leader: the same again changes nothing twice.
+            _ => {}
         }
+        // Once it is known, the same call is answered like a question for its outcome.
+        std::thread::sleep(ASK_AGAIN);
     }
 }
 
@@ -251,7 +173,7 @@
     }
 }
 
-fn json_object(fields: &[(&str, String)]) -> String {
+pub(super) fn json_object(fields: &[(&str, String)]) -> String {
     let quoted = |text: &str| simd_json::to_string(&text).unwrap_or_default();
     let fields: Vec<String> =
         fields.iter().map(|(key, value)| format!("{}:{}", quoted(key), quoted(value))).collect();
@@ -281,8 +203,8 @@
     let Some(setup) = Setup::of(&file)? else {
         return Err(file.error("fleet", "is missing: this relay is in no fleet").into());
     };
-    let mut voters = Voters { setup, until: Instant::now() + Duration::from_secs(asked.wait), at: 0 };
-    let propose =
+    let mut voters = Voters::new(setup, Duration::from_secs(asked.wait));
+    let made =
         |text: String, who: Option<String>, why: String, base: u64, id: Option<&str>| -> Result<_, Failure> {
             let id = match id {
                 Some(id) => read_name(id)?,
@@ -301,8 +223,8 @@
             Ok(())
         }
         What::Propose(p) => {
-            let proposal = propose(load(&p.file)?, p.who, p.why, p.base, p.id.as_deref())?;
-            voters.propose(proposal, asked.json)
+            let proposal = made(load(&p.file)?, p.who, p.why, p.base, p.id.as_deref())?;
+            propose(&mut voters, proposal, asked.json)
         }
         What::Rollback(r) => {
             let state = voters.status()?.state;
@@ -310,7 +232,8 @@
             let old =
                 old.ok_or_else(|| format!("epoch {} is not in the history; see 'policy history'", r.epoch))?;
             let why = format!("back to epoch {}: {}", r.epoch, r.why);
-            voters.propose(propose(old.text.clone(), None, why, state.policy.epoch, None)?, asked.json)
+            let proposal = made(old.text.clone(), None, why, state.policy.epoch, None)?;
+            propose(&mut voters, proposal, asked.json)
         }
         What::Outcome(of) => {
             let id = read_name(&of.id)?;
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -18,13 +18,14 @@
 use jaspermoor_control::holder::{Alone, Effect, Holder};
 use jaspermoor_control::message::{Message, Relay};
 use jaspermoor_control::seal::Session;
+use jaspermoor_control::seats::Seats;
 use jaspermoor_control::state::Policy;
 use jaspermoor_control::voter::Voter;
 use jaspermoor_control::Times;
 use socket2::{Domain, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -157,12 +158,16 @@
     next: u64,
     /// The link to each voter, and when it was last dialled.
     voters: BTreeMap<u64, (Option<u64>, Micros)>,
+    /// Who votes, as it was told last.
+    seats: Seats,
     ledger: Option<Ledger>,
     voter: Option<Voter>,
     holder: Holder,
     /// When the ledger is asked for again.
     retry: Option<Micros>,
     leads: Option<u64>,
+    /// Founders that this one has not heard yet.
+    missing: Vec<u64>,
     admits: bool,
     /// The policy in force is one that this build does not understand: nobody is admitted, whatever lease it has.
     foreign: bool,
@@ -179,6 +184,9 @@
         own: Rules,
         decisions: Arc<Decisions>,
     ) -> Result<Fleet, Box<dyn std::error::Error>> {
+        // For as long as the process runs.
+        #[cfg(feature = "plants")]
+        std::mem::forget(fail::FailScenario::setup());
         let poller = Poller::new()?;
         let mut start = [0; 8];
         start.copy_from_slice(&number()[..8]);
@@ -210,12 +218,13 @@
                 }
             }
         }
-        let holder = Holder::new(relay, setup.numbers(), kept, setup.times(), alone);
+        let mut holder = Holder::new(relay, setup.numbers(), kept, setup.times(), alone);
+        let seats = ledger.as_ref().map_or(Ok(None), Ledger::seats)?.unwrap_or_default();
+        holder.seated(&seats);
         let now = boottime();
         #[cfg(feature = "plants")]
         let holder = holder.planted(planted(), now);
         decisions.lease(if foreign { 0 } else { holder.until(now) });
-        let voters = setup.numbers().into_iter().map(|number| (number, (None, 0))).collect();
         let mut fleet = Fleet {
             name: name.into(),
             own,
@@ -224,12 +233,14 @@
             listener: None,
             wires: BTreeMap::new(),
             next: FIRST,
-            voters,
+            voters: BTreeMap::new(),
+            seats,
             ledger,
             voter: None,
             holder,
             retry,
             leads: None,
+            missing: Vec::new(),
             admits: false,
             foreign,
             inner: VecDeque::new(),
@@ -244,7 +255,7 @@
     fn take_vote(&mut self) -> Result<(), Box<dyn std::error::Error>> {
         let (Some(ledger), Some(number)) = (&self.ledger, self.setup.fleet.voter) else { return Ok(()) };
         let kept = ledger.kept()?;
-        let voter = Voter::new(number, &kept, self.setup.times(), boottime());
+        let voter = Voter::new(number, ledger.incarnation()?, &kept, self.setup.times(), boottime());
         let voter = match voter {
             Ok(voter) => voter,
             Err(damaged) => {
@@ -261,6 +272,10 @@
         let own = self.setup.fleet.voters.iter().find(|voter| voter.number == number);
         let listener = listen(own.ok_or("fleet.voter: no voter has this number")?)?;
         self.poller.watch(&listener, LISTEN, None, Some(Interest { read: true, write: false }))?;
+        if voter.removed() {
+            log(&format!("fleet: voter {number} was removed, and does not vote"));
+            return Ok(());
+        }
         log(&format!("{}: votes in its fleet on {}", self.name, listener.local_addr()?));
         (self.voter, self.listener) = (Some(voter), Some(listener));
         Ok(())
@@ -289,6 +304,9 @@
         }
         if let Some(voter) = &mut self.voter {
             voter.tick(now);
+            if self.holder.seated(&voter.state().seats) {
+                self.seats = voter.state().seats.clone();
+            }
         }
         let effect = self.holder.tick(now);
         self.carry_out(effect.into_iter().collect());
@@ -335,6 +353,14 @@
             let what = if admits { "clients are admitted" } else { "no lease: new clients are refused" };
             log(&format!("fleet: {what}, policy of epoch {epoch}"));
         }
+        let missing = self.voter.as_ref().map(Voter::missing).unwrap_or_default();
+        if missing != self.missing {
+            if !missing.is_empty() {
+                let names: Vec<String> = missing.iter().map(u64::to_string).collect();
+                log(&format!("fleet: founders {} have not been heard yet", names.join(", ")));
+            }
+            self.missing = missing;
+        }
         let leads = self.voter.as_ref().and_then(Voter::leads);
         if std::mem::replace(&mut self.leads, leads) != leads {
             match leads {
@@ -360,6 +386,13 @@
             match effect {
                 Effect::Send(voter, renew) => self.tell(voter, Message::Renew(renew)),
                 Effect::Adopt(policy) => self.adopt(&policy),
+                Effect::Seats(seats) => {
+                    // Lost at a restart, it is told again.
+                    if let Some(Err(e)) = self.ledger.as_ref().map(|ledger| ledger.seat(&seats)) {
+                        log(&format!("fleet: the voters cannot be stored: {e}"));
+                    }
+                    self.seats = seats;
+                }
                 Effect::Prepare(proposal) => {
                     let stored = self.ledger.as_ref().map_or(Ok(()), |ledger| ledger.prepare(&proposal));
                     if let Err(e) = stored {
@@ -409,10 +442,10 @@
             self.inner.push_back((LOCAL, message));
             return;
         }
-        let Some(&(link, dialled)) = self.voters.get(&voter) else { return };
+        let (link, dialled) = self.voters.get(&voter).copied().unwrap_or((None, 0));
         let token = match link {
             Some(token) => token,
-            None if boottime() < dialled + REDIAL => return,
+            None if dialled > 0 && boottime() < dialled + REDIAL => return,
             None => {
                 let Some(token) = self.dial(voter) else { return };
                 token
@@ -422,7 +455,7 @@
     }
 
     fn dial(&mut self, voter: u64) -> Option<u64> {
-        let addr = self.setup.fleet.voters.iter().find(|v| v.number == voter)?.address;
+        let addr = self.address(voter)?;
         self.voters.insert(voter, (None, boottime()));
         let socket = dial(addr).ok()?;
         let session = Session::new(true, self.setup.keys.clone(), self.setup.id(), number());
@@ -440,6 +473,13 @@
         Some(token)
     }
 
+    /// Where a voter is reached: the operator file's word goes before the log's, for a way of this relay's own.
+    fn address(&self, voter: u64) -> Option<SocketAddr> {
+        let own = self.setup.fleet.voters.iter().find(|v| v.number == voter).map(|v| v.address);
+        let seat = |seats: &Seats| seats.of.get(&voter).and_then(|seat| seat.address.parse().ok());
+        own.or_else(|| seat(&self.seats)).or_else(|| seat(&self.voter.as_ref()?.state().seats))
+    }
+
     fn enter(&mut self, wire: Wire) -> Option<u64> {
         let token = self.next;
         self.next += 1;
@@ -584,8 +624,17 @@
             let now = boottime();
             if let Some((from, message)) = self.inner.pop_front() {
                 match (message, &mut self.voter) {
-                    (Message::Log(bytes), Some(voter)) => {
-                        if let Err(damaged) = voter.step(now, &bytes) {
+                    (Message::Founding(number, incarnation), Some(voter)) => {
+                        voter.founder(now, from, number, incarnation);
+                    }
+                    (Message::Gone(number, incarnation), Some(voter))
+                        if number == voter.id() && incarnation == voter.incarnation() =>
+                    {
+                        let remedy = "another under a new number may take its place";
+                        self.end_vote(&format!("this voter was removed, or its ledger made anew: {remedy}"));
+                    }
+                    (Message::Log(incarnation, bytes), Some(voter)) => {
+                        if let Err(damaged) = voter.step(now, from, incarnation, &bytes) {
                             let remedy =
                                 "its disk must be replaced, and a voter of a new number take its place";
                             self.give_up_vote(&format!("the ledger: {}: {remedy}", damaged.0));
@@ -619,6 +668,9 @@
                     return self.give_up_vote(&e.to_string());
                 }
             }
+            if voter.removed() {
+                return self.end_vote("this voter was removed");
+            }
             for (to, message) in work.to_voters {
                 self.tell(to, message);
             }
@@ -634,8 +686,18 @@
 
     /// What it cannot store it must not say: it votes no more, and serves on.
     fn give_up_vote(&mut self, e: &str) {
-        log(&format!("fleet: {e}; {} votes no more until it is started anew", self.name));
-        (self.voter, self.ledger) = (None, None);
+        log(&format!("fleet: {e}"));
+        self.ledger = None;
+        self.end_vote("its ledger is of no use");
+    }
+
+    /// It votes no more, and serves on like any relay that never did.
+    fn end_vote(&mut self, why: &str) {
+        log(&format!("fleet: {why}; {} does not vote", self.name));
+        self.voter = None;
+        if let Some(listener) = self.listener.take() {
+            let _ = self.poller.watch(&listener, LISTEN, Some(Interest { read: true, write: false }), None);
+        }
     }
 }
 
--- a/src/platform/ledger.rs
+++ b/src/platform/ledger.rs
@@ -6,6 +6,7 @@
 //! damaged or of a newer build (refused with a remedy; nothing is overwritten).
 
 use jaspermoor_control::log::{Kept, Log, Stored};
+use jaspermoor_control::seats::Seats;
 use jaspermoor_control::state::{Policy, Proposal};
 use redb::{Database, DatabaseError, ReadableTable, TableDefinition};
 use std::fmt;
@@ -18,7 +19,7 @@
 /// Any failure of the store, on its way to one sentence.
 type Failure = Box<dyn std::error::Error>;
 /// Format of what stands in the tables.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// A ledger that cannot be used, and what to do.
 #[derive(Debug)]
@@ -43,6 +44,27 @@
     db: Database,
 }
 
+type Facts<'a> = redb::Table<'a, &'static str, &'static [u8]>;
+type Entries<'a> = redb::Table<'a, u64, &'static [u8]>;
+
+fn put(facts: &mut Facts, entries: &mut Entries, stored: &Stored) -> Result<(), Failure> {
+    if let Some(vote) = &stored.vote {
+        facts.insert("vote", vote.as_slice())?;
+    }
+    if let Some(snapshot) = &stored.snapshot {
+        facts.insert("snapshot", snapshot.as_slice())?;
+        let to = stored.compact.unwrap_or(u64::MAX);
+        entries.retain(|index, _| index > to)?;
+    }
+    if let Some((first, _)) = stored.entries.first() {
+        entries.retain_in(*first.., |_, _| false)?;
+    }
+    for (index, entry) in &stored.entries {
+        entries.insert(index, entry.as_slice())?;
+    }
+    Ok(())
+}
+
 /// Whose ledger it is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Owner {
@@ -66,52 +88,84 @@
             return Err(LedgerError {
                 what: format!(
                     "there is no ledger of voter {}: for a new fleet make it with 'jaspermoor fleet init'; if its disk \
-                     was lost, another voter under a new number must take its place",
+                     was lost, another voter under a new number must take its place ('jaspermoor fleet replace')",
                     owner.voter
                 ),
                 file,
                 held: false,
             });
         }
-        Ledger::at(file, owner)
+        let ledger = Ledger::at(file)?;
+        match ledger.fact("owner")? {
+            None => ledger.write("owner", |facts, _| {
+                facts.insert("owner", owner.bytes().as_slice()).map(drop).map_err(Into::into)
+            })?,
+            Some(was) if was != owner.bytes() => {
+                return Err(ledger.error("is of another fleet or voter: compare fleet.id and fleet.voter"))
+            }
+            Some(_) => {}
+        }
+        Ok(ledger)
     }
 
-    /// Makes the ledger of a voter of a new fleet.
-    pub fn found(dir: &Path, owner: &Owner, voters: &[u64]) -> Result<(), LedgerError> {
-        let file = dir.join(FILE);
-        if file.exists() {
-            return Err(LedgerError { file, what: "there is a ledger already".into(), held: false });
+    /// Makes the ledger of a voter of a new fleet; the incarnation is a random number, which names this disk for good.
+    pub fn found(dir: &Path, owner: &Owner, voters: &[u64], incarnation: u64) -> Result<(), LedgerError> {
+        Ledger::make(dir, owner, &Log::found(voters), incarnation)
+    }
+
+    /// Makes the ledger of a voter that joins a fleet.
+    pub fn join(dir: &Path, owner: &Owner, incarnation: u64) -> Result<(), LedgerError> {
+        Ledger::make(dir, owner, &Log::joining(), incarnation)
+    }
+
+    /// One write: a crash leaves none, or all of it. A relay that had no vote keeps the policy that it serves under.
+    fn make(dir: &Path, owner: &Owner, log: &Log, incarnation: u64) -> Result<(), LedgerError> {
+        let ledger = Ledger::at(dir.join(FILE))?;
+        let before = Owner { voter: 0, ..owner.clone() }.bytes();
+        if ledger.fact("owner")?.is_some_and(|was| was != before) {
+            return Err(ledger.error("there is a ledger of a voter already, and it is left as it is"));
         }
-        let ledger = Ledger::at(file, owner)?;
-        ledger.store(&Log::found(voters).stored())
+        ledger.write("found", |facts, entries| {
+            facts.insert("owner", owner.bytes().as_slice())?;
+            facts.insert("incarnation", &incarnation.to_be_bytes()[..])?;
+            put(facts, entries, &log.stored())
+        })
+    }
+
+    /// The incarnation of a voter's disk; 0 where it has none.
+    pub fn incarnation(&self) -> Result<u64, LedgerError> {
+        let bytes = self.fact("incarnation")?.unwrap_or_default();
+        Ok(bytes.try_into().map_or(0, u64::from_be_bytes))
     }
 
-    fn at(file: PathBuf, owner: &Owner) -> Result<Ledger, LedgerError> {
+    fn at(file: PathBuf) -> Result<Ledger, LedgerError> {
         let fail = |what: String, held: bool| LedgerError { file: file.clone(), what, held };
         if let Some(dir) = file.parent() {
             std::fs::create_dir_all(dir)
                 .map_err(|e| fail(format!("cannot make its directory: {e}"), false))?;
         }
-        let db = Database::create(&file).map_err(|e| match e {
+        // The store asserts some of what it reads: a file whose tail is torn off made it panic, not fail.
+        // What it would print says nothing to operators that the line in the log does not.
+        let hook = std::panic::take_hook();
+        std::panic::set_hook(Box::new(|_| {}));
+        let opened = std::panic::catch_unwind(|| Database::create(&file));
+        std::panic::set_hook(hook);
+        let opened = opened.map_err(|_| fail("is damaged, and is left as it is".into(), false))?;
+        let db = opened.map_err(|e| match e {
             DatabaseError::DatabaseAlreadyOpen => fail("another process has it open".into(), true),
             DatabaseError::UpgradeRequired(_) => fail("is of another build's store".into(), false),
             e => fail(format!("cannot be read, and is left as it is: {e}"), false),
         })?;
         let ledger = Ledger { file: file.clone(), db };
         match ledger.fact("format")? {
-            None => ledger.write(|facts, _| {
-                facts.insert("format", &[FORMAT][..])?;
-                facts.insert("owner", owner.bytes().as_slice())?;
-                Ok(())
+            None => ledger.write("format", |facts, _| {
+                facts.insert("format", &[FORMAT][..]).map(drop).map_err(Into::into)
             })?,
             Some(format) if format != [FORMAT] => {
                 return Err(fail(format!("is of format {}, this build knows {FORMAT}", format[0]), false))
             }
             Some(_) => {}
         }
-        if ledger.fact("owner")?.is_some_and(|was| was != owner.bytes()) {
-            return Err(fail("is of another fleet or voter: compare fleet.id and fleet.voter".into(), false));
-        }
         Ok(ledger)
     }
 
@@ -131,10 +185,12 @@
         read().map_err(|e| self.error(e))
     }
 
-    /// Writes whole and synced, or not at all.
+    /// Writes whole and synced, or not at all. The step's name is for tests that end the process right before or after it,
+    /// or fill its disk.
     fn write(
         &self,
-        work: impl FnOnce(&mut redb::Table<&str, &[u8]>, &mut redb::Table<u64, &[u8]>) -> Result<(), Failure>,
+        step: &str,
+        work: impl FnOnce(&mut Facts, &mut Entries) -> Result<(), Failure>,
     ) -> Result<(), LedgerError> {
         let write = || -> Result<(), Failure> {
             let mut write = self.db.begin_write()?;
@@ -143,7 +199,16 @@
             write.commit()?;
             Ok(())
         };
-        write().map_err(|e| self.error(e))
+        #[cfg(feature = "plants")]
+        {
+            fail::fail_point!(&format!("before-{step}"), |_| std::process::abort());
+            fail::fail_point!("disk-full", |_| Err(self.error("no space left on device")));
+        }
+        write().map_err(|e| self.error(e))?;
+        #[cfg(feature = "plants")]
+        fail::fail_point!(&format!("after-{step}"), |_| std::process::abort());
+        let _ = step;
+        Ok(())
     }
 
     /// What the log had stored.
@@ -162,23 +227,7 @@
 
     /// Stores what the log has to store.
     pub fn store(&self, stored: &Stored) -> Result<(), LedgerError> {
-        self.write(|facts, entries| {
-            if let Some(vote) = &stored.vote {
-                facts.insert("vote", vote.as_slice())?;
-            }
-            if let Some(snapshot) = &stored.snapshot {
-                facts.insert("snapshot", snapshot.as_slice())?;
-                let to = stored.compact.unwrap_or(u64::MAX);
-                entries.retain(|index, _| index > to)?;
-            }
-            if let Some((first, _)) = stored.entries.first() {
-                entries.retain_in(*first.., |_, _| false)?;
-            }
-            for (index, entry) in &stored.entries {
-                entries.insert(index, entry.as_slice())?;
-            }
-            Ok(())
-        })
+        self.write("store", |facts, entries| put(facts, entries, stored))
     }
 
     /// The policy that it served under last; the empty one of a new fleet where there is none.
@@ -194,17 +243,33 @@
     /// From now on it serves under this one.
     pub fn adopt(&self, policy: &Policy) -> Result<(), LedgerError> {
         let bytes = postcard::to_stdvec(policy).map_err(|e| self.error(e))?;
-        self.write(|facts, _| {
+        self.write("adopt", |facts, _| {
             facts.insert("policy", bytes.as_slice())?;
             facts.remove("prepared")?;
             Ok(())
         })
     }
 
+    /// Who votes, as it was told last; none where the operator file's hold still.
+    pub fn seats(&self) -> Result<Option<Seats>, LedgerError> {
+        let read = |bytes: Vec<u8>| {
+            postcard::from_bytes(&bytes).map_err(|_| self.error("the voters in it cannot be read"))
+        };
+        self.fact("seats")?.map(read).transpose()
+    }
+
+    /// These vote from now on.
+    pub fn seat(&self, seats: &Seats) -> Result<(), LedgerError> {
+        let bytes = postcard::to_stdvec(seats).map_err(|e| self.error(e))?;
+        self.write("seat", |facts, _| facts.insert("seats", bytes.as_slice()).map(drop).map_err(Into::into))
+    }
+
     /// It has checked this one, and can serve under it.
     pub fn prepare(&self, proposal: &Proposal) -> Result<(), LedgerError> {
         let bytes = postcard::to_stdvec(proposal).map_err(|e| self.error(e))?;
-        self.write(|facts, _| facts.insert("prepared", bytes.as_slice()).map(drop).map_err(Into::into))
+        self.write("prepare", |facts, _| {
+            facts.insert("prepared", bytes.as_slice()).map(drop).map_err(Into::into)
+        })
     }
 }
 
@@ -224,7 +289,7 @@
     fn what_was_stored_is_there_at_the_next_start() {
         let dir = dir();
         let one = owner("f", 1);
-        Ledger::found(dir.path(), &one, &[1, 2, 3]).unwrap();
+        Ledger::found(dir.path(), &one, &[1, 2, 3], 77).unwrap();
         {
             let ledger = Ledger::open(dir.path(), &one).unwrap();
             let entry = |n: u64| (n, vec![n as u8]);
@@ -240,21 +305,45 @@
         let ledger = Ledger::open(dir.path(), &one).unwrap();
         let kept = ledger.kept().unwrap();
         assert_eq!((kept.vote, kept.entries), (Some(vec![9]), vec![vec![2], vec![33]]));
-        assert_eq!(ledger.policy().unwrap().epoch, 4);
+        assert_eq!((ledger.policy().unwrap().epoch, ledger.incarnation().unwrap()), (4, 77));
         let stored = Stored { snapshot: Some(vec![7]), compact: Some(2), ..Stored::default() };
         ledger.store(&stored).unwrap();
         assert_eq!(ledger.kept().unwrap().entries, [[33]]);
     }
 
+    /// A relay that had no vote takes the place of a voter whose disk was lost, and keeps the policy that it has.
+    #[test]
+    fn a_relay_without_a_vote_joins_the_voters_once() {
+        let dir = dir();
+        Ledger::open(dir.path(), &owner("f", 0))
+            .unwrap()
+            .adopt(&Policy { epoch: 3, ..Policy::default() })
+            .unwrap();
+        Ledger::join(dir.path(), &owner("f", 4), 44).unwrap();
+        assert!(Ledger::join(dir.path(), &owner("f", 4), 45).is_err());
+        let ledger = Ledger::open(dir.path(), &owner("f", 4)).unwrap();
+        assert_eq!((ledger.incarnation().unwrap(), ledger.policy().unwrap().epoch), (44, 3));
+        assert!(Log::read(&ledger.kept().unwrap()).is_ok_and(|log| log.is_empty()));
+        assert!(ledger.seats().unwrap().is_none());
+        let seats = Seats::found(&[4]);
+        ledger.seat(&seats).unwrap();
+        assert_eq!(ledger.seats().unwrap(), Some(seats));
+    }
+
     #[test]
     fn a_ledger_that_is_lost_damaged_or_anothers_is_refused_and_left_alone() {
         let dir = dir();
         let error = |voter| Ledger::open(dir.path(), &owner("f", voter)).err().unwrap().to_string();
         assert!(error(2).contains("fleet init"), "a voter's disk was lost: {}", error(2));
-        Ledger::found(dir.path(), &owner("f", 2), &[2]).unwrap();
-        assert!(Ledger::found(dir.path(), &owner("f", 2), &[2]).is_err(), "never made over");
+        Ledger::found(dir.path(), &owner("f", 2), &[2], 7).unwrap();
+        assert!(Ledger::found(dir.path(), &owner("f", 2), &[2], 8).is_err(), "never made over");
         assert!(error(3).contains("another fleet or voter"));
         let file = dir.path().join(FILE);
+        // Its tail is torn off.
+        let whole = std::fs::read(&file).unwrap();
+        std::fs::write(&file, &whole[..whole.len() - 8192]).unwrap();
+        assert!(error(2).contains("damaged"), "{}", error(2));
+        assert_eq!(std::fs::read(&file).unwrap(), whole[..whole.len() - 8192]);
         std::fs::write(&file, b"not a ledger, and longer than the head of one would be").unwrap();
         assert!(error(2).contains("left as it is"), "{}", error(2));
         assert_eq!(std::fs::read(&file).unwrap().len(), 54);
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -52,6 +52,33 @@
     sound("one-way");
 }
 
+#[test]
+fn a_voter_whose_disk_was_lost_is_replaced_and_one_that_was_removed_does_no_harm() {
+    sound("voter-replaced");
+}
+
+#[test]
+fn voters_whose_disks_were_made_anew_found_no_second_fleet() {
+    sound("voter-remade");
+}
+
+#[test]
+fn full_and_torn_disks_end_a_vote_and_no_service() {
+    sound("disk-full");
+    sound("torn-tail");
+}
+
+#[test]
+fn a_process_that_ends_between_two_durable_steps_comes_back_to_one_policy() {
+    sound("between-steps");
+}
+
+#[test]
+fn links_later_than_a_lease_and_a_change_of_keys_leave_one_policy() {
+    sound("bad-weather");
+    sound("key-change");
+}
+
 /// A relay is cut off all through a change: what keeps it from serving on is taken away, one thing at a time.
 #[test]
 fn what_is_planted_is_found_in_the_books_of_real_processes() {
@@ -92,6 +119,7 @@
         core: None,
         held: None,
         plant: None,
+        fail_points: None,
     };
     Relay::start(&setup).unwrap()
 }
