--- a/crates/control/src/holder.rs
+++ b/crates/control/src/holder.rs
@@ -8,6 +8,7 @@
 //! a proposal that this build does not understand (it is refused, with the reason, and the fleet keeps what it has).
 
 use crate::message::{Relay, Renew, Reply};
+use crate::owner::Owner;
 use crate::seats::Seats;
 use crate::state::{Policy, Proposal, ProposalId};
 use crate::{Micros, Plant, Planted, Times};
@@ -40,7 +41,7 @@
 }
 
 /// See the module's text.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Holder {
     relay: Relay,
     times: Times,
@@ -66,6 +67,10 @@
     waits: bool,
     /// Whom it asks.
     voter: usize,
+    /// What it does for the fleet, where it does any.
+    owner: Option<Owner>,
+    /// The last token that the fleet has given, as far as it was told.
+    tokens: Option<u64>,
 }
 
 impl Holder {
@@ -91,6 +96,8 @@
             next: 0,
             waits: false,
             voter,
+            owner: None,
+            tokens: None,
         }
     }
 
@@ -119,6 +126,26 @@
         true
     }
 
+    /// It may be given jobs from now on.
+    pub fn works(&mut self, owner: Owner) {
+        self.owner = Some(owner);
+    }
+
+    /// Its jobs.
+    pub fn owner(&mut self) -> Option<&mut Owner> {
+        self.owner.as_mut()
+    }
+
+    /// The same, to look at.
+    pub fn owner_ref(&self) -> Option<&Owner> {
+        self.owner.as_ref()
+    }
+
+    /// The last token that the fleet has given, as a leader told this process last: what a receiver has to know first.
+    pub fn tokens(&self) -> Option<u64> {
+        self.tokens
+    }
+
     /// The policy that it has.
     pub fn policy(&self) -> &Policy {
         &self.policy
@@ -158,7 +185,7 @@
         self.asked.push_back((self.number, now));
         // Half the usual time for an answer, which is moved on once it has come.
         (self.next, self.waits) = (now + self.times.renew / 2, true);
-        let renew = Renew {
+        let mut renew = Renew {
             relay: self.relay.clone(),
             number: self.number,
             epoch: self.policy.epoch,
@@ -166,7 +193,11 @@
             refused: self.refused.clone(),
             yielded: self.yielded.map(|(id, _)| id),
             seats: self.seats,
+            ..Renew::default()
         };
+        if let Some(owner) = &self.owner {
+            owner.fill(&mut renew);
+        }
         Effect::Send(self.voters[self.voter % self.voters.len()], renew)
     }
 
@@ -174,7 +205,7 @@
     pub fn heard(
         &mut self,
         now: Micros,
-        reply: Reply,
+        mut reply: Reply,
         check: impl Fn(&str) -> Result<(), String>,
     ) -> Vec<Effect> {
         // An answer to the process before this one, held back on its way, once bore the number of a question of this
@@ -186,7 +217,7 @@
         let Some(&(_, asked)) = asked else { return Vec::new() };
         let last = reply.number == self.number;
         let mut effects = Vec::new();
-        if let Some(seats) = reply.seats.filter(|seats| seats.version > self.seats) {
+        if let Some(seats) = reply.seats.take().filter(|seats| seats.version > self.seats) {
             self.seated(&seats);
             effects.push(Effect::Seats(seats));
         }
@@ -207,7 +238,13 @@
         if std::mem::take(&mut self.waits) {
             self.next = self.asked.back().map_or(now, |(_, at)| at + self.times.renew);
         }
+        self.tokens = reply.last.max(self.tokens);
         let mut news = false;
+        if let Some(owner) = &mut self.owner {
+            owner.heard(asked, &reply, self.times);
+            // Said at once that it has stopped: somebody waits for its jobs.
+            news = reply.jobs.is_some();
+        }
         if let Some(policy) = reply.policy.filter(|policy| policy.epoch > self.policy.epoch) {
             (self.prepared, self.refused, self.yielded) = (None, None, None);
             (self.lease, self.policy, self.barrier) = (0, policy.clone(), self.number);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,9 +5,12 @@
 //! The rule that all of it serves: at no moment do two relays admit clients under different policies, and none admits
 //! under an older policy than one that was in force before. `docs/design/control.md` has the proof.
 
+pub mod fence;
 pub mod holder;
 pub mod log;
 pub mod message;
+pub mod owner;
+pub mod owners;
 pub mod seal;
 pub mod seats;
 pub mod state;
@@ -69,11 +72,21 @@
     SkipStore,
     /// Voters take one whose disk was lost and made anew for the one that they knew.
     TrustReborn,
+    /// An owner acts on though its lease has run out.
+    OwnForever,
+    /// A leader gives a job away while its owner's lease may still run.
+    GiveEarly,
+    /// An owner acts on a job that it has said to have yielded.
+    KeepJob,
+    /// Receivers obey any token.
+    NoFence,
+    /// A receiver that has started anew obeys before it knows the tokens.
+    TrustFirst,
 }
 
 impl Plant {
     /// All of them, by the names that the command line knows.
-    pub const ALL: [(&'static str, Plant); 10] = [
+    pub const ALL: [(&'static str, Plant); 15] = [
         ("ignore-lease", Plant::IgnoreLease),
         ("lease-from-grant", Plant::LeaseFromGrant),
         ("keep-after-yield", Plant::KeepAfterYield),
@@ -84,6 +97,11 @@
         ("grant-closed", Plant::GrantClosed),
         ("skip-store", Plant::SkipStore),
         ("trust-reborn", Plant::TrustReborn),
+        ("own-forever", Plant::OwnForever),
+        ("give-early", Plant::GiveEarly),
+        ("keep-job", Plant::KeepJob),
+        ("no-fence", Plant::NoFence),
+        ("trust-first", Plant::TrustFirst),
     ];
 
     /// The fault of that name.
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -1,5 +1,6 @@
 //! What relays say to each other.
 
+use crate::owners::{Deal, Token};
 use crate::seats::{Change, Number, Seats};
 use crate::state::{Outcome, Policy, Proposal, ProposalId, State};
 use serde::{Deserialize, Serialize};
@@ -30,6 +31,12 @@
     pub yielded: Option<ProposalId>,
     /// The version of the seats that it knows.
     pub seats: u64,
+    /// The version of its jobs that it knows, and acts by; none where it does no jobs.
+    pub jobs: Option<u64>,
+    /// Jobs that it gives up, and why: it does not act on them any more.
+    pub gives_up: Vec<(String, Token, String)>,
+    /// How far its jobs are: name, token, number and what it says.
+    pub checkpoints: Vec<(String, Token, u64, Vec<u8>)>,
 }
 
 /// What a voter says to that.
@@ -51,6 +58,21 @@
     pub close: Option<ProposalId>,
     /// Who votes, where the relay knows an older version.
     pub seats: Option<Seats>,
+    /// The relay's jobs, where it knows another version of them.
+    pub jobs: Option<OwnJobs>,
+    /// The number of the last checkpoint that the log has of each job that the question bears one of.
+    pub steps: Vec<(String, u64)>,
+    /// The last token that was given; none where the voter does not lead.
+    pub last: Option<Token>,
+}
+
+/// What a relay has to do for the fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnJobs {
+    /// Of all jobs.
+    pub version: u64,
+    /// Each with its token, and the number and text of its last checkpoint.
+    pub of: Vec<(String, Token, u64, Vec<u8>)>,
 }
 
 impl Reply {
@@ -71,6 +93,10 @@
     Status,
     /// Change who votes.
     Seat(Change),
+    /// Change the jobs; what only a leader decides is refused.
+    Job(Deal),
+    /// The token that a job has now.
+    Token(String),
     /// Which voter this is, and the incarnation of its disk. Answered by any.
     Who,
 }
@@ -92,6 +118,10 @@
     Seat(Result<(), String>),
     /// See [`Ask::Who`].
     Who(Number, u64),
+    /// The job's name and the token that it has now; 0 for one that was never given.
+    Token(String, Token),
+    /// The change is in the log, or was refused.
+    Job(Result<(), String>),
 }
 
 /// How things stand with the fleet, as its leader knows.
--- /dev/null
+++ b/crates/control/src/owner.rs
@@ -0,0 +1,171 @@
+//! A relay's side of the jobs: what it has, and up to when it may act on it.
+//!
+//! Guards against: acting after the lease has run out (each look takes the time), after a list that no longer has the job
+//! (it stops before it says that it knows the list), after a receiver has said that another has the job, and an older
+//! list that comes late (versions only grow).
+
+use crate::message::{OwnJobs, Renew, Reply};
+use crate::owners::Token;
+use crate::{Micros, Plant, Planted, Times};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A job that it has.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Own {
+    /// Goes with each order.
+    pub token: Token,
+    /// The last checkpoint that the log has: where to go on.
+    pub step: u64,
+    /// See `step`.
+    pub checkpoint: Vec<u8>,
+    /// The next one, not in the log yet.
+    next: Option<Vec<u8>>,
+}
+
+/// See the module's text.
+#[derive(Clone, Debug, Default)]
+pub struct Owner {
+    planted: Planted,
+    version: u64,
+    jobs: BTreeMap<String, Own>,
+    /// What it acts on no more, whatever an older list says, and why.
+    gave_up: BTreeMap<(String, Token), String>,
+    /// Up to when it may act.
+    lease: Micros,
+}
+
+impl Owner {
+    /// One with a fault in it: for tests of the checkers.
+    #[cfg(feature = "plants")]
+    pub fn planted(planted: Planted) -> Owner {
+        Owner { planted, ..Owner::default() }
+    }
+
+    /// The job, where it may be acted on at this moment: to be asked right before each order.
+    pub fn may_act(&self, now: Micros, name: &str) -> Option<&Own> {
+        let runs = now < self.lease || (self.planted.is(Plant::OwnForever) && self.lease > 0);
+        self.jobs.get(name).filter(|_| runs)
+    }
+
+    /// Names of the jobs that it has, whether its lease runs or not.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.jobs.keys().map(String::as_str)
+    }
+
+    /// Acts on it no more, by its own measure or because a receiver has refused its token.
+    pub fn give_up(&mut self, name: &str, why: &str) {
+        if let Some(own) = self.jobs.remove(name) {
+            self.gave_up.insert((name.into(), own.token), why.into());
+        }
+    }
+
+    /// Says how far a job is, once the last checkpoint is in the log; whether it was taken.
+    pub fn checkpoint(&mut self, name: &str, bytes: Vec<u8>) -> bool {
+        let Some(own) = self.jobs.get_mut(name).filter(|own| own.next.is_none()) else { return false };
+        own.next = Some(bytes);
+        true
+    }
+
+    /// What it has to say with its next question.
+    pub fn fill(&self, renew: &mut Renew) {
+        renew.jobs = Some(self.version);
+        let gave_up = self.gave_up.iter().map(|((name, token), why)| (name.clone(), *token, why.clone()));
+        renew.gives_up = gave_up.collect();
+        let next = self.jobs.iter().filter_map(|(name, own)| Some((name, own, own.next.as_ref()?)));
+        renew.checkpoints =
+            next.map(|(name, own, bytes)| (name.clone(), own.token, own.step + 1, bytes.clone())).collect();
+    }
+
+    /// An answer of a leader that a majority has confirmed after the question.
+    pub fn heard(&mut self, asked: Micros, reply: &Reply, times: Times) {
+        if reply.last.is_none() {
+            return;
+        }
+        if let Some(list) = reply.jobs.as_ref().filter(|list| list.version > self.version) {
+            self.take(list);
+        }
+        for (name, step) in &reply.steps {
+            if let Some(own) = self.jobs.get_mut(name).filter(|own| own.step + 1 == *step) {
+                if let Some(bytes) = own.next.take() {
+                    (own.step, own.checkpoint) = (*step, bytes);
+                }
+            }
+        }
+        self.lease = self.lease.max(asked + times.lease);
+    }
+
+    fn take(&mut self, list: &OwnJobs) {
+        let listed: BTreeSet<(&str, Token)> =
+            list.of.iter().map(|(name, token, ..)| (name.as_str(), *token)).collect();
+        self.gave_up.retain(|(name, token), _| listed.contains(&(name.as_str(), *token)));
+        if !self.planted.is(Plant::KeepJob) {
+            self.jobs.retain(|name, own| listed.contains(&(name.as_str(), own.token)));
+        }
+        for (name, token, step, checkpoint) in &list.of {
+            if self.gave_up.contains_key(&(name.clone(), *token))
+                || self.jobs.get(name).is_some_and(|own| own.token == *token)
+            {
+                continue;
+            }
+            let own = Own { token: *token, step: *step, checkpoint: checkpoint.clone(), next: None };
+            self.jobs.insert(name.clone(), own);
+        }
+        self.version = list.version;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn list(version: u64, jobs: &[(&str, Token)]) -> Reply {
+        let of = jobs.iter().map(|(name, token)| (name.to_string(), *token, 0, Vec::new())).collect();
+        Reply { jobs: Some(OwnJobs { version, of }), last: Some(9), ..Reply::default() }
+    }
+
+    #[test]
+    fn it_acts_while_its_lease_runs_and_on_what_its_newest_list_has() {
+        let (mut owner, times) = (Owner::default(), Times::default());
+        owner.heard(1_000, &list(3, &[("a", 1), ("b", 2)]), times);
+        assert_eq!(owner.may_act(1_000 + times.lease - 1, "a").map(|own| own.token), Some(1));
+        assert!(owner.may_act(1_000 + times.lease, "a").is_none(), "the lease runs from the question");
+        owner.heard(2_000, &list(5, &[("b", 2)]), times);
+        owner.heard(2_000, &list(4, &[("a", 1), ("b", 2)]), times);
+        assert!(owner.may_act(3_000, "a").is_none(), "an older list comes late");
+        // One that only tells where the leader is renews nothing.
+        owner.heard(9_000, &Reply::default(), times);
+        assert!(owner.may_act(2_000 + times.lease, "b").is_none());
+    }
+
+    #[test]
+    fn what_it_gave_up_it_takes_again_under_a_new_token_only() {
+        let (mut owner, times) = (Owner::default(), Times::default());
+        owner.heard(0, &list(1, &[("a", 1)]), times);
+        owner.give_up("a", "it reaches no backend");
+        owner.heard(0, &list(2, &[("a", 1)]), times);
+        assert!(owner.may_act(1, "a").is_none());
+        let mut renew = Renew::default();
+        owner.fill(&mut renew);
+        assert_eq!(
+            (renew.jobs, renew.gives_up),
+            (Some(2), vec![("a".into(), 1, "it reaches no backend".into())])
+        );
+        owner.heard(0, &list(4, &[("a", 7)]), times);
+        assert_eq!(owner.may_act(1, "a").map(|own| own.token), Some(7));
+    }
+
+    #[test]
+    fn a_checkpoint_is_said_until_the_log_has_it() {
+        let (mut owner, times) = (Owner::default(), Times::default());
+        owner.heard(0, &list(1, &[("a", 1)]), times);
+        assert!(owner.checkpoint("a", vec![5]) && !owner.checkpoint("a", vec![6]), "one at a time");
+        for _ in 0..2 {
+            let mut renew = Renew::default();
+            owner.fill(&mut renew);
+            assert_eq!(renew.checkpoints, [("a".to_string(), 1, 1, vec![5])]);
+        }
+        owner.heard(0, &Reply { steps: vec![("a".into(), 1)], last: Some(1), ..Reply::default() }, times);
+        assert_eq!(owner.may_act(1, "a").map(|own| (own.step, own.checkpoint.clone())), Some((1, vec![5])));
+        assert!(owner.checkpoint("a", vec![6]));
+    }
+}
--- /dev/null
+++ b/crates/control/src/owners.rs
@@ -0,0 +1,284 @@
+//! Work that is done once for the whole fleet: jobs by name, each with one owner at a time, in the replicated log.
+//!
+//! An owner has its job by an entry of the log, and acts only while its lease runs; one renewal a relay stands for all
+//! its jobs. Each time that a job is given it gets a token from one counter, which only grows. An order to anybody bears
+//! name and token, and whoever receives it obeys no older token than the highest it knows (`fence.rs`).
+//!
+//! Guards against: an owner that was stopped and wakes late (its lease has run out; what it sent before is fenced), one
+//! that is alive but cut off (its job is given away once its lease cannot run any more), flapping (a job is moved for
+//! balance only after a pause, and never by a lost message), and a checkpoint of an owner of before (it bears its token).
+
+use crate::message::Relay;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Grows with each giving of any job.
+pub type Token = u64;
+
+/// Jobs at most, and the longest name and checkpoint, in bytes: they are in each snapshot.
+pub const MOST_JOBS: usize = 16_384;
+const MOST_NAME: usize = 64;
+const MOST_CHECKPOINT: usize = 1024;
+/// Jobs that one entry of the log gives, frees or takes back.
+pub const BATCH: usize = 256;
+/// A relay's part is its even share and a quarter more, so that a relay's coming or going moves few jobs.
+const PART: f64 = 1.25;
+
+/// A job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// Of the last giving; 0 before the first.
+    pub token: Token,
+    /// Who has it.
+    pub owner: Option<Relay>,
+    /// It is taken back: its owner has it no more once it knows this version of the jobs.
+    pub yields: Option<u64>,
+    /// Staff want nobody to have it.
+    pub held: bool,
+    /// Whoever gave it up last, and why: another gets it where there is one.
+    pub gave_up: Option<(String, String)>,
+    /// How far it is: the number of the last checkpoint, and what it says.
+    pub step: u64,
+    /// See `step`.
+    pub checkpoint: Vec<u8>,
+}
+
+/// All of them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Jobs {
+    /// The last token that was given.
+    pub last: Token,
+    /// Grows with each change of who has what.
+    pub version: u64,
+    /// By name.
+    pub of: BTreeMap<String, Job>,
+}
+
+/// A change of them, as it stands in the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Deal {
+    /// These jobs exist.
+    Open(Vec<String>),
+    /// This one exists no more.
+    Close(String),
+    /// Each goes to that relay.
+    Give(Vec<(String, Relay)>),
+    /// Each is taken back from its owner, with why.
+    Yield(Vec<(String, Token, String)>),
+    /// No owner acts on these any more.
+    Free(Vec<(String, Token)>),
+    /// The owner is so far.
+    Checkpoint(String, Token, u64, Vec<u8>),
+    /// Nobody is to have it, or somebody again.
+    Hold(String, bool),
+}
+
+impl Jobs {
+    /// Takes a change that the log has. What does not fit how things stand is of a leader or owner of before, and changes
+    /// nothing.
+    pub fn apply(&mut self, deal: Deal) {
+        match deal {
+            Deal::Open(names) => {
+                for name in names {
+                    if !name.is_empty() && name.len() <= MOST_NAME && self.of.len() < MOST_JOBS {
+                        self.of.entry(name).or_default();
+                    }
+                }
+            }
+            Deal::Close(name) => {
+                // Its owner first has to know.
+                if self.of.get(&name).is_some_and(|job| job.owner.is_none()) {
+                    self.of.remove(&name);
+                }
+            }
+            Deal::Give(gifts) => {
+                for (name, relay) in gifts {
+                    let Some(job) = self.of.get_mut(&name).filter(|job| job.owner.is_none() && !job.held)
+                    else {
+                        continue;
+                    };
+                    self.last += 1;
+                    self.version += 1;
+                    (job.token, job.owner, job.yields) = (self.last, Some(relay), None);
+                }
+            }
+            Deal::Yield(names) => {
+                for (name, token, why) in names {
+                    if let Some(job) = self.with(&name, token).filter(|job| job.yields.is_none()) {
+                        let gave_up = job.owner.as_ref().map(|owner| (owner.name.clone(), why));
+                        job.gave_up = gave_up;
+                        self.version += 1;
+                        let version = self.version;
+                        if let Some(job) = self.of.get_mut(&name) {
+                            job.yields = Some(version);
+                        }
+                    }
+                }
+            }
+            Deal::Free(names) => {
+                for (name, token) in names {
+                    if let Some(job) = self.with(&name, token) {
+                        (job.owner, job.yields) = (None, None);
+                        self.version += 1;
+                    }
+                }
+            }
+            Deal::Checkpoint(name, token, step, bytes) => {
+                if let Some(job) = self.with(&name, token) {
+                    if step == job.step + 1 && bytes.len() <= MOST_CHECKPOINT {
+                        (job.step, job.checkpoint) = (step, bytes);
+                    }
+                }
+            }
+            Deal::Hold(name, held) => {
+                if let Some(job) = self.of.get_mut(&name) {
+                    job.held = held;
+                }
+            }
+        }
+    }
+
+    fn with(&mut self, name: &str, token: Token) -> Option<&mut Job> {
+        self.of.get_mut(name).filter(|job| job.token == token && job.owner.is_some())
+    }
+
+    /// What a relay's process has, by name and token.
+    pub fn of_relay(&self, relay: &Relay) -> Vec<(String, Token)> {
+        let own = |job: &Job| job.owner.as_ref() == Some(relay) && job.yields.is_none();
+        self.of.iter().filter(|(_, job)| own(job)).map(|(name, job)| (name.clone(), job.token)).collect()
+    }
+
+    /// The next jobs to give, to relays that may have some: each job has its own order of the relays (rendezvous), and
+    /// goes to the first that has not its part yet. Whoever gave it up last comes after all others.
+    pub fn gifts(&self, relays: &[Relay]) -> Vec<(String, Relay)> {
+        let part = self.part(relays.len());
+        let mut has: BTreeMap<&Relay, usize> = relays.iter().map(|relay| (relay, 0)).collect();
+        for owner in self.of.values().filter_map(|job| job.owner.as_ref()) {
+            if let Some(n) = has.get_mut(owner) {
+                *n += 1;
+            }
+        }
+        let mut gifts = Vec::new();
+        for (name, job) in self.of.iter().filter(|(_, job)| job.owner.is_none() && !job.held) {
+            let gave_up = |relay: &Relay| job.gave_up.as_ref().is_some_and(|(by, _)| *by == relay.name);
+            let first = relays
+                .iter()
+                .filter(|relay| has.get(relay).is_some_and(|n| *n < part))
+                .max_by_key(|relay| (!gave_up(relay), weight(name, relay)));
+            let Some(relay) = first else { break };
+            if let Some(n) = has.get_mut(relay) {
+                *n += 1;
+            }
+            gifts.push((name.clone(), relay.clone()));
+            if gifts.len() == BATCH {
+                break;
+            }
+        }
+        gifts
+    }
+
+    /// Jobs to take back because their owner has more than its part, those first that it is least the relay for.
+    pub fn excess(&self, relays: &[Relay]) -> Vec<(String, Token, String)> {
+        let part = self.part(relays.len());
+        let mut of: BTreeMap<&Relay, Vec<(u64, &String, Token)>> = BTreeMap::new();
+        for (name, job) in self.of.iter().filter(|(_, job)| job.yields.is_none()) {
+            let Some(owner) = &job.owner else { continue };
+            of.entry(owner).or_default().push((weight(name, owner), name, job.token));
+        }
+        let mut excess = Vec::new();
+        for (_, mut jobs) in of {
+            jobs.sort();
+            let over = jobs.len().saturating_sub(part);
+            let why = "it has more than its part";
+            excess.extend(
+                jobs.into_iter().take(over).map(|(_, name, token)| (name.clone(), token, why.into())),
+            );
+        }
+        excess.truncate(BATCH);
+        excess
+    }
+
+    fn part(&self, relays: usize) -> usize {
+        (self.of.len() as f64 / relays.max(1) as f64 * PART).ceil() as usize
+    }
+}
+
+fn weight(name: &str, relay: &Relay) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), xxh3_64_with_seed(relay.name.as_bytes(), 0))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn relay(n: usize) -> Relay {
+        Relay { name: format!("n{n}"), start: 1 }
+    }
+
+    fn jobs(n: usize) -> Jobs {
+        let mut jobs = Jobs::default();
+        jobs.apply(Deal::Open((0..n).map(|n| format!("job-{n}")).collect()));
+        jobs
+    }
+
+    fn give_all(jobs: &mut Jobs, relays: &[Relay]) {
+        loop {
+            let gifts = jobs.gifts(relays);
+            if gifts.is_empty() {
+                break;
+            }
+            jobs.apply(Deal::Give(gifts));
+        }
+    }
+
+    #[test]
+    fn tokens_only_grow_and_what_an_owner_of_before_says_changes_nothing() {
+        let mut jobs = jobs(1);
+        let (name, of) = ("job-0".to_string(), |jobs: &Jobs| jobs.of["job-0"].clone());
+        jobs.apply(Deal::Give(vec![(name.clone(), relay(1))]));
+        jobs.apply(Deal::Give(vec![(name.clone(), relay(2))]));
+        assert_eq!((of(&jobs).owner, of(&jobs).token), (Some(relay(1)), 1), "one owner at a time");
+        jobs.apply(Deal::Checkpoint(name.clone(), 1, 1, vec![7]));
+        jobs.apply(Deal::Checkpoint(name.clone(), 1, 3, vec![9]));
+        jobs.apply(Deal::Yield(vec![(name.clone(), 1, "staff".into())]));
+        assert_eq!(jobs.of_relay(&relay(1)), []);
+        jobs.apply(Deal::Free(vec![(name.clone(), 1)]));
+        assert_eq!(jobs.gifts(&[relay(1), relay(2)]), [(name.clone(), relay(2))], "another gets it");
+        jobs.apply(Deal::Give(vec![(name.clone(), relay(2))]));
+        // Late words of the first.
+        jobs.apply(Deal::Free(vec![(name.clone(), 1)]));
+        jobs.apply(Deal::Checkpoint(name.clone(), 1, 2, vec![8]));
+        let job = of(&jobs);
+        assert_eq!((job.owner, job.token, job.step, job.checkpoint), (Some(relay(2)), 2, 1, vec![7]));
+        jobs.apply(Deal::Hold(name.clone(), true));
+        jobs.apply(Deal::Free(vec![(name, 2)]));
+        assert_eq!(jobs.gifts(&[relay(1)]), []);
+    }
+
+    #[test]
+    fn jobs_are_spread_within_a_part_and_few_move_when_a_relay_comes() {
+        let mut jobs = jobs(1_000);
+        let relays: Vec<Relay> = (0..10).map(relay).collect();
+        give_all(&mut jobs, &relays[..9]);
+        let had = jobs.clone();
+        let most = relays.iter().map(|relay| jobs.of_relay(relay).len()).max().unwrap();
+        assert!(most <= 139, "{most} of 1,000 at one of 9 relays");
+        // One more: only those are taken back that are over the new part.
+        let mut moved = 0;
+        loop {
+            let excess = jobs.excess(&relays);
+            if excess.is_empty() {
+                break;
+            }
+            moved += excess.len();
+            let freed = excess.iter().map(|(name, token, _)| (name.clone(), *token)).collect();
+            jobs.apply(Deal::Yield(excess));
+            jobs.apply(Deal::Free(freed));
+            give_all(&mut jobs, &relays);
+        }
+        assert!(moved < 200, "{moved} moved");
+        assert!(relays.iter().all(|relay| jobs.of_relay(relay).len() <= 125));
+        assert!(had.of.iter().filter(|(name, job)| jobs.of[*name].owner == job.owner).count() >= 800);
+    }
+}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -5,6 +5,7 @@
 //! force, one that is proposed twice (the same outcome), and an entry of a leader that has lost its office meanwhile
 //! (each step names its proposal, and holds in one phase only).
 
+use crate::owners::{Deal, Jobs};
 use crate::seats::Seats;
 use serde::{Deserialize, Serialize};
 
@@ -82,6 +83,8 @@
     Close(ProposalId),
     /// No lease on the old policy runs any more.
     Commit(ProposalId),
+    /// Who does what for the fleet.
+    Deal(Deal),
 }
 
 /// See the module's text.
@@ -97,6 +100,8 @@
     pub history: Vec<Policy>,
     /// Who votes.
     pub seats: Seats,
+    /// Who does what for the fleet.
+    pub jobs: Jobs,
 }
 
 impl State {
@@ -120,6 +125,10 @@
                 self.history.push(std::mem::replace(&mut self.policy, new));
                 self.remember(id, Outcome::InForce(epoch));
             }
+            (Command::Deal(deal), phase) => {
+                self.phase = phase;
+                self.jobs.apply(deal);
+            }
             // Of a leader that did not know how things stood.
             (_, phase) => self.phase = phase,
         }
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -8,7 +8,8 @@
 //! is down or cut off (its lease runs out), and one that never answers (the proposal is given up, and says for whom).
 
 use crate::log::{bytes, Damaged, Kept, Log, Stored};
-use crate::message::{Answer, Ask, Message, Relay, Renew, Reply, Status};
+use crate::message::{Answer, Ask, Message, OwnJobs, Relay, Renew, Reply, Status};
+use crate::owners::Deal;
 use crate::seats::{Change, Verdict};
 use crate::state::{Command, Phase, ProposalId, State};
 use crate::{Micros, Plant, Planted, Times};
@@ -31,6 +32,11 @@
 const INTRODUCE: Micros = 200_000;
 /// A newcomer that is no more entries behind has caught up: the rest is on its way.
 const BEHIND: u64 = 8;
+/// Who has which job is looked at so often where nothing has changed: a lease that has run out is seen no later. What is
+/// handed to the log twice by that changes nothing.
+const DEAL: Micros = 200_000;
+/// Jobs are taken back for balance after such a pause: a relay that comes and goes moves none.
+const BALANCE: Micros = 10_000_000;
 /// A proposal that the log has not taken is handed to it again after so long.
 const AGAIN: Micros = 1_000_000;
 
@@ -63,6 +69,9 @@
     epoch: u64,
     prepared: Option<ProposalId>,
     yielded: Option<ProposalId>,
+    /// The version of the jobs that it knows, where it does any, and when its lease on its jobs was last granted.
+    jobs: Option<u64>,
+    leased: Option<Micros>,
     seen: Micros,
 }
 
@@ -78,6 +87,9 @@
     asked: Option<Micros>,
     /// When a change of the seats was.
     seated: Option<Micros>,
+    /// When who has which job was last looked at, at which version, and when jobs were last taken back for balance.
+    dealt: Option<(u64, Micros)>,
+    balanced: Micros,
 }
 
 enum Waiting {
@@ -419,6 +431,35 @@
         if !current {
             reply.policy = Some(self.state.policy.clone());
         }
+        let jobs = &self.state.jobs;
+        reply.last = Some(jobs.last);
+        known.jobs = renew.jobs;
+        let mut deals = Vec::new();
+        if let Some(version) = renew.jobs {
+            known.leased = Some(now);
+            if version < jobs.version {
+                let checkpoint = |(name, token): (String, u64)| {
+                    let job = jobs.of.get(&name).cloned().unwrap_or_default();
+                    (name, token, job.step, job.checkpoint)
+                };
+                let of = jobs.of_relay(&renew.relay).into_iter().map(checkpoint).collect();
+                reply.jobs = Some(OwnJobs { version: jobs.version, of });
+            }
+            let new = |(name, token, _): &(String, u64, String)| {
+                jobs.of.get(name).is_some_and(|job| job.token == *token && job.yields.is_none())
+            };
+            let gives_up: Vec<_> = renew.gives_up.iter().filter(|gone| new(gone)).cloned().collect();
+            if !gives_up.is_empty() {
+                deals.push(Deal::Yield(gives_up));
+            }
+            for (name, token, step, bytes) in &renew.checkpoints {
+                let at = jobs.of.get(name).map_or(0, |job| job.step);
+                if at + 1 == *step {
+                    deals.push(Deal::Checkpoint(name.clone(), *token, *step, bytes.clone()));
+                }
+                reply.steps.push((name.clone(), at));
+            }
+        }
         if renew.seats < self.state.seats.version {
             reply.seats = Some(self.state.seats.clone());
         }
@@ -440,9 +481,8 @@
         if reply.grant.is_some() {
             known.granted = Some(now);
         }
-        if let Some(refusal) = refusal {
-            self.propose(&refusal);
-        }
+        let deals = deals.into_iter().map(Command::Deal);
+        refusal.into_iter().chain(deals).for_each(|command| self.propose(&command));
         reply
     }
 
@@ -457,6 +497,11 @@
                 let seats = self.seats();
                 return Answer::Status(Box::new(Status { leader, term, state, relays, seats }));
             }
+            Ask::Token(name) => {
+                let token = self.state.jobs.of.get(&name).map_or(0, |job| job.token);
+                return Answer::Token(name, token);
+            }
+            Ask::Job(deal) => return self.deal_asked(deal),
             Ask::Who => return Answer::Who(self.id(), self.incarnation),
             Ask::Seat(change) => return self.reseat(&change),
             Ask::Outcome(id) => id,
@@ -526,6 +571,94 @@
         }
     }
 
+    /// What staff want of the jobs. What is so already is done, so the same may be asked again.
+    fn deal_asked(&mut self, deal: Deal) -> Answer {
+        let of = &self.state.jobs.of;
+        let done = match &deal {
+            Deal::Open(names) => names.iter().all(|name| of.contains_key(name)),
+            Deal::Close(name) => !of.contains_key(name),
+            Deal::Hold(name, held) => match of.get(name) {
+                Some(job) => job.held == *held,
+                None => return Answer::Job(Err(format!("there is no job '{name}'"))),
+            },
+            Deal::Yield(names) => names.iter().all(|(name, token, _)| {
+                of.get(name)
+                    .is_none_or(|job| job.token != *token || job.yields.is_some() || job.owner.is_none())
+            }),
+            _ => return Answer::Job(Err("a leader decides that, or an owner".into())),
+        };
+        if done {
+            return Answer::Job(Ok(()));
+        }
+        self.propose(&Command::Deal(deal));
+        Answer::UnderWay("handed to the log".into(), Vec::new())
+    }
+
+    /// Frees jobs whose owners cannot act on them any more, gives those that nobody has, and takes some back where a relay
+    /// has more than its part.
+    fn deal(&mut self) {
+        let (now, times, jobs) = (self.now, self.times, &self.state.jobs);
+        let early = self.planted.is(Plant::GiveEarly);
+        let Some(office) = &self.office else { return };
+        let due = office.dealt.is_none_or(|(version, at)| version != jobs.version || now >= at + DEAL);
+        if jobs.of.is_empty() || !due {
+            return;
+        }
+        let settled = self.settled(office);
+        let may_act = |relay: &Relay| {
+            let leased = office.relays.get(relay).and_then(|known| known.leased);
+            !settled || leased.is_some_and(|at| now < times.lapsed_by(at))
+        };
+        // Taken back first, freed after: from the entry that takes it back on, whoever renews its lease is told in the same
+        // answer that it has the job no more, so what is judged here stays true until the next entry is in the log. Freed
+        // at once, a job went to another while its owner had come back and renewed (seed 57 of the virtual fleet).
+        let (mut free, mut back) = (Vec::new(), Vec::new());
+        for (name, job) in &jobs.of {
+            let Some(owner) = &job.owner else { continue };
+            let known = office.relays.get(owner);
+            // Whoever has heard of that version has said so after it stopped.
+            let stopped = job
+                .yields
+                .is_some_and(|at| known.and_then(|known| known.jobs).is_some_and(|version| version >= at));
+            let silent = early && known.is_none_or(|known| now >= known.seen + times.renew);
+            let lapsed = silent || !may_act(owner);
+            if job.yields.is_some() && (stopped || lapsed) {
+                free.push((name.clone(), job.token));
+            } else if job.yields.is_none() && (lapsed || job.held) {
+                let why = if lapsed { "nothing is heard of it" } else { "it is held" };
+                back.push((name.clone(), job.token, why.to_string()));
+            }
+            if free.len().max(back.len()) == crate::owners::BATCH {
+                break;
+            }
+        }
+        let workers: Vec<Relay> = office
+            .relays
+            .iter()
+            .filter(|(relay, known)| known.jobs.is_some() && may_act(relay))
+            .map(|(relay, _)| relay.clone())
+            .collect();
+        let balance = settled && now >= office.balanced + BALANCE;
+        if back.is_empty() && balance {
+            back = jobs.excess(&workers);
+        }
+        // All relays that serve have been heard of by then: the first to ask does not get everything.
+        let give = if settled { jobs.gifts(&workers) } else { Vec::new() };
+        let (version, taken) = (jobs.version, !back.is_empty());
+        let deals = [
+            (!free.is_empty()).then_some(Deal::Free(free)),
+            (!give.is_empty()).then_some(Deal::Give(give)),
+            taken.then_some(Deal::Yield(back)),
+        ];
+        deals.into_iter().flatten().for_each(|deal| self.propose(&Command::Deal(deal)));
+        if let Some(office) = &mut self.office {
+            office.dealt = Some((version, now));
+            if taken {
+                office.balanced = now;
+            }
+        }
+    }
+
     /// Hands a change of the seats to the log. While one is under way the library takes no other.
     fn hand_in(&mut self, change: &Change) {
         let (kind, number) = match change {
@@ -612,6 +745,7 @@
             self.office = Some(Office { term, since: now, ..Office::default() });
         }
         self.promote();
+        self.deal();
         let at = match &self.state.phase {
             Phase::Rest => None,
             Phase::Preparing(p) => Some((p.id, false)),
--- a/crates/lab/src/faults/books.rs
+++ b/crates/lab/src/faults/books.rs
@@ -61,6 +61,24 @@
         /// When they asked.
         asked: Moment,
     },
+    /// A relay acted as the owner of a job: it sent an order, or would have.
+    Acted {
+        /// Which relay.
+        relay: String,
+        /// Which job.
+        job: String,
+        /// With this token.
+        token: u64,
+    },
+    /// A receiver obeyed an order.
+    Obeyed {
+        /// Which receiver; one that has lost what it knew goes on under its name.
+        receiver: String,
+        /// Which job.
+        job: String,
+        /// With this token.
+        token: u64,
+    },
     /// Something is done to a relay's process or links up to then.
     Spoilt {
         /// Which relay.
@@ -111,6 +129,8 @@
         one_outcome(book),
         one_answer(book),
         one_log(book),
+        one_owner(book),
+        fenced(book),
     ];
     all.into_iter().flatten().collect()
 }
@@ -167,6 +187,36 @@
     None
 }
 
+/// A job has one owner at a time: nobody acts on it once another has acted with a later token.
+pub fn one_owner(book: &[Line]) -> Option<Broken> {
+    let mut newest: BTreeMap<&str, (u64, &str)> = BTreeMap::new();
+    for Line { at, fact } in book {
+        let Fact::Acted { relay, job, token } = fact else { continue };
+        let (highest, by) = newest.entry(job).or_insert((*token, relay));
+        if token < highest {
+            let text = format!("{relay} acted on {job} with token {token}, {by} had with {highest}");
+            return Some(Broken { rule: "one owner", at: *at, text });
+        }
+        (*highest, *by) = (*token, relay);
+    }
+    None
+}
+
+/// No receiver obeys an older token of a job after a newer one.
+pub fn fenced(book: &[Line]) -> Option<Broken> {
+    let mut newest: BTreeMap<(&str, &str), u64> = BTreeMap::new();
+    for Line { at, fact } in book {
+        let Fact::Obeyed { receiver, job, token } = fact else { continue };
+        let highest = newest.entry((receiver, job)).or_insert(*token);
+        if token < highest {
+            let text = format!("{receiver} obeyed token {token} of {job} after {highest}");
+            return Some(Broken { rule: "fenced", at: *at, text });
+        }
+        *highest = *token;
+    }
+    None
+}
+
 /// Each client that a sound relay has taken has its answer.
 pub fn one_answer(book: &[Line]) -> Option<Broken> {
     book.iter().find_map(|line| {
@@ -278,6 +328,11 @@
         assert_eq!(rule(vec![Fact::Unanswered { relay: "a".into(), id: "7".into() }]), Some("one answer"));
         assert_eq!(rule(vec![holds("a", "x"), holds("b", "y")]), Some("one text"));
         assert_eq!(rule(vec![leads(1), leads(2)]), Some("one leader"));
+        let acted = |relay: &str, token| Fact::Acted { relay: relay.into(), job: "j".into(), token };
+        let obeyed = |token| Fact::Obeyed { receiver: "r".into(), job: "j".into(), token };
+        assert_eq!(check(&book(vec![acted("a", 1), obeyed(1), acted("b", 2), obeyed(1), obeyed(2)])), []);
+        assert_eq!(rule(vec![acted("a", 1), acted("b", 2), acted("a", 1)]), Some("one owner"));
+        assert_eq!(rule(vec![obeyed(2), obeyed(1)]), Some("fenced"));
         assert_eq!(rule(vec![told("in force"), told("refused")]), Some("one outcome"));
     }
 }
--- a/crates/lab/src/faults/virtual_fleet.rs
+++ b/crates/lab/src/faults/virtual_fleet.rs
@@ -6,9 +6,12 @@
 //! if nothing had been; clocks that differ by as much as is allowed.
 
 use super::books::{Broken, Fact, Line, Moment};
+use jaspermoor_control::fence::{Fence, Verdict};
 use jaspermoor_control::holder::{Alone, Effect, Holder};
 use jaspermoor_control::log::{Kept, Log, Stored};
 use jaspermoor_control::message::{Answer, Ask, Message, Relay};
+use jaspermoor_control::owner::Owner;
+use jaspermoor_control::owners::Deal;
 use jaspermoor_control::seats::{Change, Seats};
 use jaspermoor_control::state::{Policy, Proposal, ProposalId};
 use jaspermoor_control::voter::Voter;
@@ -36,6 +39,11 @@
     pub observers: usize,
     /// How long faults go on; then all is mended, and the fleet must come together.
     pub length: Moment,
+    /// Jobs that the fleet has owners for.
+    pub jobs: usize,
+    /// In place of drawn faults: the owner of a job is killed at 20 s, that of another is stopped at 35 s for 8 s, and
+    /// staff hand a third over at 50 s.
+    pub owners_fail: bool,
     /// A fault in the program.
     pub plant: Option<Plant>,
     /// Whether faults happen at all: without, what is seen is what the fleet costs.
@@ -44,7 +52,16 @@
 
 impl Default for Play {
     fn default() -> Play {
-        Play { seed: 1, voters: 3, observers: 3, length: 40_000_000, plant: None, faults: true }
+        Play {
+            seed: 1,
+            voters: 3,
+            observers: 3,
+            length: 40_000_000,
+            jobs: 6,
+            owners_fail: false,
+            plant: None,
+            faults: true,
+        }
     }
 }
 
@@ -63,6 +80,14 @@
     pub book: Vec<Line>,
     /// Time from each proposal that came into force to when the last relay had it, in microseconds.
     pub took: Vec<Moment>,
+    /// Orders that were obeyed, and refused by a fence; checkpoints in the log; times that a job changed hands.
+    pub orders: [usize; 2],
+    /// See `orders`.
+    pub checkpoints: u64,
+    /// See `orders`.
+    pub hands: usize,
+    /// Of the three jobs whose owners fail: how long nobody could act on each, in microseconds.
+    pub ownerless: [Moment; 3],
     /// Bytes that each process has sent to others, voters first, and how long that took.
     pub sent: Vec<u64>,
     /// See `sent`.
@@ -80,6 +105,10 @@
     seats: Seats,
     /// Its voter's disk was lost and made anew by mistake, as if it were new: it may find that out itself.
     reborn: bool,
+    /// What it knows as a receiver of orders. Relays with an even number keep it through a restart.
+    fence: Fence,
+    /// Orders that it asks about before it obeys or refuses them.
+    doubts: Vec<Order>,
     policy: Policy,
     /// What it has not stored, though it should have: lost in a crash.
     unstored: Vec<Stored>,
@@ -92,12 +121,30 @@
     wakes: Moment,
 }
 
+/// What an owner tells a receiver.
+#[derive(Clone, Debug)]
+struct Order {
+    from: usize,
+    job: String,
+    token: u64,
+}
+
 enum Event {
     Beat(usize),
+    /// An order comes to a receiver.
+    Order(usize, Order),
+    /// A receiver's refusal comes back.
+    Stale(usize, String, u64),
     Arrives(usize, usize, Box<Message>),
     Fault,
     Start(usize),
     Propose,
+    /// Staff have jobs opened, and take one back from its owner now and then.
+    Jobs,
+    /// The owner of that job fails.
+    OwnerFails(usize),
+    /// Whether anybody may act on the jobs whose owners fail is looked at.
+    Look,
     /// Staff look after the replacement of a voter that is under way.
     Staff,
     Mend,
@@ -233,6 +280,8 @@
                 incarnation: 1_000 + n as u64,
                 seats: Seats::default(),
                 reborn: false,
+                fence: Fence::default(),
+                doubts: Vec::new(),
                 policy: Policy::default(),
                 unstored: Vec::new(),
                 starts: 0,
@@ -248,6 +297,13 @@
             self.later(at, Event::Fault);
             at += self.rng.random_range(200_000..2_500_000);
         }
+        if self.play.jobs > 0 {
+            self.later(1_500_000, Event::Jobs);
+        }
+        if self.play.owners_fail {
+            (0..3).for_each(|n| self.later(20_000_000 + n * 15_000_000, Event::OwnerFails(n as usize)));
+            self.later(20_000_000, Event::Look);
+        }
         let mut at = 2_000_000;
         while at < self.play.length + 10_000_000 {
             self.later(at, Event::Propose);
@@ -259,11 +315,25 @@
     fn happen(&mut self, event: Event) {
         match event {
             Event::Beat(n) => self.beat(n),
+            Event::Order(to, order) => self.order(to, order),
+            Event::Stale(to, job, token) => self.stale(to, &job, token),
             Event::Arrives(to, from, message) => self.arrives(to, from, *message),
             Event::Fault => self.fault(),
             Event::Start(n) => self.start(n),
             Event::Propose => self.propose(),
             Event::Staff => self.staff(),
+            Event::Jobs => self.staff_jobs(),
+            Event::OwnerFails(n) => self.owner_fails(n),
+            Event::Look => {
+                for n in 0..3 {
+                    if self.owners(&format!("job-{n}")).is_empty()
+                        && self.now >= 20_000_000 + n as u64 * 15_000_000
+                    {
+                        self.seen.ownerless[n] += BEAT;
+                    }
+                }
+                self.later(self.now + BEAT, Event::Look);
+            }
             Event::Mend => {
                 self.cuts.clear();
                 self.weather = (0, 0, 0);
@@ -295,6 +365,7 @@
         let mut holder =
             Holder::new(relay, voters, p.policy.clone(), times, Alone::Refuse).planted(planted, local);
         holder.seated(&p.seats);
+        holder.works(Owner::planted(planted));
         p.holder = Some(holder);
         // A disk without a log is that of a relay that has no vote, or was lost.
         if p.kept.snapshot.is_some() {
@@ -343,7 +414,11 @@
         (p.voter, p.holder) = (None, None);
         p.inbox.clear();
         p.unstored.clear();
+        p.doubts.clear();
         p.stopped_until = 0;
+        if n % 2 == 1 {
+            p.fence = Fence::default();
+        }
     }
 
     fn beat(&mut self, n: usize) {
@@ -372,9 +447,96 @@
         let effect = self.processes[n].holder.as_mut().and_then(|holder| holder.tick(local));
         self.carry_out(n, effect.into_iter().collect());
         self.knock(n);
+        self.act(n);
+        self.ask_doubts(n);
         self.later(self.now + BEAT, Event::Beat(n));
     }
 
+    /// An owner acts: it sends an order, says how far it is, or gives a job up.
+    fn act(&mut self, n: usize) {
+        let (local, all) = (self.local(n), self.processes.len());
+        let Some(owner) = self.processes[n].holder.as_mut().and_then(Holder::owner) else { return };
+        let names: Vec<String> = owner.names().map(String::from).collect();
+        for job in names {
+            // Some hundred orders a job and play.
+            if self.rng.random_range(0..20) > 0 {
+                continue;
+            }
+            let (to, whim) = (self.rng.random_range(0..all), self.rng.random_range(0..400));
+            let Some(owner) = self.processes[n].holder.as_mut().and_then(Holder::owner) else { return };
+            let Some(token) = owner.may_act(local, &job).map(|own| own.token) else { continue };
+            match whim {
+                // Not near the end, where each job must have its owner.
+                0 if self.now < self.play.length => owner.give_up(&job, "it is of no use"),
+                1..40 => drop(owner.checkpoint(&job, token.to_be_bytes().to_vec())),
+                _ => {}
+            }
+            let relay = self.processes[n].name.clone();
+            self.write(Fact::Acted { relay, job: job.clone(), token });
+            for at in self.arrivals(n, to) {
+                self.later(at, Event::Order(to, Order { from: n, job: job.clone(), token }));
+            }
+        }
+    }
+
+    fn order(&mut self, to: usize, order: Order) {
+        if self.processes[to].holder.is_none() {
+            return;
+        }
+        let until = self.processes[to].stopped_until;
+        if self.now < until {
+            return self.later(until, Event::Order(to, order));
+        }
+        let last = self.processes[to].holder.as_ref().and_then(Holder::tokens);
+        let plant = self.play.plant;
+        let p = &mut self.processes[to];
+        if let Some(last) = last {
+            p.fence.floor(last);
+        }
+        let verdict = match p.fence.take(&order.job, order.token) {
+            _ if plant == Some(Plant::NoFence) => Verdict::Obey,
+            Verdict::Ask if plant == Some(Plant::TrustFirst) => Verdict::Obey,
+            verdict => verdict,
+        };
+        match verdict {
+            Verdict::Obey => {
+                self.seen.orders[0] += 1;
+                let (receiver, Order { job, token, .. }) = (self.processes[to].name.clone(), order);
+                self.write(Fact::Obeyed { receiver, job, token });
+            }
+            Verdict::Stale(highest) => {
+                self.seen.orders[1] += 1;
+                for at in self.arrivals(to, order.from) {
+                    self.later(at, Event::Stale(order.from, order.job.clone(), highest));
+                }
+            }
+            // As many as it can bear to wait; the rest is sent again by owners that hear nothing.
+            Verdict::Ask if p.doubts.len() < 64 => p.doubts.push(order),
+            Verdict::Ask => {}
+        }
+    }
+
+    fn stale(&mut self, to: usize, job: &str, token: u64) {
+        let local = self.local(to);
+        let Some(owner) = self.processes[to].holder.as_mut().and_then(Holder::owner) else { return };
+        if owner.may_act(local, job).is_some_and(|own| own.token < token) {
+            owner.give_up(job, "a receiver knows a newer token");
+        }
+    }
+
+    /// Asks the fleet about orders that may be of owners of before.
+    fn ask_doubts(&mut self, n: usize) {
+        if self.now % 500_000 >= BEAT {
+            return;
+        }
+        let jobs: Vec<String> = self.processes[n].doubts.iter().map(|order| order.job.clone()).collect();
+        for job in jobs {
+            for voter in 0..self.processes.len() {
+                self.send(n, voter, Message::Ask(2, Ask::Token(job.clone())));
+            }
+        }
+    }
+
     /// A client asks to be admitted.
     fn knock(&mut self, n: usize) {
         let local = self.local(n);
@@ -438,6 +600,12 @@
             }
             (Message::Renew(renew), Some(voter), _) => voter.renew(local, from as u64, renew),
             (Message::Ask(number, ask), Some(voter), _) => voter.ask(local, from as u64, number, ask),
+            (Message::Answer(_, Answer::Token(job, token)), ..) => {
+                p.fence.known(&job, token);
+                let (known, wait): (Vec<Order>, _) = p.doubts.drain(..).partition(|order| order.job == job);
+                p.doubts = wait;
+                known.into_iter().for_each(|order| self.order(n, order));
+            }
             (Message::Reply(reply), _, Some(holder)) => {
                 let check = |text: &str| {
                     if text.contains("bad") {
@@ -520,26 +688,31 @@
             self.seen.sent.resize(self.processes.len(), 0);
             self.seen.sent[from] += message.encode().len() as u64;
         }
+        for at in self.arrivals(from, to) {
+            self.later(at, Event::Arrives(to, from, Box::new(message.clone())));
+        }
+    }
+
+    /// When what is sent now arrives: never, once, or twice.
+    fn arrivals(&mut self, from: usize, to: usize) -> Vec<Moment> {
         let (loss, delay, until) = self.weather;
         let mut wait = self.rng.random_range(100..3_000);
+        let mut arrivals = Vec::new();
         if self.now < until && from != to {
             if self.rng.random_range(0..1_000) < loss {
-                return;
+                return arrivals;
             }
             wait += self.rng.random_range(0..=delay);
             if self.rng.random_range(0..20) == 0 {
-                let doubled = self.now + self.rng.random_range(0..5_000_000);
-                self.later(doubled, Event::Arrives(to, from, Box::new(message.clone())));
+                arrivals.push(self.now + self.rng.random_range(0..5_000_000));
             }
         }
-        let mut at = self.now + wait;
-        if let Some(cut) = self.cuts.get(&(from, to)).filter(|cut| self.now < cut.until) {
-            if !cut.holds {
-                return;
-            }
-            at = cut.until + wait;
+        match self.cuts.get(&(from, to)).filter(|cut| self.now < cut.until) {
+            Some(cut) if !cut.holds => {}
+            Some(cut) => arrivals.push(cut.until + wait),
+            None => arrivals.push(self.now + wait),
         }
-        self.later(at, Event::Arrives(to, from, Box::new(message)));
+        arrivals
     }
 
     fn fault(&mut self) {
@@ -619,7 +792,12 @@
         }
         let voters: Vec<u64> = known.voters().collect();
         let old = voters[self.rng.random_range(0..voters.len())] as usize - 1;
-        let lost = self.rng.random_range(0..3);
+        let mut lost = self.rng.random_range(0..3);
+        // Whoever makes all founders anew has founded another fleet.
+        let others = self.processes[..self.play.voters].iter().enumerate().filter(|(n, _)| *n != old);
+        if lost == 1 && others.clone().all(|(_, p)| p.reborn) {
+            lost = 0;
+        }
         if lost < 2 {
             self.kill(old);
             let p = &mut self.processes[old];
@@ -646,6 +824,57 @@
         format!("n{new} takes the place of n{old} {what}")
     }
 
+    /// Processes that may act on a job now.
+    fn owners(&self, name: &str) -> Vec<usize> {
+        let acts = |n: &usize| {
+            let local = self.local(*n);
+            let p = &self.processes[*n];
+            let owner = p.holder.as_ref().and_then(Holder::owner_ref);
+            self.now >= p.stopped_until && owner.is_some_and(|owner| owner.may_act(local, name).is_some())
+        };
+        (0..self.processes.len()).filter(acts).collect()
+    }
+
+    fn owner_fails(&mut self, which: usize) {
+        let name = format!("job-{which}");
+        let Some(n) = self.owners(&name).first().copied() else { return };
+        match which {
+            0 => {
+                self.kill(n);
+                self.later(self.now + 10_000_000, Event::Start(n));
+            }
+            1 => self.processes[n].stopped_until = self.now + 8_000_000,
+            _ => {
+                let token = self
+                    .leader()
+                    .and_then(|leader| leader.state().jobs.of.get(&name))
+                    .map_or(0, |job| job.token);
+                let deal = Deal::Yield(vec![(name, token, "staff hand it over".into())]);
+                for n in 0..self.processes.len() {
+                    let ask = Message::Ask(3, Ask::Job(deal.clone()));
+                    self.later(self.now, Event::Arrives(n, STAFF, Box::new(ask)));
+                }
+            }
+        }
+    }
+
+    fn staff_jobs(&mut self) {
+        self.later(self.now + 3_000_000, Event::Jobs);
+        let names: Vec<String> = (0..self.play.jobs).map(|n| format!("job-{n}")).collect();
+        let some = names[self.rng.random_range(0..names.len())].clone();
+        let known = self.leader().map(|leader| leader.state().jobs.clone()).unwrap_or_default();
+        let deal = match known.of.get(&some) {
+            Some(job) if self.play.faults && self.now < self.play.length && self.rng.random_bool(0.3) => {
+                Deal::Yield(vec![(some, job.token, "staff hand it over".into())])
+            }
+            _ => Deal::Open(names),
+        };
+        for n in 0..self.processes.len() {
+            let ask = Message::Ask(3, Ask::Job(deal.clone()));
+            self.later(self.now, Event::Arrives(n, STAFF, Box::new(ask)));
+        }
+    }
+
     fn leader(&self) -> Option<&Voter> {
         let voters = self.processes.iter().filter_map(|p| p.voter.as_ref());
         voters.filter(|voter| voter.leads().is_some()).max_by_key(|voter| voter.leads())
@@ -718,6 +947,22 @@
                 format!("n{new} has not taken the place of n{old}, 20 s and more after all was mended");
             self.seen.broken.push(Broken { rule: "a voter can be replaced", at: self.now, text });
         }
+        let jobs = self.leader().map(|leader| leader.state().jobs.clone()).unwrap_or_default();
+        self.seen.checkpoints = jobs.of.values().map(|job| job.step).sum();
+        self.seen.hands = jobs.last as usize;
+        // Each job has an owner that may act on it, and one only.
+        for (name, job) in &jobs.of {
+            let owners = self.owners(name);
+            // One may be on its way from one relay to another just now: by its own wish, or for balance.
+            if owners.len() != 1 && job.owner.is_some() && job.yields.is_none() {
+                let text = format!("{name} has the owners {owners:?}, the log says {job:?}");
+                self.seen.broken.push(Broken { rule: "each job has its owner", at: self.now, text });
+            }
+        }
+        if jobs.of.len() != self.play.jobs {
+            let text = format!("{} of {} jobs are there", jobs.of.len(), self.play.jobs);
+            self.seen.broken.push(Broken { rule: "each job has its owner", at: self.now, text });
+        }
         let states: Vec<(bool, u64)> = (0..self.processes.len())
             .map(|n| {
                 let holder = self.processes[n].holder.as_ref();
--- a/crates/lab/src/faults_cli.rs
+++ b/crates/lab/src/faults_cli.rs
@@ -116,6 +116,12 @@
     /// no faults: what the fleet costs, in time and bytes
     #[argh(switch)]
     calm: bool,
+    /// jobs that the fleet has owners for (default 6)
+    #[argh(option, default = "6")]
+    jobs: usize,
+    /// no drawn faults: owners of jobs are killed, stopped and relieved, and the time without an owner is printed
+    #[argh(switch)]
+    owners_fail: bool,
     /// where the book of the last play goes, as lines of JSON
     #[argh(option)]
     book: Option<PathBuf>,
@@ -303,17 +309,24 @@
     let plant = planted(sim.plant.as_deref())?;
     let (bar, begin) = (progress(sim.plays), Instant::now());
     let (mut broken, mut epochs, mut faults) = (0, 0, 0);
+    let (mut orders, mut checkpoints, mut hands) = ([0, 0], 0, 0);
+    let mut ownerless: [Vec<u64>; 3] = Default::default();
     for seed in sim.seed..sim.seed + sim.plays {
         let play = virtual_fleet::Play {
             seed,
             voters: sim.voters,
             observers: sim.observers,
             plant,
-            faults: !sim.calm,
-            ..Default::default()
+            faults: !sim.calm && !sim.owners_fail,
+            jobs: sim.jobs,
+            owners_fail: sim.owners_fail,
+            length: if sim.owners_fail { 60_000_000 } else { virtual_fleet::Play::default().length },
         };
         let seen = virtual_fleet::run(play);
         (epochs, faults) = (epochs + seen.epoch, faults + seen.faults);
+        orders = [orders[0] + seen.orders[0], orders[1] + seen.orders[1]];
+        (checkpoints, hands) = (checkpoints + seen.checkpoints, hands + seen.hands);
+        (0..3).for_each(|n| ownerless[n].push(seen.ownerless[n]));
         if sim.calm {
             bar.suspend(|| say_cost(sim, &seen));
         }
@@ -333,6 +346,18 @@
         bar.inc(1);
     }
     bar.finish_and_clear();
+    if sim.owners_fail {
+        for (what, times) in ["killed", "stopped", "handed over"].iter().zip(&mut ownerless) {
+            times.sort_unstable();
+            let ms = |n: usize| times.get(n).map_or(0, |us| us / 1_000);
+            let (median, most) = (ms(times.len() / 2), ms(times.len().saturating_sub(1)));
+            println!("owner {what}: nobody could act for {median} ms in the median, {most} ms at worst");
+        }
+    }
+    println!(
+        "{hands} times a job was given; {} orders obeyed, {} refused by a fence; {checkpoints} checkpoints",
+        orders[0], orders[1]
+    );
     println!("{epochs} policies came into force, {faults} faults, {:.1} s", begin.elapsed().as_secs_f64());
     closing(sim.plays, broken)
 }
