--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -189,7 +189,11 @@
     ) -> Result<Fleet, Box<dyn std::error::Error>> {
         // For as long as the process runs.
         #[cfg(feature = "plants")]
-        std::mem::forget(fail::FailScenario::setup());
+        {
+            // Once a process: the library holds a lock for as long as a set-up lasts, and a second one would wait for good.
+            static POINTS: std::sync::Once = std::sync::Once::new();
+            POINTS.call_once(|| std::mem::forget(fail::FailScenario::setup()));
+        }
         let poller = Poller::new()?;
         let mut start = [0; 8];
         start.copy_from_slice(&number()[..8]);
