Wait in fault scenarios for the fault, not for a time, and undo what is due while they wait

Cause: three tests with processes failed in the checks on a busy machine. "disk-full" and "between-steps" armed a fail point for 2.5 to 3 s and proposed at fixed moments: a relay that had no lease yet at that moment was not waited for and never prepared, a proposal made while another was under way was refused, and twelve stores did not come in the window (crates/lab/faults/*.toml, step times). "voter-remade" failed because staff.toml was cut to nothing and written again while a call that was under way read it ("fleet: is missing", Rig::staff). Seen on the way: what was due to be undone waited for blocking steps (Rig::run), and a killed relay's last words could be lost, since its log was copied before it was read to the end (Rig::kill).

Change: steps `reach` (armed, and changes proposed until the relay says that the fault has come), `said` and `restart`; every step that waits undoes what is due meanwhile and ends the play with the reason, not with a panic; the staff's file is put in its place whole; Relay::end reads a log to its last line.

--- a/crates/lab/src/faults/harness.rs
+++ b/crates/lab/src/faults/harness.rs
@@ -382,7 +382,7 @@
         let Some(mut old) = self.relays[relay].replace(new) else { return Ok(()) };
         old.signal("TERM")?;
         old.exit();
-        self.logs.push((relay, old.lines()));
+        self.logs.push((relay, old.end()));
         self.lead_to(relay);
         Ok(())
     }
@@ -390,9 +390,7 @@
     fn kill(&mut self, relay: usize) {
         lock(&self.doors)[relay] = None;
         if let Some(process) = self.relays[relay].take() {
-            let lines = process.lines();
-            drop(process);
-            self.logs.push((relay, lines));
+            self.logs.push((relay, process.end()));
         }
     }
 
@@ -408,7 +406,10 @@
         let numbers = (0..self.scenario.voters).chain(self.joined.keys().copied());
         let staff = "[fleet]\nid = \"lab\"\ndirectory = \"none\"\nkeys = \"fleet.key\"\n";
         let file = self.ground.dir.join("staff.toml");
-        std::fs::write(&file, staff.to_string() + &voters(numbers.map(|n| (n, self.staff_ways[n].addr))))?;
+        // As a whole: calls that are under way read it.
+        let new = file.with_extension("new");
+        std::fs::write(&new, staff.to_string() + &voters(numbers.map(|n| (n, self.staff_ways[n].addr))))?;
+        std::fs::rename(new, &file)?;
         Ok(file)
     }
 
@@ -488,12 +489,7 @@
             let undo = self.spoilt.undo.iter().map(|(at, _)| *at).min();
             let Some(next) = [step, undo].into_iter().flatten().min() else { return Ok(()) };
             thread::sleep(Duration::from_micros(next.saturating_sub(self.now())));
-            let due: Vec<Undo> =
-                self.spoilt.undo.iter().filter(|(at, _)| *at <= next).map(|(_, undo)| *undo).collect();
-            self.spoilt.undo.retain(|(at, _)| *at > next);
-            for undo in due {
-                self.undo(undo)?;
-            }
+            self.undo_until(next)?;
             if let Some(step) = steps.next_if(|step| step.at_ms * 1_000 <= next) {
                 self.step(&step)?;
             }
@@ -583,6 +579,13 @@
                 }
                 self.armed.remove(&relay);
             }
+            Deed::Reach { relay, ref points, ref says } => self.reach(relay, points, says)?,
+            Deed::Restart { relay } => {
+                self.mark(relay, self.now() + 1_500_000);
+                self.kill(relay);
+                self.start(relay)?;
+            }
+            Deed::Said { relay, ref says } => self.wait(says, |rig| rig.has_said(relay, says))?,
             Deed::Tear { relay, bytes, for_ms } => {
                 self.spoil(relay, for_ms, Undo::Start(relay));
                 self.kill(relay);
@@ -597,32 +600,91 @@
                 std::fs::write(self.ground.dir.join("fleet.key"), keys.join("\n") + "\n")?
             }
             Deed::Reset => self.links.values().for_each(Proxy::reset),
-            Deed::Await => self.settle(),
+            Deed::Await => self.settle()?,
         }
         Ok(())
     }
 
-    fn wait_for_outcomes(&self) {
-        crate::until("the outcomes of all changes", || {
-            self.changes.iter().all(|change| change.thread.is_finished()).then_some(())
-        });
+    /// Whether a process of this relay has said these words.
+    fn has_said(&self, relay: usize, words: &str) -> bool {
+        let said = |lines: &[String]| lines.iter().any(|line| line.contains(words));
+        self.logs.iter().any(|(of, lines)| *of == relay && said(lines))
+            || self.relays[relay].as_ref().is_some_and(|process| said(&process.lines()))
+    }
+
+    /// A fault that is awaited, not timed: one that did not come would prove nothing.
+    fn reach(&mut self, relay: usize, points: &str, says: &str) -> io::Result<()> {
+        self.wait_for_outcomes()?;
+        self.mark(relay, self.now() + crate::PATIENCE.as_micros() as Moment);
+        self.kill(relay);
+        self.armed.insert(relay, points.to_string());
+        // At some points it ends before it serves; what it said then is all there is of it.
+        if let Err(e) = self.start(relay) {
+            self.logs.push((relay, vec![e.to_string()]));
+        }
+        self.armed.remove(&relay);
+        let end = Instant::now() + crate::PATIENCE;
+        while !self.has_said(relay, says) {
+            if Instant::now() > end {
+                return Err(io::Error::other(format!("n{relay} never said: {says}")));
+            }
+            self.undo_until(self.now())?;
+            if self.changes.iter().all(|change| change.thread.is_finished()) {
+                self.propose(None)?;
+            }
+            thread::sleep(KNOCK);
+        }
+        if let (true, Some(process)) = (says.starts_with("ends at"), &mut self.relays[relay]) {
+            process.exit();
+            self.kill(relay);
+        }
+        Ok(())
+    }
+
+    /// Waits until something is there; what is due to be undone meanwhile is undone.
+    fn wait(&mut self, what: &str, there: impl Fn(&Rig) -> bool) -> io::Result<()> {
+        let end = Instant::now() + crate::PATIENCE;
+        while !there(self) {
+            if Instant::now() > end {
+                return Err(io::Error::other(format!("waited in vain for {what}: {}", self.all_logs())));
+            }
+            self.undo_until(self.now())?;
+            thread::sleep(KNOCK);
+        }
+        Ok(())
+    }
+
+    fn undo_until(&mut self, moment: Moment) -> io::Result<()> {
+        let due = |at: &Moment| *at <= moment;
+        let undo: Vec<Undo> =
+            self.spoilt.undo.iter().filter(|(at, _)| due(at)).map(|(_, undo)| *undo).collect();
+        self.spoilt.undo.retain(|(at, _)| !due(at));
+        undo.into_iter().try_for_each(|undo| self.undo(undo))
+    }
+
+    fn wait_for_outcomes(&mut self) -> io::Result<()> {
+        self.wait("the outcomes of all changes", |rig| {
+            rig.changes.iter().all(|change| change.thread.is_finished())
+        })?;
         // Each ends by itself when its time to wait is up, and says what it waited for.
         while !self.replacements.iter().all(JoinHandle::is_finished) {
+            self.undo_until(self.now())?;
             thread::sleep(KNOCK);
         }
+        Ok(())
     }
 
-    fn settle(&self) {
-        self.wait_for_outcomes();
+    fn settle(&mut self) -> io::Result<()> {
+        self.wait_for_outcomes()?;
         let since = self.now();
-        let runs = |relay: &usize| self.relays[*relay].is_some() && !self.stopped.contains(relay);
-        crate::until("clients at every relay", || {
-            let requests = lock(&self.requests);
+        self.wait("clients at every relay", |rig| {
+            let requests = lock(&rig.requests);
+            let runs = |relay: &usize| rig.relays[*relay].is_some() && !rig.stopped.contains(relay);
             let had = |relay: usize| {
                 requests.iter().filter(|r| r.relay == relay && r.asked > since).count() >= SOME
             };
-            (0..self.relays.len()).filter(runs).all(had).then_some(())
-        });
+            (0..rig.relays.len()).filter(runs).all(had)
+        })
     }
 
     fn stop(&mut self, relay: usize, for_ms: u64) -> io::Result<()> {
@@ -666,7 +728,7 @@
             relay.signal("CONT")?;
         }
         // One that was lost with its leader is proposed again by whoever waits for it: it must not come after the last.
-        self.wait_for_outcomes();
+        self.wait_for_outcomes()?;
         for replacement in std::mem::take(&mut self.replacements) {
             if let Err(text) = replacement.join().unwrap_or_else(|_| Err("its thread ended".into())) {
                 return Ok(vec![Broken { rule: "a voter can be replaced", at: self.now(), text }]);
--- a/crates/lab/src/faults/scenario.rs
+++ b/crates/lab/src/faults/scenario.rs
@@ -84,6 +84,28 @@
         /// In milliseconds.
         for_ms: u64,
     },
+    /// A relay is killed and started at once with fail points, and changes are proposed one after the other until it says
+    /// these words: the fault has come. It stays as it is then, ended or without its disk.
+    Reach {
+        /// Which one.
+        relay: usize,
+        /// As the library `fail` reads them.
+        points: String,
+        /// A part of a line of its log.
+        says: String,
+    },
+    /// A relay is killed, if it runs, and started anew, without fail points.
+    Restart {
+        /// Which one.
+        relay: usize,
+    },
+    /// Nothing goes on before a relay, in any of its processes, has said these words.
+    Said {
+        /// Which one.
+        relay: usize,
+        /// A part of a line of its log.
+        says: String,
+    },
     /// A relay is killed, the last bytes of its ledger are cut off, and it is started anew.
     Tear {
         /// Which one.
@@ -207,6 +229,7 @@
             let named = match step.deed {
                 Deed::Kill { relay, .. } | Deed::Stop { relay, .. } | Deed::Cut { relay, .. } => relay,
                 Deed::Arm { relay, .. } | Deed::Tear { relay, .. } | Deed::Upgrade { relay } => relay,
+                Deed::Reach { relay, .. } | Deed::Restart { relay } | Deed::Said { relay, .. } => relay,
                 Deed::Replace { relay, by, .. } if by < scenario.voters || relay == by => {
                     return Err(format!("step[{n}].by: is {by}, which votes already"));
                 }
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 /// What a relay is started with.
@@ -69,6 +69,8 @@
 pub struct Relay {
     child: Child,
     log: Arc<Mutex<Vec<String>>>,
+    /// Reads its log to the end.
+    reader: Option<JoinHandle<()>>,
     config: PathBuf,
     operator: PathBuf,
     /// Where line clients come.
@@ -126,16 +128,16 @@
         };
         let mut child = on_core(setup.core, || command.stderr(Stdio::piped()).spawn())?;
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
-        if let Some(said) = child.stderr.take() {
+        let reader = child.stderr.take().map(|said| {
             let lines = log.clone();
             thread::spawn(move || {
                 for line in BufReader::new(said).lines().map_while(Result::ok) {
                     lines.lock().unwrap_or_else(PoisonError::into_inner).push(line);
                 }
-            });
-        }
+            })
+        });
         let addr = ([127, 0, 0, 1], 0).into();
-        let mut relay = Relay { child, log, config, operator, addr };
+        let mut relay = Relay { child, log, reader, config, operator, addr };
         for _ in 0..2_000 {
             if let Some(addr) = relay.said_addr("serves on ") {
                 relay.addr = addr;
@@ -233,6 +235,16 @@
         text.lines().find_map(|l| l.strip_prefix(&key)).and_then(|n| n.parse().ok())
     }
 
+    /// Ends it at once: all that it has logged, to the last line. Its words may still be on their way when it has ended.
+    pub fn end(mut self) -> Vec<String> {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if let Some(reader) = self.reader.take() {
+            let _ = reader.join();
+        }
+        self.lines()
+    }
+
     /// Waits for its end.
     pub fn exit(&mut self) -> ExitStatus {
         crate::until("the relay's end", || self.child.try_wait().ok().flatten())
