Write what relays say and store with the names of its parts, so that two builds can be one fleet

Cause: relays are upgraded one after the other.

Change: CBOR by `ciborium` with defaults for parts that an older build did not write; what an older build does not know it skips. What must not be skipped (an entry, a change of seats, a state that needs more than this build knows, State::needs) ends the vote with the remedy, and service goes on.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod seats;
 pub mod state;
 pub mod voter;
+pub mod wire;
 
 /// A moment or a span of time, in microseconds.
 pub type Micros = u64;
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -4,6 +4,7 @@
 
 use crate::seats::Seats;
 use crate::state::State;
+use crate::wire;
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::{Error, GetEntriesContext, RaftState, Storage, StorageError};
 
@@ -67,7 +68,7 @@
         (meta.index, meta.term) = (1, 1);
         meta.set_conf_state(ConfState::from((voters.to_vec(), Vec::new())));
         let state = State { seats: Seats::found(voters), ..State::default() };
-        log.snapshot.data = postcard::to_stdvec(&state).unwrap_or_default().into();
+        log.snapshot.data = wire::encode(&state).into();
         (log.vote.term, log.vote.commit) = (1, 1);
         log
     }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -3,10 +3,12 @@
 use crate::owners::{Deal, Token};
 use crate::seats::{Change, Number, Seats};
 use crate::state::{Outcome, Policy, Proposal, ProposalId, State};
+use crate::wire;
 use serde::{Deserialize, Serialize};
 
 /// A relay's process: its name, and a number that each start makes anew.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Relay {
     /// Its name, the same after a restart.
     pub name: String,
@@ -16,6 +18,7 @@
 
 /// A relay asks for its lease, and says how far it is.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Renew {
     /// Who asks.
     pub relay: Relay,
@@ -41,6 +44,7 @@
 
 /// What a voter says to that.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Reply {
     /// The start of the process that it answers: numbers begin anew with each.
     pub start: u64,
@@ -68,6 +72,7 @@
 
 /// What a relay has to do for the fleet.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct OwnJobs {
     /// Of all jobs.
     pub version: u64,
@@ -125,7 +130,8 @@
 }
 
 /// How things stand with the fleet, as its leader knows.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Status {
     /// The leader, and its term.
     pub leader: u64,
@@ -143,7 +149,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// The log's own, as its library writes it, with the incarnation of the sender's disk.
-    Log(u64, Vec<u8>),
+    Log(u64, #[serde(with = "serde_bytes")] Vec<u8>),
     /// A founder, and the incarnation of its disk: each has to have heard all others before it votes.
     Founding(Number, u64),
     /// Who says to be this voter, with a disk of that incarnation, is none (any more).
@@ -161,12 +167,12 @@
 impl Message {
     /// As bytes.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+        wire::encode(self)
     }
 
     /// From bytes; none where they are no message.
     pub fn decode(bytes: &[u8]) -> Option<Message> {
-        postcard::from_bytes(bytes).ok()
+        wire::decode(bytes)
     }
 
     /// Whether one that comes later makes it needless: what must go first where a queue is full.
--- a/crates/control/src/owners.rs
+++ b/crates/control/src/owners.rs
@@ -27,6 +27,7 @@
 
 /// A job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Job {
     /// Of the last giving; 0 before the first.
     pub token: Token,
@@ -41,11 +42,13 @@
     /// How far it is: the number of the last checkpoint, and what it says.
     pub step: u64,
     /// See `step`.
+    #[serde(with = "serde_bytes")]
     pub checkpoint: Vec<u8>,
 }
 
 /// All of them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Jobs {
     /// The last token that was given.
     pub last: Token,
--- a/crates/control/src/seal.rs
+++ b/crates/control/src/seal.rs
@@ -10,7 +10,7 @@
 use sha2::Sha256;
 
 /// Format of the frames and messages. Fleets of two formats do not talk; the log says which relay is the other.
-pub const FORMAT: u8 = 1;
+pub const FORMAT: u8 = 2;
 /// The longest frame, in bytes: a policy of the longest text, or a piece of the log, and some.
 pub const MOST: usize = 512 * 1024;
 const MAGIC: [u8; 3] = *b"JFC";
--- a/crates/control/src/seats.rs
+++ b/crates/control/src/seats.rs
@@ -16,6 +16,7 @@
 
 /// A place among the voters.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Seat {
     /// Where it can be reached; empty for a founder, which every operator file names.
     pub address: String,
@@ -27,6 +28,7 @@
 
 /// All of them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Seats {
     /// Grows with each change.
     pub version: u64,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,6 +7,7 @@
 
 use crate::owners::{Deal, Jobs};
 use crate::seats::Seats;
+use crate::wire;
 use serde::{Deserialize, Serialize};
 
 /// Names a proposal for good; random, so that a repeated call is recognised.
@@ -19,6 +20,7 @@
 
 /// What decides behaviour beyond the platform's settings, with its number.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Policy {
     /// Its number. It only grows.
     pub epoch: u64,
@@ -33,7 +35,8 @@
 }
 
 /// A policy that is proposed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Proposal {
     /// Its name.
     pub id: ProposalId,
@@ -89,6 +92,7 @@
 
 /// See the module's text.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct State {
     /// The policy in force.
     pub policy: Policy,
@@ -102,9 +106,20 @@
     pub seats: Seats,
     /// Who does what for the fleet.
     pub jobs: Jobs,
+    /// The least that a build must know to keep this state: 0, or 1 once there has been a job. One that knows less would
+    /// lose part of it.
+    pub needs: u32,
 }
 
+/// What this build knows: see [`State::needs`].
+pub const NEEDS: u32 = 1;
+
 impl State {
+    /// As it stands in a snapshot; none where it is damaged or needs a later build.
+    pub fn read(bytes: &[u8]) -> Option<State> {
+        wire::decode(bytes).filter(|state: &State| state.needs <= NEEDS)
+    }
+
     /// Takes the next entry.
     pub fn apply(&mut self, command: Command) {
         match (command, std::mem::take(&mut self.phase)) {
@@ -127,6 +142,7 @@
             }
             (Command::Deal(deal), phase) => {
                 self.phase = phase;
+                self.needs = self.needs.max(1);
                 self.jobs.apply(deal);
             }
             // Of a leader that did not know how things stood.
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -13,6 +13,7 @@
 use crate::log::{bytes, Damaged, Kept, Log, Stored};
 use crate::message::{Answer, Ask, Message, Relay, Renew, Reply, Status};
 use crate::state::{Command, Phase, ProposalId, State};
+use crate::wire;
 use crate::{Micros, Plant, Planted, Times};
 use members::Founding;
 use protobuf::Message as _;
@@ -33,6 +34,11 @@
 /// A proposal that the log has not taken is handed to it again after so long.
 const AGAIN: Micros = 1_000_000;
 
+/// An entry or a state that this build cannot read.
+const LATER: Damaged = Damaged(
+    "the log has what this build cannot read: it is of a later build (upgrade this relay), or damaged",
+);
+
 /// Where an answer goes: whatever the driver made of the sender.
 pub type From = u64;
 
@@ -114,6 +120,8 @@
     /// Founders meet before they vote; what they know then is stored first.
     founding: Option<Founding>,
     met: Option<Stored>,
+    /// The log has what this build cannot read: it must neither vote nor let its state stand for the log.
+    fault: Option<Damaged>,
     now: Micros,
 }
 
@@ -124,8 +132,7 @@
         let applied = raft::Storage::first_index(&log).map_or(0, |first| first - 1);
         let state = match log.state() {
             [] => State::default(),
-            bytes => postcard::from_bytes(bytes)
-                .map_err(|_| Damaged("the state in the snapshot cannot be read"))?,
+            bytes => State::read(bytes).ok_or(LATER)?,
         };
         let election = ELECTION + ELECTION_STEP * (id as usize % 8);
         let config = Config {
@@ -165,6 +172,7 @@
             snapshots: BTreeMap::new(),
             founding,
             met: None,
+            fault: None,
             now,
         })
     }
@@ -191,9 +199,10 @@
         (self.raw.raft.state == StateRole::Leader).then_some(self.raw.raft.term)
     }
 
-    /// Whether the log says that it votes no more.
-    pub fn removed(&self) -> bool {
-        self.founding.is_none() && self.state.seats.gone(self.id(), self.incarnation)
+    /// Why it must not vote any more, where the log says so: to be asked before anything that it has to do is done.
+    pub fn ended(&self) -> Option<Damaged> {
+        let gone = self.founding.is_none() && self.state.seats.gone(self.id(), self.incarnation);
+        self.fault.clone().or(gone.then_some(Damaged("this voter was removed")))
     }
 
     /// What it has applied.
@@ -446,9 +455,7 @@
     }
 
     fn propose(&mut self, command: &Command) {
-        if let Ok(data) = postcard::to_stdvec(command) {
-            let _ = self.raw.propose(Vec::new(), data);
-        }
+        let _ = self.raw.propose(Vec::new(), wire::encode(command));
     }
 
     /// Whether all that ran before this leader came into office has run out.
@@ -548,8 +555,9 @@
             let snapshot = ready.snapshot().clone();
             self.raw.mut_store().install(&snapshot);
             work.store.snapshot = Some(bytes(&snapshot));
-            if let Ok(state) = postcard::from_bytes(&snapshot.data) {
-                self.state = state;
+            match State::read(&snapshot.data) {
+                Some(state) => self.state = state,
+                None => self.fault = Some(LATER),
             }
         }
         self.apply(ready.take_committed_entries());
@@ -588,7 +596,10 @@
             let lost: Vec<Waiting> = std::mem::take(&mut self.under_way).into_values().flatten().collect();
             lost.into_iter().for_each(|waiting| self.turn_away(waiting));
         }
-        if work.store.snapshot.is_none() && (self.reseated || self.raw.store().len() > COMPACT) {
+        if self.fault.is_none()
+            && work.store.snapshot.is_none()
+            && (self.reseated || self.raw.store().len() > COMPACT)
+        {
             self.compact(work);
         }
         work.to_voters = messages.iter().map(|m| (m.to, Message::Log(self.incarnation, bytes(m)))).collect();
@@ -600,8 +611,11 @@
                 // An empty entry is a new leader's first.
                 EntryType::EntryNormal if entry.data.is_empty() => {}
                 EntryType::EntryNormal => {
-                    if let Ok(command) = postcard::from_bytes(&entry.data) {
-                        self.state.apply(command);
+                    // Left out, its state would be another than that of the voters that know it.
+                    match wire::decode(&entry.data) {
+                        Some(command) if self.fault.is_none() => self.state.apply(command),
+                        Some(_) => {}
+                        None => self.fault = Some(LATER),
                     }
                 }
                 _ => self.apply_seat(&entry),
@@ -612,8 +626,7 @@
     fn compact(&mut self, work: &mut Work) {
         let applied = self.raw.raft.raft_log.applied;
         let conf = self.raw.raft.prs().conf().to_conf_state();
-        let Ok(state) = postcard::to_stdvec(&self.state) else { return };
-        let stored = self.raw.mut_store().compact(applied, &conf, state);
+        let stored = self.raw.mut_store().compact(applied, &conf, wire::encode(&self.state));
         (work.store.snapshot, work.store.compact) = (stored.snapshot, stored.compact);
         self.reseated = false;
     }
--- a/crates/control/src/voter/members.rs
+++ b/crates/control/src/voter/members.rs
@@ -1,8 +1,9 @@
 //! Who votes, as its leader and each voter see it: founders that meet, newcomers that learn, and seats that change.
 
-use super::{From, Voter};
+use super::{From, Voter, LATER};
 use crate::message::{Answer, Message};
 use crate::seats::{Change, Verdict};
+use crate::wire;
 use crate::{Micros, Plant};
 use protobuf::Message as _;
 use raft::eraftpb::{ConfChange, ConfChangeType, Entry};
@@ -52,9 +53,7 @@
         }
         self.state.seats.met(&founding.heard);
         self.founding = None;
-        if let Ok(state) = postcard::to_stdvec(&self.state) {
-            self.met = Some(self.raw.mut_store().met(state));
-        }
+        self.met = Some(self.raw.mut_store().met(wire::encode(&self.state)));
     }
 
     /// Founders that have not been heard yet.
@@ -140,9 +139,7 @@
         };
         let mut conf = ConfChange { node_id: number, ..ConfChange::default() };
         conf.set_change_type(kind);
-        if let Ok(context) = postcard::to_stdvec(change) {
-            let _ = self.raw.propose_conf_change(context, conf);
-        }
+        let _ = self.raw.propose_conf_change(wire::encode(change), conf);
     }
 
     /// A newcomer that has caught up gets its vote.
@@ -159,7 +156,10 @@
 
     pub(super) fn apply_seat(&mut self, entry: &Entry) {
         let Ok(conf) = ConfChange::parse_from_bytes(&entry.data) else { return };
-        let Ok(change) = postcard::from_bytes::<Change>(&entry.context) else { return };
+        let Some(change) = wire::decode::<Change>(&entry.context) else {
+            self.fault = Some(LATER);
+            return;
+        };
         if self.raw.apply_conf_change(&conf).is_ok() {
             self.state.seats.apply(&change);
             self.reseated = true;
--- /dev/null
+++ b/crates/control/src/wire.rs
@@ -0,0 +1,73 @@
+//! How messages, entries and what stands on disks are written: CBOR, with the names of their parts.
+//!
+//! Relays of a fleet are upgraded one after the other, so builds of two ages talk. A part that an older build does not
+//! know it leaves out; one that an older build did not write has its empty value. What may not be left out (an entry of
+//! the log, a state of a later build) is not decoded at all, and whoever reads it says so.
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+/// As bytes.
+pub fn encode(value: &impl Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    // Into memory, and without a type of ours that would refuse: this cannot fail.
+    ciborium::into_writer(value, &mut bytes).unwrap_or_else(|e| unreachable!("{e}"));
+    bytes
+}
+
+/// From bytes; none where they are nothing of the kind.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    ciborium::from_reader(bytes).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::message::{Message, Renew};
+    use crate::owners::Deal;
+    use crate::state::{Command, State, NEEDS};
+    use serde::Deserialize;
+
+    /// A question as an older and as a later build write it.
+    #[derive(Serialize, Deserialize, Debug, PartialEq)]
+    struct Older {
+        relay: crate::message::Relay,
+        number: u64,
+        epoch: u64,
+    }
+
+    #[derive(Serialize)]
+    struct Later {
+        #[serde(flatten)]
+        renew: Renew,
+        of_a_later_build: Vec<u64>,
+    }
+
+    #[test]
+    fn builds_of_two_ages_understand_each_other() {
+        let renew = Renew { number: 7, epoch: 3, jobs: Some(4), ..Renew::default() };
+        let older: Older = decode(&encode(&renew)).unwrap();
+        assert_eq!((older.number, older.epoch), (7, 3));
+        let read: Renew = decode(&encode(&older)).unwrap();
+        assert_eq!(read, Renew { number: 7, epoch: 3, ..Renew::default() });
+        let later = Later { renew: renew.clone(), of_a_later_build: vec![1] };
+        assert_eq!(decode::<Renew>(&encode(&later)), Some(renew));
+        // Not what it could misread.
+        #[derive(Serialize)]
+        enum Command2 {
+            OfALaterBuild(u64),
+        }
+        assert_eq!(decode::<Command>(&encode(&Command2::OfALaterBuild(1))), None);
+        assert_eq!(decode::<Message>(&[0xff, 0x13, 7]), None);
+    }
+
+    #[test]
+    fn a_state_that_needs_a_later_build_says_so() {
+        let mut state = State::default();
+        assert_eq!(state.needs, 0, "a fleet without jobs can go back to a build that knows none");
+        state.apply(Command::Deal(Deal::Open(vec!["a".into()])));
+        assert_eq!(State::read(&encode(&state)), Some(state.clone()));
+        state.needs = NEEDS + 1;
+        assert_eq!(State::read(&encode(&state)), None);
+    }
+}
--- a/crates/lab/src/faults/virtual_fleet.rs
+++ b/crates/lab/src/faults/virtual_fleet.rs
@@ -370,7 +370,7 @@
         // A disk without a log is that of a relay that has no vote, or was lost.
         if p.kept.snapshot.is_some() {
             match Voter::new(n as u64 + 1, p.incarnation, &p.kept, times, local) {
-                Ok(voter) if voter.removed() => {}
+                Ok(voter) if voter.ended().is_some() => {}
                 Ok(voter) => p.voter = Some(voter.planted(planted)),
                 Err(damaged) => {
                     let text = format!("n{n} cannot start: {damaged:?}");
@@ -645,7 +645,7 @@
         loop {
             let Some(voter) = &mut self.processes[n].voter else { return };
             let work = voter.work(local);
-            let (leads, id, removed) = (voter.leads(), voter.id(), voter.removed());
+            let (leads, id, removed) = (voter.leads(), voter.id(), voter.ended().is_some());
             if let Some(term) = leads {
                 if self.leads.insert(id, term) != Some(term) {
                     self.write(Fact::Leads { voter: id, term });
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -277,8 +277,8 @@
         };
         #[cfg(feature = "plants")]
         let voter = voter.planted(planted());
-        if voter.removed() {
-            log(&format!("fleet: voter {number} was removed, and does not vote"));
+        if let Some(why) = voter.ended() {
+            log(&format!("fleet: {}; voter {number} does not vote", why.0));
             return Ok(());
         }
         let own = self.setup.fleet.voters.iter().find(|voter| voter.number == number);
@@ -677,6 +677,9 @@
             }
             let Some(voter) = &mut self.voter else { return };
             let work = voter.work(now);
+            if let Some(why) = voter.ended() {
+                return self.end_vote(why.0);
+            }
             if work.is_empty() {
                 return;
             }
@@ -689,9 +692,6 @@
                     return self.give_up_vote(&e.to_string());
                 }
             }
-            if voter.removed() {
-                return self.end_vote("this voter was removed");
-            }
             for (to, message) in work.to_voters {
                 self.tell(to, message);
             }
--- a/src/platform/ledger.rs
+++ b/src/platform/ledger.rs
@@ -8,6 +8,7 @@
 use jaspermoor_control::log::{Kept, Log, Stored};
 use jaspermoor_control::seats::Seats;
 use jaspermoor_control::state::{Policy, Proposal};
+use jaspermoor_control::wire;
 use redb::{Database, DatabaseError, ReadableTable, TableDefinition};
 use std::fmt;
 use std::path::{Path, PathBuf};
@@ -20,7 +21,7 @@
 /// Any failure of the store, on its way to one sentence.
 type Failure = Box<dyn std::error::Error>;
 /// Format of what stands in the tables.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
 
 /// A ledger that cannot be used, and what to do.
 #[derive(Debug)]
@@ -250,17 +251,14 @@
     pub fn policy(&self) -> Result<Policy, LedgerError> {
         match self.fact("policy")? {
             None => Ok(Policy::default()),
-            Some(bytes) => {
-                postcard::from_bytes(&bytes).map_err(|_| self.error("the policy in it cannot be read"))
-            }
+            Some(bytes) => wire::decode(&bytes).ok_or_else(|| self.error("the policy in it cannot be read")),
         }
     }
 
     /// From now on it serves under this one.
     pub fn adopt(&self, policy: &Policy) -> Result<(), LedgerError> {
-        let bytes = postcard::to_stdvec(policy).map_err(|e| self.error(e))?;
         self.write("adopt", |facts, _| {
-            facts.insert("policy", bytes.as_slice())?;
+            facts.insert("policy", wire::encode(policy).as_slice())?;
             facts.remove("prepared")?;
             Ok(())
         })
@@ -269,22 +267,22 @@
     /// Who votes, as it was told last; none where the operator file's hold still.
     pub fn seats(&self) -> Result<Option<Seats>, LedgerError> {
         let read = |bytes: Vec<u8>| {
-            postcard::from_bytes(&bytes).map_err(|_| self.error("the voters in it cannot be read"))
+            wire::decode(&bytes).ok_or_else(|| self.error("the voters in it cannot be read"))
         };
         self.fact("seats")?.map(read).transpose()
     }
 
     /// These vote from now on.
     pub fn seat(&self, seats: &Seats) -> Result<(), LedgerError> {
-        let bytes = postcard::to_stdvec(seats).map_err(|e| self.error(e))?;
-        self.write("seat", |facts, _| facts.insert("seats", bytes.as_slice()).map(drop).map_err(Into::into))
+        self.write("seat", |facts, _| {
+            facts.insert("seats", wire::encode(seats).as_slice()).map(drop).map_err(Into::into)
+        })
     }
 
     /// It has checked this one, and can serve under it.
     pub fn prepare(&self, proposal: &Proposal) -> Result<(), LedgerError> {
-        let bytes = postcard::to_stdvec(proposal).map_err(|e| self.error(e))?;
         self.write("prepare", |facts, _| {
-            facts.insert("prepared", bytes.as_slice()).map(drop).map_err(Into::into)
+            facts.insert("prepared", wire::encode(proposal).as_slice()).map(drop).map_err(Into::into)
         })
     }
 }
