--- a/crates/control/src/holder.rs
+++ b/crates/control/src/holder.rs
@@ -37,7 +37,7 @@
     /// Who votes has changed: store it, and know where to reach them.
     Seats(Seats),
     /// Send this to that voter.
-    Send(u64, Renew),
+    Send(u64, Box<Renew>),
 }
 
 /// See the module's text.
@@ -58,6 +58,8 @@
     /// Up to when clients may be admitted.
     lease: Micros,
     number: u64,
+    /// The last question that a leader has answered, as far as it has heard.
+    heard: u64,
     /// Answers to questions up to this number count for nothing any more.
     barrier: u64,
     /// The last questions, each with its number and when it was asked.
@@ -91,6 +93,7 @@
             yielded: None,
             lease: 0,
             number: 0,
+            heard: 0,
             barrier: 0,
             asked: VecDeque::new(),
             next: 0,
@@ -146,6 +149,22 @@
         self.tokens
     }
 
+    /// Who votes, as far as it knows, and whom of them it asks: the leader, if it can.
+    pub fn voters(&self) -> (&[u64], Option<u64>) {
+        (&self.voters, self.voters.get(self.voter % self.voters.len().max(1)).copied())
+    }
+
+    /// The process that it is.
+    pub fn relay(&self) -> &Relay {
+        &self.relay
+    }
+
+    /// Its relay stops: it gives up its jobs, and says so at once.
+    pub fn stop_work(&mut self, now: Micros) -> Option<Effect> {
+        self.owner.as_mut()?.stop();
+        Some(self.ask(now))
+    }
+
     /// The policy that it has.
     pub fn policy(&self) -> &Policy {
         &self.policy
@@ -188,6 +207,7 @@
         let mut renew = Renew {
             relay: self.relay.clone(),
             number: self.number,
+            heard: self.heard,
             epoch: self.policy.epoch,
             prepared: self.prepared.as_ref().map(|p| p.id),
             refused: self.refused.clone(),
@@ -198,7 +218,7 @@
         if let Some(owner) = &self.owner {
             owner.fill(&mut renew);
         }
-        Effect::Send(self.voters[self.voter % self.voters.len()], renew)
+        Effect::Send(self.voters[self.voter % self.voters.len()], Box::new(renew))
     }
 
     /// An answer has come. `check` says whether this build understands a policy's text, and what is wrong with it.
@@ -238,6 +258,7 @@
         if std::mem::take(&mut self.waits) {
             self.next = self.asked.back().map_or(now, |(_, at)| at + self.times.renew);
         }
+        self.heard = self.heard.max(reply.number);
         self.tokens = reply.last.max(self.tokens);
         let mut news = false;
         if let Some(owner) = &mut self.owner {
@@ -315,7 +336,7 @@
 
     fn asks(holder: &mut Holder, now: Micros) -> Renew {
         match holder.tick(now) {
-            Some(Effect::Send(1, renew)) => renew,
+            Some(Effect::Send(1, renew)) => *renew,
             other => panic!("{other:?}"),
         }
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,16 +6,22 @@
 //! under an older policy than one that was in force before. `docs/design/control.md` has the proof.
 
 pub mod fence;
+pub mod follower;
 pub mod holder;
+pub mod hub;
 pub mod log;
 pub mod message;
+pub mod moves;
 pub mod owner;
 pub mod owners;
+pub mod relay;
 pub mod seal;
 pub mod seats;
 pub mod state;
 pub mod voter;
+pub mod watch;
 pub mod wire;
+pub mod worker;
 
 /// A moment or a span of time, in microseconds.
 pub type Micros = u64;
@@ -35,11 +41,24 @@
     pub patience: Micros,
 }
 
+/// How much faster one clock may run than another, in thousandths: those of machines differ by under 0.1, ten leave room
+/// for one that is slewed.
+pub const DRIFT: u64 = 10;
+
+/// How long a span that another clock has measured was here at least.
+pub fn at_least(span: Micros) -> Micros {
+    span - span * DRIFT / 1_000
+}
+
+/// The same at most.
+pub fn at_most(span: Micros) -> Micros {
+    span + span * DRIFT / 1_000
+}
+
 impl Default for Times {
     fn default() -> Times {
-        // Four renewals a lease: three in a row may be lost. Clocks of machines differ by under 0.1 in a thousand; ten
-        // leave room for one that is slewed.
-        Times { tick: 50_000, lease: 2_000_000, drift: 10, renew: 500_000, patience: 10_000_000 }
+        // Four renewals a lease: three in a row may be lost.
+        Times { tick: 50_000, lease: 2_000_000, drift: DRIFT, renew: 500_000, patience: 10_000_000 }
     }
 }
 
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -1,20 +1,14 @@
 //! What relays say to each other.
 
 use crate::owners::{Deal, Token};
+pub use crate::relay::{kind_of, Relay, Skills};
 use crate::seats::{Change, Number, Seats};
 use crate::state::{Outcome, Policy, Proposal, ProposalId, State};
-use crate::wire;
+use crate::{wire, Micros};
 use serde::{Deserialize, Serialize};
 
-/// A relay's process: its name, and a number that each start makes anew.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(default)]
-pub struct Relay {
-    /// Its name, the same after a restart.
-    pub name: String,
-    /// Which start it is.
-    pub start: u64,
-}
+/// Where an answer goes: whatever the driver made of the sender.
+pub type From = u64;
 
 /// A relay asks for its lease, and says how far it is.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +18,8 @@
     pub relay: Relay,
     /// Grows with each: an answer to an earlier one counts for nothing.
     pub number: u64,
+    /// The last of its questions to which it has heard a leader's answer.
+    pub heard: u64,
     /// The policy that it would admit clients under.
     pub epoch: u64,
     /// The proposal that it has checked and stored.
@@ -40,6 +36,80 @@
     pub gives_up: Vec<(String, Token, String)>,
     /// How far its jobs are: name, token, number and what it says.
     pub checkpoints: Vec<(String, Token, u64, Vec<u8>)>,
+    /// What it can do, where it does jobs.
+    pub skills: Skills,
+}
+
+/// A relay follows a voter's news, and says what owners of jobs have to know of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Follow {
+    /// Who follows.
+    pub relay: Relay,
+    /// Grows with each.
+    pub number: u64,
+    /// The newest that it has of each job: token and number.
+    pub knows: Vec<(String, Token, u64)>,
+    /// What owners of jobs of a kind have to know of it.
+    pub facts: Vec<Fact>,
+}
+
+/// What a relay says to the owners of jobs of a kind.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Fact {
+    /// The kind.
+    pub kind: String,
+    /// What it says, as that kind of job reads it.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// What an owner says to all relays.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Item {
+    /// The job, and the token under which it is said.
+    pub job: String,
+    /// See `job`.
+    pub token: Token,
+    /// Grows with each under one token.
+    pub number: u64,
+    /// At most so old when it was sent on.
+    pub age: Micros,
+    /// What it says, as that kind of job reads it.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// An owner hands a voter what is to be told to all relays.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Publish {
+    /// What it says.
+    pub item: Item,
+    /// The last moment of the voter's clock that the voter has told this owner, and how long ago that was here.
+    pub stamp: Micros,
+    /// See `stamp`.
+    pub since: Micros,
+}
+
+/// What a voter tells a relay that follows it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct News {
+    /// The start of the process that it is for: numbers begin anew with each.
+    pub start: u64,
+    /// The last question that it heard of the relay, and how long ago.
+    pub number: u64,
+    /// See `number`.
+    pub since: Micros,
+    /// The voter's clock.
+    pub stamp: Micros,
+    /// What owners say.
+    pub items: Vec<Item>,
+    /// For owners: what relays say to their kinds of jobs, and how old that is at most.
+    pub facts: Vec<(Relay, Micros, Vec<Fact>)>,
 }
 
 /// What a voter says to that.
@@ -143,6 +213,8 @@
     pub relays: Vec<(Relay, bool, u64)>,
     /// Each seat's number, whether it was heard of lately, and how many entries it is behind.
     pub seats: Vec<(Number, bool, u64)>,
+    /// Jobs that nobody may act on just now, and why.
+    pub idle: Vec<(String, String)>,
 }
 
 /// Anything that one process says to another.
@@ -162,11 +234,23 @@
     Ask(u64, Ask),
     /// See [`Answer`].
     Answer(u64, Answer),
+    /// See [`Follow`].
+    Follow(Follow),
+    /// See [`News`].
+    News(News),
+    /// See [`Publish`].
+    Publish(Publish),
+    /// That job has a newer token: whoever published under an older one must stop.
+    Stale(String, Token),
 }
 
 impl Message {
     /// As bytes.
     pub fn encode(&self) -> Vec<u8> {
+        #[cfg(feature = "plants")]
+        if wire::LATER.load(std::sync::atomic::Ordering::Relaxed) {
+            return wire::encode_later(self);
+        }
         wire::encode(self)
     }
 
@@ -177,6 +261,14 @@
 
     /// Whether one that comes later makes it needless: what must go first where a queue is full.
     pub fn replaceable(&self) -> bool {
-        matches!(self, Message::Log(..) | Message::Renew(_) | Message::Reply(_))
+        matches!(
+            self,
+            Message::Log(..)
+                | Message::Renew(_)
+                | Message::Reply(_)
+                | Message::Follow(_)
+                | Message::News(_)
+                | Message::Publish(_)
+        )
     }
 }
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -4,11 +4,14 @@
 //! (it stops before it says that it knows the list), after a receiver has said that another has the job, and an older
 //! list that comes late (versions only grow).
 
-use crate::message::{OwnJobs, Renew, Reply};
+use crate::message::{OwnJobs, Renew, Reply, Skills};
 use crate::owners::Token;
 use crate::{Micros, Plant, Planted, Times};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Why a relay gives its jobs up that is told to stop. It says nothing of the job.
+pub const STOPS: &str = "its relay stops";
+
 /// A job that it has.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Own {
@@ -32,6 +35,9 @@
     gave_up: BTreeMap<(String, Token), String>,
     /// Up to when it may act.
     lease: Micros,
+    skills: Skills,
+    /// It wants no more jobs.
+    stops: bool,
 }
 
 impl Owner {
@@ -41,6 +47,19 @@
         Owner { planted, ..Owner::default() }
     }
 
+    /// What it can do.
+    pub fn skilled(self, skills: Skills) -> Owner {
+        Owner { skills, ..self }
+    }
+
+    /// Its relay stops: it gives up what it has, and takes nothing more.
+    pub fn stop(&mut self) {
+        self.stops = true;
+        for name in self.jobs.keys().cloned().collect::<Vec<_>>() {
+            self.give_up(&name, STOPS);
+        }
+    }
+
     /// The job, where it may be acted on at this moment: to be asked right before each order.
     pub fn may_act(&self, now: Micros, name: &str) -> Option<&Own> {
         let runs = now < self.lease || (self.planted.is(Plant::OwnForever) && self.lease > 0);
@@ -69,6 +88,11 @@
     /// What it has to say with its next question.
     pub fn fill(&self, renew: &mut Renew) {
         renew.jobs = Some(self.version);
+        renew.skills = self.skills.clone();
+        if self.stops {
+            // A kind that there is not: it can do nothing any more.
+            renew.skills = Skills { kinds: vec![String::new()], ..Skills::default() };
+        }
         let gave_up = self.gave_up.iter().map(|((name, token), why)| (name.clone(), *token, why.clone()));
         renew.gives_up = gave_up.collect();
         let next = self.jobs.iter().filter_map(|(name, own)| Some((name, own, own.next.as_ref()?)));
@@ -111,6 +135,9 @@
             self.jobs.insert(name.clone(), own);
         }
         self.version = list.version;
+        if self.stops {
+            self.stop();
+        }
     }
 }
 
--- a/crates/control/src/owners.rs
+++ b/crates/control/src/owners.rs
@@ -8,7 +8,7 @@
 //! that is alive but cut off (its job is given away once its lease cannot run any more), flapping (a job is moved for
 //! balance only after a pause, and never by a lost message), and a checkpoint of an owner of before (it bears its token).
 
-use crate::message::Relay;
+use crate::relay::{Relay, Skills};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -149,11 +149,12 @@
         self.of.iter().filter(|(_, job)| own(job)).map(|(name, job)| (name.clone(), job.token)).collect()
     }
 
-    /// The next jobs to give, to relays that may have some: each job has its own order of the relays (rendezvous), and
-    /// goes to the first that has not its part yet. Whoever gave it up last comes after all others.
-    pub fn gifts(&self, relays: &[Relay]) -> Vec<(String, Relay)> {
-        let part = self.part(relays.len());
-        let mut has: BTreeMap<&Relay, usize> = relays.iter().map(|relay| (relay, 0)).collect();
+    /// The next jobs to give, to relays that may have some: each job has its own order of the relays that can do it
+    /// (those of its zone first, then rendezvous), and goes to the first that has not its part yet. Whoever gave it up last
+    /// comes after all others. Jobs that rest are given to nobody.
+    pub fn gifts(&self, workers: &[(Relay, Skills)], rests: impl Fn(&str) -> bool) -> Vec<(String, Relay)> {
+        let part = self.part(workers.len());
+        let mut has: BTreeMap<&Relay, usize> = workers.iter().map(|(relay, _)| (relay, 0)).collect();
         for owner in self.of.values().filter_map(|job| job.owner.as_ref()) {
             if let Some(n) = has.get_mut(owner) {
                 *n += 1;
@@ -161,12 +162,15 @@
         }
         let mut gifts = Vec::new();
         for (name, job) in self.of.iter().filter(|(_, job)| job.owner.is_none() && !job.held) {
+            if rests(name) {
+                continue;
+            }
             let gave_up = |relay: &Relay| job.gave_up.as_ref().is_some_and(|(by, _)| *by == relay.name);
-            let first = relays
+            let first = workers
                 .iter()
-                .filter(|relay| has.get(relay).is_some_and(|n| *n < part))
-                .max_by_key(|relay| (!gave_up(relay), weight(name, relay)));
-            let Some(relay) = first else { break };
+                .filter(|(relay, skills)| skills.can(name) && has.get(relay).is_some_and(|n| *n < part))
+                .max_by_key(|(relay, skills)| (!gave_up(relay), skills.near(name), weight(name, relay)));
+            let Some((relay, _)) = first else { continue };
             if let Some(n) = has.get_mut(relay) {
                 *n += 1;
             }
@@ -179,8 +183,8 @@
     }
 
     /// Jobs to take back because their owner has more than its part, those first that it is least the relay for.
-    pub fn excess(&self, relays: &[Relay]) -> Vec<(String, Token, String)> {
-        let part = self.part(relays.len());
+    pub fn excess(&self, workers: usize) -> Vec<(String, Token, String)> {
+        let part = self.part(workers);
         let mut of: BTreeMap<&Relay, Vec<(u64, &String, Token)>> = BTreeMap::new();
         for (name, job) in self.of.iter().filter(|(_, job)| job.yields.is_none()) {
             let Some(owner) = &job.owner else { continue };
@@ -222,9 +226,14 @@
         jobs
     }
 
+    fn gifts(jobs: &Jobs, relays: &[Relay]) -> Vec<(String, Relay)> {
+        let workers: Vec<_> = relays.iter().map(|relay| (relay.clone(), Skills::default())).collect();
+        jobs.gifts(&workers, |_| false)
+    }
+
     fn give_all(jobs: &mut Jobs, relays: &[Relay]) {
         loop {
-            let gifts = jobs.gifts(relays);
+            let gifts = gifts(jobs, relays);
             if gifts.is_empty() {
                 break;
             }
@@ -244,7 +253,7 @@
         jobs.apply(Deal::Yield(vec![(name.clone(), 1, "staff".into())]));
         assert_eq!(jobs.of_relay(&relay(1)), []);
         jobs.apply(Deal::Free(vec![(name.clone(), 1)]));
-        assert_eq!(jobs.gifts(&[relay(1), relay(2)]), [(name.clone(), relay(2))], "another gets it");
+        assert_eq!(gifts(&jobs, &[relay(1), relay(2)]), [(name.clone(), relay(2))], "another gets it");
         jobs.apply(Deal::Give(vec![(name.clone(), relay(2))]));
         // Late words of the first.
         jobs.apply(Deal::Free(vec![(name.clone(), 1)]));
@@ -253,7 +262,7 @@
         assert_eq!((job.owner, job.token, job.step, job.checkpoint), (Some(relay(2)), 2, 1, vec![7]));
         jobs.apply(Deal::Hold(name.clone(), true));
         jobs.apply(Deal::Free(vec![(name, 2)]));
-        assert_eq!(jobs.gifts(&[relay(1)]), []);
+        assert_eq!(gifts(&jobs, &[relay(1)]), []);
     }
 
     #[test]
@@ -267,7 +276,7 @@
         // One more: only those are taken back that are over the new part.
         let mut moved = 0;
         loop {
-            let excess = jobs.excess(&relays);
+            let excess = jobs.excess(relays.len());
             if excess.is_empty() {
                 break;
             }
@@ -281,4 +290,26 @@
         assert!(relays.iter().all(|relay| jobs.of_relay(relay).len() <= 125));
         assert!(had.of.iter().filter(|(name, job)| jobs.of[*name].owner == job.owner).count() >= 800);
     }
+
+    #[test]
+    fn a_job_goes_to_whoever_can_do_it_and_to_its_own_zone_first() {
+        let mut jobs = Jobs::default();
+        jobs.apply(Deal::Open(vec!["load/a".into(), "load/b".into(), "moves".into()]));
+        let skills = |kinds: &[&str], zone: &str| Skills {
+            kinds: kinds.iter().map(|kind| kind.to_string()).collect(),
+            opens: Vec::new(),
+            zone: zone.into(),
+        };
+        let all: Vec<_> =
+            (0..8).map(|n| (relay(n), skills(&["load"], if n < 4 { "a" } else { "b" }))).collect();
+        let gifts = jobs.gifts(&all, |_| false);
+        let near = |name: &str, gifts: &[(String, Relay)]| {
+            let (_, owner) = gifts.iter().find(|(job, _)| job == name).unwrap();
+            all.iter().any(|(relay, skills)| relay == owner && skills.near(name))
+        };
+        assert_eq!(gifts.len(), 2, "nobody can do moves");
+        assert!(near("load/a", &gifts) && near("load/b", &gifts));
+        // Without one of its zone another does it; one that rests waits.
+        assert_eq!(jobs.gifts(&all[..4], |name| name == "load/a").len(), 1);
+    }
 }
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/voter.rs
@@ -10,8 +10,10 @@
 mod jobs;
 mod members;
 
+use crate::hub::Hub;
 use crate::log::{bytes, Damaged, Kept, Log, Stored};
-use crate::message::{Answer, Ask, Message, Relay, Renew, Reply, Status};
+pub use crate::message::From;
+use crate::message::{Answer, Ask, Message, Relay, Renew, Reply, Skills, Status};
 use crate::state::{Command, Phase, ProposalId, State};
 use crate::wire;
 use crate::{Micros, Plant, Planted, Times};
@@ -39,9 +41,6 @@
     "the log has what this build cannot read: it is of a later build (upgrade this relay), or damaged",
 );
 
-/// Where an answer goes: whatever the driver made of the sender.
-pub type From = u64;
-
 /// What is to be done, in this order: store, then send.
 #[derive(Debug, Default)]
 pub struct Work {
@@ -71,6 +70,9 @@
     /// The version of the jobs that it knows, where it does any, and when its lease on its jobs was last granted.
     jobs: Option<u64>,
     leased: Option<Micros>,
+    skills: Skills,
+    /// The first question that it was answered and has not said to have heard the answer to, and when that was.
+    unheard: Option<(u64, Micros)>,
     seen: Micros,
 }
 
@@ -89,10 +91,12 @@
     /// When who has which job was last looked at, at which version, and when jobs were last taken back for balance.
     dealt: Option<(u64, Micros)>,
     balanced: Micros,
+    /// Jobs that owners have given up lately.
+    tired: BTreeMap<String, jobs::Tired>,
 }
 
 enum Waiting {
-    Renew(From, Renew),
+    Renew(From, Box<Renew>),
     Ask(From, u64, Ask),
 }
 
@@ -122,6 +126,8 @@
     met: Option<Stored>,
     /// The log has what this build cannot read: it must neither vote nor let its state stand for the log.
     fault: Option<Damaged>,
+    /// What owners of jobs tell all relays.
+    hub: Hub,
     now: Micros,
 }
 
@@ -173,6 +179,7 @@
             founding,
             met: None,
             fault: None,
+            hub: Hub::default(),
             now,
         })
     }
@@ -181,6 +188,7 @@
     #[cfg(feature = "plants")]
     pub fn planted(mut self, planted: Planted) -> Voter {
         self.planted = planted;
+        self.hub = Hub::planted(planted);
         self
     }
 
@@ -257,7 +265,7 @@
     /// A relay asks for its lease.
     pub fn renew(&mut self, now: Micros, from: From, renew: Renew) {
         self.now = now;
-        self.wait(Waiting::Renew(from, renew));
+        self.wait(Waiting::Renew(from, Box::new(renew)));
     }
 
     /// Staff ask.
@@ -334,7 +342,7 @@
         }
         match waiting {
             Waiting::Renew(from, renew) => {
-                let reply = self.grant(renew);
+                let reply = self.grant(*renew);
                 self.answers.push((from, Message::Reply(reply)));
             }
             Waiting::Ask(from, number, ask) => {
@@ -359,11 +367,23 @@
         let known = office.relays.entry(renew.relay.clone()).or_default();
         (known.epoch, known.seen) = (renew.epoch, now);
         (known.prepared, known.yielded) = (renew.prepared, renew.yielded);
+        // One that is not reached by answers holds no lease, however often it asks: it once kept its jobs for as long as
+        // it was deaf, and a change waited for it. From here on it is granted nothing until it has heard that.
+        known.unheard = known.unheard.filter(|(number, _)| *number > renew.heard);
+        let deaf = known.unheard.is_some_and(|(_, since)| now >= since + self.times.lease);
+        known.unheard.get_or_insert((renew.number, now));
         let current = renew.epoch == self.state.policy.epoch;
         if !current {
             reply.policy = Some(self.state.policy.clone());
         }
-        let deals = jobs::renewed(&self.state.jobs, known, &renew, &mut reply, now);
+        let deals = match deaf {
+            true => Vec::new(),
+            false => jobs::renewed(&self.state.jobs, known, &renew, &mut reply, now),
+        };
+        self.tire(&deals);
+        let Some(known) = self.office.as_mut().and_then(|office| office.relays.get_mut(&renew.relay)) else {
+            return reply;
+        };
         if renew.seats < self.state.seats.version {
             reply.seats = Some(self.state.seats.clone());
         }
@@ -382,6 +402,7 @@
                 }
             }
         }
+        reply.grant = reply.grant.filter(|_| !deaf);
         if reply.grant.is_some() {
             known.granted = Some(now);
         }
@@ -398,8 +419,8 @@
                     |known: &Known| known.granted.is_some_and(|at| self.now < self.times.lapsed_by(at));
                 let relays = self.office.iter().flat_map(|office| &office.relays);
                 let relays = relays.map(|(relay, known)| (relay.clone(), runs(known), known.epoch)).collect();
-                let seats = self.seats();
-                return Answer::Status(Box::new(Status { leader, term, state, relays, seats }));
+                let (seats, idle) = (self.seats(), self.idle());
+                return Answer::Status(Box::new(Status { leader, term, state, relays, seats, idle }));
             }
             Ask::Token(name) => {
                 let token = self.state.jobs.of.get(&name).map_or(0, |job| job.token);
--- a/crates/control/src/voter/jobs.rs
+++ b/crates/control/src/voter/jobs.rs
@@ -1,8 +1,9 @@
 //! Who has which job, as the leader decides it.
 
-use super::{Known, Voter};
-use crate::message::{Answer, OwnJobs, Relay, Renew, Reply};
-use crate::owners::{Deal, Jobs, BATCH};
+use super::{From, Known, Office, Voter};
+use crate::message::{kind_of, Answer, Follow, Message, OwnJobs, Publish, Relay, Renew, Reply, Skills};
+use crate::owner::STOPS;
+use crate::owners::{Deal, Jobs, BATCH, MOST_JOBS};
 use crate::state::Command;
 use crate::{Micros, Plant};
 
@@ -11,6 +12,29 @@
 const DEAL: Micros = 200_000;
 /// Jobs are taken back for balance after such a pause: a relay that comes and goes moves none.
 const BALANCE: Micros = 10_000_000;
+/// A job that was given up by its owners' own measure twice within that time rests so long before somebody else has it,
+/// and longer each time, up to the last. Where nobody can do it, it goes round no faster.
+const WITHIN: Micros = 60_000_000;
+const REST: Micros = 5_000_000;
+const RESTS: u32 = 4;
+
+/// How often a job was given up lately, and when last.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Tired {
+    times: u32,
+    last: Micros,
+}
+
+impl Tired {
+    fn again(&mut self, now: Micros) {
+        self.times = if now < self.last + WITHIN { self.times + 1 } else { 1 };
+        self.last = now;
+    }
+
+    fn rests(&self, now: Micros) -> bool {
+        self.times > 1 && now < self.last + (REST << (self.times - 2).min(RESTS - 1))
+    }
+}
 
 /// A relay has renewed its lease on its jobs: what it is told of them, and what the log is to be told by it.
 pub(super) fn renewed(
@@ -40,6 +64,12 @@
         if !gives_up.is_empty() {
             deals.push(Deal::Yield(gives_up));
         }
+        let opens = &renew.skills.opens;
+        let new: Vec<String> = opens.iter().filter(|name| !jobs.of.contains_key(*name)).cloned().collect();
+        if !new.is_empty() && jobs.of.len() + new.len() <= MOST_JOBS {
+            deals.push(Deal::Open(new));
+        }
+        known.skills = renew.skills.clone();
         for (name, token, step, bytes) in &renew.checkpoints {
             let at = jobs.of.get(name).map_or(0, |job| job.step);
             if at + 1 == *step {
@@ -51,7 +81,77 @@
     deals
 }
 
+/// Relays that do jobs and may act on them now.
+fn workers(office: &Office, may_act: impl Fn(&Relay) -> bool) -> Vec<(Relay, Skills)> {
+    let works = |(relay, known): &(&Relay, &Known)| known.jobs.is_some() && may_act(relay);
+    let relays = office.relays.iter().filter(works);
+    relays.map(|(relay, known)| (relay.clone(), known.skills.clone())).collect()
+}
+
 impl Voter {
+    /// A relay follows this voter's news.
+    pub fn follow(&mut self, now: Micros, from: From, follow: Follow) {
+        self.now = now;
+        let news = self.hub.follow(now, from, follow, &self.state.jobs);
+        self.answers.extend(news.map(|news| (from, news)));
+    }
+
+    /// An owner has a word for all relays.
+    pub fn publish(&mut self, now: Micros, from: From, publish: Publish) {
+        self.now = now;
+        let told: Vec<(From, Message)> = self.hub.publish(now, from, publish, &self.state.jobs);
+        self.answers.extend(told);
+    }
+
+    /// A link has ended.
+    pub fn gone(&mut self, from: From) {
+        self.hub.gone(from);
+    }
+
+    /// Owners have given these up by their own measure.
+    pub(super) fn tire(&mut self, deals: &[Deal]) {
+        let (now, Some(office)) = (self.now, &mut self.office) else { return };
+        for deal in deals {
+            let Deal::Yield(names) = deal else { continue };
+            for (name, _, _) in names.iter().filter(|(.., why)| why != STOPS) {
+                office.tired.entry(name.clone()).or_default().again(now);
+            }
+        }
+    }
+
+    /// Jobs that nobody may act on just now, and why.
+    pub(super) fn idle(&self) -> Vec<(String, String)> {
+        let (now, Some(office)) = (self.now, &self.office) else { return Vec::new() };
+        let settled = self.settled(office);
+        let leased = |relay: &Relay| {
+            let leased = office.relays.get(relay).and_then(|known| known.leased);
+            leased.is_some_and(|at| now < self.times.lapsed_by(at))
+        };
+        let workers = workers(office, leased);
+        let mut idle = Vec::new();
+        for (name, job) in &self.state.jobs.of {
+            let gave_up = || job.gave_up.as_ref().map_or(String::new(), |(by, why)| format!("; {by}: {why}"));
+            let why = match &job.owner {
+                Some(owner) if leased(owner) && job.yields.is_none() => continue,
+                Some(owner) if job.yields.is_some() => {
+                    format!("it is taken back from {}, whose lease may still run{}", owner.name, gave_up())
+                }
+                Some(owner) => format!("nothing is heard of {}, whose lease may still run", owner.name),
+                None if job.held => "it is held: 'fleet release' gives it free".into(),
+                None if !settled => "the leader is new and waits for leases of before".into(),
+                None if !workers.iter().any(|(_, skills)| skills.can(name)) => {
+                    format!("no relay that answers does jobs of kind '{}'", kind_of(name))
+                }
+                None if office.tired.get(name).is_some_and(|tired| tired.rests(now)) => {
+                    format!("it rests, since it was given up again and again{}", gave_up())
+                }
+                None => format!("it is about to be given{}", gave_up()),
+            };
+            idle.push((name.clone(), why));
+        }
+        idle
+    }
+
     /// What staff want of the jobs. What is so already is done, so the same may be asked again.
     pub(super) fn deal_asked(&mut self, deal: Deal) -> Answer {
         let of = &self.state.jobs.of;
@@ -113,18 +213,17 @@
                 break;
             }
         }
-        let workers: Vec<Relay> = office
-            .relays
-            .iter()
-            .filter(|(relay, known)| known.jobs.is_some() && may_act(relay))
-            .map(|(relay, _)| relay.clone())
-            .collect();
+        let workers = workers(office, may_act);
         let balance = settled && now >= office.balanced + BALANCE;
         if back.is_empty() && balance {
-            back = jobs.excess(&workers);
+            back = jobs.excess(workers.len());
         }
         // All relays that serve have been heard of by then: the first to ask does not get everything.
-        let give = if settled { jobs.gifts(&workers) } else { Vec::new() };
+        let give = if settled {
+            jobs.gifts(&workers, |name| office.tired.get(name).is_some_and(|tired| tired.rests(now)))
+        } else {
+            Vec::new()
+        };
         let (version, taken) = (jobs.version, !back.is_empty());
         let deals = [
             (!free.is_empty()).then_some(Deal::Free(free)),
--- /dev/null
+++ b/crates/control/src/watch.rs
@@ -0,0 +1,174 @@
+//! The load watch of a zone: its owner probes each backend there, round by round, and tells all relays what they said.
+//!
+//! Guards against: an owner that reaches no backend (what failed is not told, so nobody takes a backend for gone on its
+//! word, and after a while it gives the job up), a round that never ends (it is told as far as it came), and probes
+//! that pile up (so many are out at a time).
+
+use crate::{wire, Micros};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The kind of these jobs: `load/ZONE`.
+pub const KIND: &str = "load";
+/// A round begins so long after the one before, in microseconds: the deployments' backends refresh what they say of their
+/// load every 570 to 1,400 ms.
+const ROUND: Micros = 500_000;
+/// A round is told after so long, whoever has not answered: a probe may take 250 ms a step.
+const ROUND_END: Micros = 300_000;
+/// Probes that are out at a time: the relay keeps as many for its own decisions.
+const OUT: usize = 4;
+/// An owner that reaches no backend for so long gives the job up.
+const USELESS: Micros = 3_000_000;
+
+/// What an owner tells: each backend's load as its columns say it, and how old that is.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Loads {
+    /// The names of the columns.
+    pub columns: Vec<String>,
+    /// Each backend that answered: its number, how long before the word was sent, and its columns.
+    pub of: Vec<(u64, Micros, Vec<f32>)>,
+}
+
+impl Loads {
+    /// As it is told.
+    pub fn encode(&self) -> Vec<u8> {
+        wire::encode(self)
+    }
+
+    /// As it was told; none where it is nothing of the kind.
+    pub fn decode(bytes: &[u8]) -> Option<Loads> {
+        wire::decode(bytes)
+    }
+
+    /// What is said in these columns: each backend's age and values. Nothing where a column is missing, or a row is not as
+    /// long as the head: the sender's settings are others.
+    pub fn rows<'a>(&'a self, columns: &[String]) -> impl Iterator<Item = (u64, Micros, Vec<f32>)> + 'a {
+        let at = |column: &String| self.columns.iter().position(|c| c == column);
+        let places: Option<Vec<usize>> = columns.iter().map(at).collect();
+        let row = move |(server, age, row): &'a (u64, Micros, Vec<f32>)| {
+            let places = places.as_ref().filter(|_| row.len() == self.columns.len())?;
+            Some((*server, *age, places.iter().filter_map(|at| row.get(*at).copied()).collect()))
+        };
+        self.of.iter().filter_map(row)
+    }
+}
+
+/// See the module's text.
+#[derive(Clone, Debug, Default)]
+pub struct Watch {
+    began: Option<Micros>,
+    /// Of this round: who is to be probed, who is out, and who has answered when.
+    todo: Vec<u64>,
+    out: Vec<u64>,
+    found: BTreeMap<u64, (Micros, Vec<f32>)>,
+    told: bool,
+    /// Since when no backend has answered, though some were asked.
+    vain: Option<Micros>,
+}
+
+impl Watch {
+    /// Time has passed: which of the zone's backends are to be probed now.
+    pub fn turn(&mut self, now: Micros, listed: impl Iterator<Item = u64>) -> Vec<u64> {
+        if self.began.is_none_or(|began| now >= began + ROUND) {
+            (self.began, self.told) = (Some(now), false);
+            self.todo = listed.collect();
+            self.out.clear();
+            self.found.clear();
+        }
+        let free = OUT.saturating_sub(self.out.len()).min(self.todo.len());
+        let next: Vec<u64> = self.todo.drain(..free).collect();
+        self.out.extend(&next);
+        next
+    }
+
+    /// A probe has ended, with what the backend said.
+    pub fn found(&mut self, now: Micros, server: u64, report: Option<Vec<f32>>) {
+        let Some(at) = self.out.iter().position(|out| *out == server) else { return };
+        self.out.remove(at);
+        match report.filter(|report| !report.is_empty()) {
+            Some(report) => {
+                self.vain = None;
+                self.found.insert(server, (now, report));
+            }
+            None => _ = self.vain.get_or_insert(now),
+        }
+    }
+
+    /// What is to be told now: once a round, when all have answered or it has lasted long enough.
+    pub fn tell(&mut self, now: Micros, columns: &[String]) -> Option<Loads> {
+        let began = self.began?;
+        let done = self.todo.is_empty() && self.out.is_empty();
+        if self.told || self.found.is_empty() || !(done || now >= began + ROUND_END) {
+            return None;
+        }
+        self.told = true;
+        let row = |(server, (at, report)): (&u64, &(Micros, Vec<f32>))| (*server, now - at, report.clone());
+        Some(Loads { columns: columns.to_vec(), of: self.found.iter().map(row).collect() })
+    }
+
+    /// Why it is of no use to the fleet, by its own measure.
+    pub fn useless(&self, now: Micros) -> Option<&'static str> {
+        self.vain.filter(|since| now >= since + USELESS).map(|_| "it reaches no backend of the zone")
+    }
+
+    /// When it has something to do next though nothing comes.
+    pub fn due(&self) -> Micros {
+        self.began.map_or(0, |began| began + if self.told { ROUND } else { ROUND_END.min(ROUND) })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn columns(names: &[&str]) -> Vec<String> {
+        names.iter().map(|name| name.to_string()).collect()
+    }
+
+    #[test]
+    fn a_round_asks_each_once_few_at_a_time_and_tells_who_answered() {
+        let (mut watch, of) = (Watch::default(), columns(&["x0"]));
+        assert_eq!(watch.turn(0, 0..6), [0, 1, 2, 3]);
+        watch.found(1_000, 0, Some(vec![0.5]));
+        watch.found(2_000, 1, None);
+        assert_eq!(watch.turn(2_000, 0..6), [4, 5]);
+        assert_eq!(watch.tell(3_000, &of), None, "four are out");
+        for server in 2..5 {
+            watch.found(4_000, server, Some(vec![1.0]));
+        }
+        let told = watch.tell(ROUND_END, &of).unwrap();
+        assert_eq!(told.of.iter().map(|row| row.0).collect::<Vec<_>>(), [0, 2, 3, 4]);
+        assert_eq!(told.of[0].1, ROUND_END - 1_000);
+        assert_eq!(watch.tell(ROUND_END + 1, &of), None, "once a round");
+        assert_eq!(watch.turn(ROUND, 0..2), [0, 1], "the next round waits for nobody");
+    }
+
+    #[test]
+    fn who_reaches_nobody_gives_up_after_a_while() {
+        let mut watch = Watch::default();
+        for n in 0..7 {
+            let now = n * ROUND;
+            assert_eq!(watch.useless(now), None, "{n}");
+            watch.turn(now, 0..2);
+            watch.found(now, 0, None);
+            watch.found(now, 1, (n == 0).then(|| vec![1.0]));
+        }
+        assert!(watch.useless(7 * ROUND).is_some());
+        watch.turn(7 * ROUND, 0..2);
+        watch.found(7 * ROUND, 5, Some(vec![0.1]));
+        assert!(watch.useless(7 * ROUND).is_some(), "that one was not asked");
+        watch.found(7 * ROUND, 0, Some(vec![0.1]));
+        assert_eq!(watch.useless(20 * ROUND), None);
+    }
+
+    #[test]
+    fn columns_are_known_by_name_and_what_does_not_fit_is_left_out() {
+        let of = vec![(7, 5, vec![0.25, 3.0]), (8, 5, vec![1.0])];
+        let loads = Loads { columns: columns(&["x0", "active"]), of };
+        let loads = Loads::decode(&loads.encode()).unwrap();
+        assert_eq!(loads.rows(&columns(&["active", "x0"])).collect::<Vec<_>>(), [(7, 5, vec![3.0, 0.25])]);
+        assert_eq!(loads.rows(&columns(&["qps"])).count(), 0);
+        assert_eq!(Loads::decode(b"what is this"), None);
+    }
+}
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire.rs
@@ -20,6 +20,23 @@
     ciborium::from_reader(bytes).ok()
 }
 
+/// Whether this process writes messages as a later build would: for tests of fleets of two builds.
+#[cfg(feature = "plants")]
+pub static LATER: std::sync::atomic::AtomicBool = std::sync::atomic::AtomicBool::new(false);
+
+/// The same with a part that no build knows.
+#[cfg(feature = "plants")]
+pub fn encode_later(value: &impl Serialize) -> Vec<u8> {
+    use ciborium::Value;
+    let mut value = Value::serialized(value).unwrap_or_else(|e| unreachable!("{e}"));
+    if let Value::Map(variant) = &mut value {
+        if let Some((_, Value::Map(parts))) = variant.first_mut() {
+            parts.push((Value::Text("of_a_later_build".into()), Value::Array(vec![Value::Bool(true)])));
+        }
+    }
+    encode(&value)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -52,6 +69,9 @@
         assert_eq!(read, Renew { number: 7, epoch: 3, ..Renew::default() });
         let later = Later { renew: renew.clone(), of_a_later_build: vec![1] };
         assert_eq!(decode::<Renew>(&encode(&later)), Some(renew));
+        let message = Message::Renew(Renew { number: 7, ..Renew::default() });
+        assert_ne!(encode_later(&message), encode(&message));
+        assert_eq!(decode(&encode_later(&message)), Some(message));
         // Not what it could misread.
         #[derive(Serialize)]
         enum Command2 {
--- /dev/null
+++ b/crates/control/tests/deaf.rs
@@ -0,0 +1,65 @@
+//! A relay whose questions arrive and that no answer reaches: it holds nothing, and nobody waits for it.
+
+use jaspermoor_control::log::{Kept, Log};
+use jaspermoor_control::message::{Message, Relay, Renew, Reply, Skills};
+use jaspermoor_control::voter::Voter;
+use jaspermoor_control::Times;
+
+/// A fleet of one voter, which leads once it has met itself, and the time there.
+fn leader(times: Times) -> (Voter, u64) {
+    let stored = Log::found(&[1]).stored();
+    let kept = Kept { vote: stored.vote, snapshot: stored.snapshot, entries: Vec::new() };
+    let mut voter = Voter::new(1, 7, &kept, times, 0).unwrap();
+    let mut now = 0;
+    while voter.leads().is_none() {
+        now += times.tick;
+        assert!(now < 60_000_000, "it never led");
+        voter.tick(now);
+        voter.work(now);
+    }
+    // What its predecessor may have granted has run out by then.
+    (voter, now + 2 * times.lease)
+}
+
+fn asks(voter: &mut Voter, now: u64, number: u64, heard: u64) -> Reply {
+    let relay = Relay { name: "n1".into(), start: 3 };
+    let skills = Skills { opens: vec!["load/a".into()], ..Skills::default() };
+    voter.renew(now, 5, Renew { relay, number, heard, jobs: Some(0), skills, ..Renew::default() });
+    let mut answers = Vec::new();
+    for beat in 0..4 {
+        voter.tick(now + beat);
+        answers.extend(voter.work(now + beat).answers);
+    }
+    let reply = answers.into_iter().find_map(|(to, message)| match message {
+        Message::Reply(reply) if to == 5 => Some(reply),
+        _ => None,
+    });
+    reply.expect("an answer")
+}
+
+#[test]
+fn who_hears_no_answer_is_granted_nothing_and_loses_its_jobs_until_it_does() {
+    let times = Times::default();
+    let (mut voter, mut now) = leader(times);
+    let mut number = 0;
+    let mut step = |voter: &mut Voter, heard: Option<u64>| {
+        (now, number) = (now + times.renew, number + 1);
+        (asks(voter, now, number, heard.unwrap_or(number - 1)), number)
+    };
+    let owner = |voter: &Voter| voter.state().jobs.of.get("load/a").and_then(|job| job.owner.clone());
+    for _ in 0..8 {
+        assert_eq!(step(&mut voter, None).0.grant, Some(0));
+    }
+    assert!(owner(&voter).is_some(), "it has the job");
+    let (_, last) = step(&mut voter, None);
+    // From here on no answer reaches it. At first it may only be late.
+    assert_eq!(step(&mut voter, Some(last)).0.grant, Some(0));
+    let mut granted = Vec::new();
+    for _ in 0..12 {
+        let reply = step(&mut voter, Some(last)).0;
+        granted.push(reply.grant.is_some() || reply.last.is_some());
+    }
+    assert!(granted[..2].iter().all(|granted| *granted) && !granted[6..].contains(&true), "{granted:?}");
+    assert_eq!(owner(&voter), None, "its job is free for others");
+    assert_eq!(step(&mut voter, None).0.grant, Some(0), "it has heard an answer again");
+}
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -82,6 +82,7 @@
         listen: None,
         held: None,
         plant: None,
+        build: None,
         fail_points: None,
         core: None,
     }
--- a/crates/lab/src/faults/books.rs
+++ b/crates/lab/src/faults/books.rs
@@ -79,6 +79,15 @@
         /// With this token.
         token: u64,
     },
+    /// A client that stays was moved away from a cell, at most so many a second of all of them.
+    Moved {
+        /// Which client.
+        client: usize,
+        /// Which cell. Each policy of a play has another, so it leaves a cell once.
+        from: usize,
+        /// See there.
+        rate: u64,
+    },
     /// Something is done to a relay's process or links up to then.
     Spoilt {
         /// Which relay.
@@ -120,6 +129,12 @@
     }
 }
 
+/// The job and token that a relay says in its log to obey: its book as a receiver.
+pub fn obeyed(line: &str) -> Option<(String, u64)> {
+    let (job, token) = line.split_once("fleet: obeys ")?.1.split_once(" under token ")?;
+    Some((job.into(), token.trim().parse().ok()?))
+}
+
 /// All that must hold, in the order in which it is looked at.
 pub fn check(book: &[Line]) -> Vec<Broken> {
     let all = [
@@ -131,6 +146,8 @@
         one_log(book),
         one_owner(book),
         fenced(book),
+        moved_once(book),
+        paced(book),
     ];
     all.into_iter().flatten().collect()
 }
@@ -217,6 +234,36 @@
     None
 }
 
+/// A client is moved away from a cell once.
+pub fn moved_once(book: &[Line]) -> Option<Broken> {
+    let mut before: BTreeMap<(usize, usize), Moment> = BTreeMap::new();
+    book.iter().find_map(|line| {
+        let Fact::Moved { client, from, .. } = line.fact else { return None };
+        let first = before.insert((client, from), line.at)?;
+        let text =
+            format!("client {client} was moved away from cell {from}, as at {:.3} s", first as f64 / 1e6);
+        Some(Broken { rule: "moved once", at: line.at, text })
+    })
+}
+
+/// All relays together move no more clients than the policy allows: never more since any moment that a move was seen than
+/// the rate for the time since, two seconds' worth of credit besides. A client that hears late only lowers the count.
+pub fn paced(book: &[Line]) -> Option<Broken> {
+    let mut moves: Vec<(Moment, u64)> = Vec::new();
+    for line in book {
+        if let Fact::Moved { rate, .. } = line.fact {
+            moves.push((line.at, rate));
+        }
+    }
+    let (first, rate) = *moves.first()?;
+    moves.iter().enumerate().find_map(|(n, (at, _))| {
+        let most = rate * (at - first) / 1_000_000 + 2 * rate + 1;
+        let text =
+            || format!("{} moves within {:.3} s, at {rate} a second", n + 1, (at - first) as f64 / 1e6);
+        (n as u64 + 1 > most).then(|| Broken { rule: "paced", at: *at, text: text() })
+    })
+}
+
 /// Each client that a sound relay has taken has its answer.
 pub fn one_answer(book: &[Line]) -> Option<Broken> {
     book.iter().find_map(|line| {
@@ -333,6 +380,12 @@
         assert_eq!(check(&book(vec![acted("a", 1), obeyed(1), acted("b", 2), obeyed(1), obeyed(2)])), []);
         assert_eq!(rule(vec![acted("a", 1), acted("b", 2), acted("a", 1)]), Some("one owner"));
         assert_eq!(rule(vec![obeyed(2), obeyed(1)]), Some("fenced"));
+        let moved = |client, from| Fact::Moved { client, from, rate: 2 };
+        assert_eq!(check(&book(vec![moved(1, 0), moved(2, 0), moved(1, 1)])), []);
+        assert_eq!(rule(vec![moved(1, 0), moved(1, 1), moved(1, 0)]), Some("moved once"));
+        // All within a moment: two seconds' worth and one.
+        assert_eq!(rule((0..5).map(|client| moved(client, 0)).collect()), None);
+        assert_eq!(rule((0..6).map(|client| moved(client, 0)).collect()), Some("paced"));
         assert_eq!(rule(vec![told("in force"), told("refused")]), Some("one outcome"));
     }
 }
--- a/crates/lab/src/faults/harness.rs
+++ b/crates/lab/src/faults/harness.rs
@@ -4,9 +4,9 @@
 //! Each policy pins the one site to a cell of its own, and each cell has one backend: so what a relay did, not what it
 //! says, shows its policy.
 
-use super::books::{check, Broken, Fact, Line, Moment};
+use super::books::{check, obeyed, Broken, Fact, Line, Moment};
 use super::proxy::{Proxy, Way};
-use super::scenario::{Deed, Disk, Scenario, Step};
+use super::scenario::{Deed, Disk, Harm, Scenario, Step};
 use crate::discovery::{lock, Discovery, Entry};
 use crate::line::Backend;
 use crate::relay::{Relay, Setup};
@@ -29,6 +29,10 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Clients that each relay must have had before a scenario that awaits them goes on.
 const SOME: usize = 5;
+/// A part of a policy that an older build does not know.
+const LATER: &str = "[parameters]\nlook_both = 2\n";
+/// Stands in a relay's log between two processes of it that ran at one time.
+const SECOND_PROCESS: &str = "the laboratory: another process of this relay";
 /// A relay that is not there is looked for again after so long.
 const AWAY: Duration = Duration::from_millis(20);
 
@@ -54,6 +58,10 @@
     pub took: Vec<Duration>,
     /// What each relay's processes have logged, the earlier first.
     pub logs: Vec<(usize, Vec<String>)>,
+    /// How long after an owner came to harm the first order of another was obeyed.
+    pub taken: Vec<(Harm, Duration)>,
+    /// Probes that backends have seen.
+    pub probes: usize,
     /// Clients that were admitted, and refused.
     pub admitted: usize,
     /// See `admitted`.
@@ -93,6 +101,35 @@
     took: Duration,
 }
 
+/// What a client that stays has seen.
+struct Stay {
+    client: usize,
+    id: String,
+    at: Moment,
+    moved: bool,
+}
+
+/// An owner that came to harm.
+struct Harmed {
+    harm: Harm,
+    job: String,
+    token: u64,
+    at: Moment,
+}
+
+/// A job as staff see it.
+struct Job {
+    name: String,
+    /// Its owner's place.
+    owner: Option<usize>,
+    token: u64,
+    /// Why nobody may act on it; empty where somebody may.
+    why: String,
+}
+
+/// A line of a relay's log.
+type Said = (Instant, String);
+
 /// A change that somebody waits for.
 struct Change {
     text: String,
@@ -117,7 +154,9 @@
     /// Links by who dials and which voter.
     links: BTreeMap<(usize, usize), Proxy>,
     /// Logs of processes that have ended.
-    logs: Vec<(usize, Vec<String>)>,
+    logs: Vec<(usize, Vec<Said>)>,
+    stays: Arc<Mutex<Vec<Stay>>>,
+    harmed: Vec<Harmed>,
     spoilt: Spoilt,
     book: Vec<Line>,
     proposed: usize,
@@ -144,16 +183,22 @@
             thread::spawn(move || knock(relay, &doors, &stop, &requests, begin))
         })
         .collect();
+    let stayers: Vec<JoinHandle<()>> = (0..scenario.standing)
+        .map(|client| {
+            let (doors, stop, stays, begin) = (rig.doors.clone(), stop.clone(), rig.stays.clone(), rig.begin);
+            thread::spawn(move || stay(client, &doors, &stop, &stays, begin))
+        })
+        .collect();
     let looks: Arc<Mutex<Vec<Line>>> = Arc::default();
     let looker = {
         let (stop, looks, begin, program) = (stop.clone(), looks.clone(), rig.begin, ground.program.clone());
         let file = rig.staff()?;
         thread::spawn(move || look(&program, &file, &stop, &looks, begin))
     };
-    let played = rig.run();
+    let played = rig.all_stand().and_then(|()| rig.run());
     let together = played.and_then(|()| rig.come_together(&requests));
     stop.store(true, Relaxed);
-    clients.into_iter().chain([looker]).for_each(|thread| drop(thread.join()));
+    clients.into_iter().chain(stayers).chain([looker]).for_each(|thread| drop(thread.join()));
     rig.book.append(&mut lock(&looks));
     let together = together?;
     let requests = std::mem::take(&mut *lock(&requests));
@@ -197,6 +242,59 @@
     }
 }
 
+/// A client that stays until it is moved or cut off, and comes again then, at the next relay.
+fn stay(
+    client: usize,
+    doors: &Mutex<Vec<Option<SocketAddr>>>,
+    stop: &AtomicBool,
+    stays: &Mutex<Vec<Stay>>,
+    begin: Instant,
+) {
+    let now = || begin.elapsed().as_micros() as Moment;
+    let mut n = 0;
+    while !stop.load(Relaxed) {
+        n += 1;
+        let door = {
+            let doors = lock(doors);
+            doors[(client + n) % doors.len()]
+        };
+        let id = format!("{:04x}{n:06x}", 0xf000 + client);
+        let met = door.and_then(|door| TcpStream::connect_timeout(&door, ANSWER).ok());
+        let Some(mut socket) = met else {
+            thread::sleep(AWAY);
+            continue;
+        };
+        let _ = socket.set_read_timeout(Some(LOOK));
+        let asked = write!(socket, "OPEN {id} {client:x} c=chat,d=1000,g=1\r\n");
+        let (mut reader, mut line, mut up) = (BufReader::new(socket), String::new(), false);
+        while asked.is_ok() && !stop.load(Relaxed) {
+            match reader.read_line(&mut line) {
+                Ok(0) => break,
+                Ok(_) => {
+                    let word = line.split([' ', '\r']).next().unwrap_or_default();
+                    if word == "UP" {
+                        up = true;
+                    }
+                    if word == "UP" || word == "MOVE" {
+                        let moved = word == "MOVE";
+                        lock(stays).push(Stay { client, id: id.clone(), at: now(), moved });
+                    }
+                    if word != "UP" {
+                        break;
+                    }
+                    line.clear();
+                }
+                // What has come of a line stays in it.
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+                Err(_) => break,
+            }
+        }
+        if !up {
+            thread::sleep(AWAY);
+        }
+    }
+}
+
 /// Staff who look again and again which epoch is in force.
 fn look(program: &Path, file: &Path, stop: &AtomicBool, looks: &Mutex<Vec<Line>>, begin: Instant) {
     let now = || begin.elapsed().as_micros() as Moment;
@@ -224,8 +322,8 @@
 }
 
 /// The text of the policy that pins the site to a cell.
-fn policy(cell: usize) -> String {
-    let mut text = format!("# change {cell}\n[cells]\nmoves_per_second = 1000\n");
+fn policy(cell: usize, rate: u64) -> String {
+    let mut text = format!("# change {cell}\n[cells]\nmoves_per_second = {rate}\n");
     for n in 0..CELLS {
         text += &format!("[[cells.cell]]\nname = \"c{n}\"\nservers = [\"s-{n}\"]\n");
     }
@@ -264,6 +362,8 @@
             doors: Arc::new(Mutex::new(vec![None; relays])),
             links,
             logs: Vec::new(),
+            stays: Arc::default(),
+            harmed: Vec::new(),
             spoilt: Spoilt::default(),
             book: Vec::new(),
             proposed: 0,
@@ -281,13 +381,21 @@
                 std::fs::write(&file, operator)?;
                 rig.call(&["fleet", "--operator", &file.display().to_string(), "init"])?;
             }
+            if !scenario.points.is_empty() {
+                rig.armed.insert(relay, scenario.points.clone());
+            }
             rig.start(relay)?;
         }
+        rig.armed.clear();
         // The play begins when every relay admits clients under the first policy, which is proposed like any other.
         rig.begin = Instant::now();
         // On a machine that is busy it may be given up.
         let end = Instant::now() + crate::PATIENCE;
-        while !rig.change(policy(0), crate::PATIENCE)?.join().is_ok_and(|told| told.word == "in-force") {
+        while !rig
+            .change(policy(0, rig.scenario.moves_per_second), crate::PATIENCE)?
+            .join()
+            .is_ok_and(|told| told.word == "in-force")
+        {
             if Instant::now() > end {
                 return Err(io::Error::other(format!("the fleet did not begin: {}", rig.all_logs())));
             }
@@ -318,12 +426,13 @@
             "[fleet]\nid = \"lab\"\ndirectory = \"ledger-{relay}\"\nkeys = \"fleet.key\"\nlease_ms = {lease}\npatience_ms = {}\n",
             3 * lease
         );
+        let jobs = "\n[fleet.jobs]\nload_watch = true\npaced_moves = true\n";
         if relay < self.scenario.voters || self.joined.contains_key(&relay) {
             text += &format!("voter = {}\n", relay + 1);
         }
         let own = (0..self.scenario.voters).map(|voter| (voter, self.links[&(relay, voter)].addr));
         let joined = self.joined.iter().map(|(voter, link)| (*voter, link.addr));
-        text + &voters(own.chain(joined))
+        text + &voters(own.chain(joined)) + if self.scenario.jobs { jobs } else { "" }
     }
 
     fn start(&mut self, relay: usize) -> io::Result<()> {
@@ -346,15 +455,31 @@
             known: self.entries.clone(),
             operator: Some(self.operator(relay)),
             sockets: 1024,
-            replace: Vec::new(),
+            replace: if self.scenario.jobs || self.scenario.probes { self.probed() } else { Vec::new() },
             listen: None,
             core: None,
             held: Some(self.held[relay].clone()),
             plant: self.ground.plant.clone(),
+            build: match relay {
+                of if self.scenario.older.contains(&of) => Some("older".into()),
+                of if self.scenario.later.contains(&of) => Some("later".into()),
+                _ => None,
+            },
             fail_points: self.armed.get(&relay).cloned(),
         }
     }
 
+    /// What lets relays probe, says in which columns backends tell their load, and how many relays there are.
+    fn probed(&self) -> Vec<(String, String)> {
+        let relays = format!(r#""peers_total": {}"#, self.relays.len());
+        let replace = [
+            (r#""probes": false"#, r#""probes": true"#),
+            (r#""columns": []"#, r#""columns": ["inflight", "x0"]"#),
+            (r#""peers_total": 1"#, &relays),
+        ];
+        replace.map(|(from, to)| (from.to_string(), to.to_string())).into()
+    }
+
     /// Leads the links to a voter to where it listens now.
     fn lead_to(&mut self, relay: usize) {
         let Some(started) = self.relays[relay].as_ref() else { return };
@@ -383,6 +508,8 @@
         old.signal("TERM")?;
         old.exit();
         self.logs.push((relay, old.end()));
+        // The two ran at one time: what each obeyed is a row of its own.
+        self.logs.push((relay, vec![(Instant::now(), SECOND_PROCESS.into())]));
         self.lead_to(relay);
         Ok(())
     }
@@ -474,7 +601,7 @@
         if self.proposed + 1 >= CELLS {
             return Ok(());
         }
-        let text = text.unwrap_or_else(|| policy(self.proposed));
+        let text = text.unwrap_or_else(|| policy(self.proposed, self.scenario.moves_per_second));
         let asked = self.now();
         let thread = self.change(text.clone(), Duration::from_secs(20))?;
         self.changes.push(Change { text, asked, thread });
@@ -517,6 +644,17 @@
         match step.deed {
             Deed::Propose => self.propose(None)?,
             Deed::ProposeBad => self.propose(Some("[of_a_later_build]\n".into()))?,
+            Deed::ProposeLater => {
+                let text = policy(self.proposed, self.scenario.moves_per_second) + LATER;
+                self.propose(Some(text))?;
+            }
+            Deed::Rebuild { relay } => {
+                self.scenario.older.retain(|of| *of != relay);
+                self.scenario.later.retain(|of| *of != relay);
+                self.mark(relay, self.now() + 1_500_000);
+                self.kill(relay);
+                self.start(relay)?;
+            }
             Deed::ProposeTwo => {
                 self.propose(None)?;
                 self.propose(None)?;
@@ -541,18 +679,7 @@
                 let leader = self.relays.iter().position(leads).unwrap_or(0);
                 self.stop(leader, for_ms)?;
             }
-            Deed::Cut { relay, out, back, held, for_ms } => {
-                let what = if held { Way::Hold } else { Way::Lose };
-                let way = |on: bool| if on { what } else { Way::Pass };
-                for ((from, to), link) in &self.links {
-                    if *from == relay {
-                        link.set([way(out), way(back)]);
-                    } else if *to == relay {
-                        link.set([way(back), way(out)]);
-                    }
-                }
-                self.spoil(relay, for_ms, Undo::Mend(relay));
-            }
+            Deed::Cut { relay, out, back, held, for_ms } => self.cut(relay, [out, back], held, for_ms),
             Deed::Slow { by_ms, for_ms } => {
                 let late = Way::Late(Duration::from_millis(by_ms));
                 self.links.values().for_each(|link| link.set([late, late]));
@@ -599,17 +726,107 @@
             Deed::Keys { ref keys } => {
                 std::fs::write(self.ground.dir.join("fleet.key"), keys.join("\n") + "\n")?
             }
+            Deed::Owner { ref job, harm, for_ms } => self.harm(job, harm, for_ms)?,
+            Deed::Taken { ref job } => self.taken(job)?,
             Deed::Reset => self.links.values().for_each(Proxy::reset),
             Deed::Await => self.settle()?,
         }
         Ok(())
     }
 
+    fn cut(&mut self, relay: usize, [out, back]: [bool; 2], held: bool, for_ms: u64) {
+        let what = if held { Way::Hold } else { Way::Lose };
+        let way = |on: bool| if on { what } else { Way::Pass };
+        for ((from, to), link) in &self.links {
+            if *from == relay {
+                link.set([way(out), way(back)]);
+            } else if *to == relay {
+                link.set([way(back), way(out)]);
+            }
+        }
+        self.spoil(relay, for_ms, Undo::Mend(relay));
+    }
+
+    /// The fleet's jobs as staff see them; none where nobody answers just now.
+    fn jobs(&self) -> Option<Vec<Job>> {
+        let staff = self.ground.dir.join("staff.toml");
+        let mut command = Command::new(&self.ground.program);
+        command.args(["fleet", "--json", "--wait", "2", "--operator"]).arg(staff).arg("jobs");
+        let output = command.stdin(Stdio::null()).output().ok()?;
+        let said = String::from_utf8(output.stdout).ok()?;
+        let job = |line: &str| {
+            let said: serde_json::Value = serde_json::from_str(line).ok()?;
+            let owner = said["owner"].as_str()?.strip_prefix('n').and_then(|n| n.parse().ok());
+            let token = said["token"].as_str()?.parse().ok()?;
+            let (name, why) = (said["job"].as_str()?.to_string(), said["why"].as_str()?.to_string());
+            Some(Job { name, owner, token, why })
+        };
+        output.status.success().then(|| said.lines().filter_map(job).collect())
+    }
+
+    /// Whoever has the job, and its token.
+    fn owner(&self, name: &str) -> Option<(usize, u64)> {
+        let jobs = self.jobs()?;
+        let job = jobs.into_iter().find(|job| job.name == name)?;
+        Some((job.owner?, job.token))
+    }
+
+    /// Something is done to whoever has a job just now; nothing where that is nobody.
+    fn harm(&mut self, job: &str, harm: Harm, for_ms: u64) -> io::Result<()> {
+        let Some((relay, token)) = self.owner(job) else { return Ok(()) };
+        if self.relays.get(relay).is_none_or(Option::is_none) || self.stopped.contains(&relay) {
+            return Ok(());
+        }
+        self.write(Fact::Fault { text: format!("n{relay} has {job} under token {token}: {harm:?}") });
+        self.harmed.push(Harmed { harm, job: job.into(), token, at: self.now() });
+        match harm {
+            Harm::Kill => {
+                self.spoil(relay, for_ms, Undo::Start(relay));
+                self.kill(relay);
+            }
+            Harm::Stop => self.stop(relay, for_ms)?,
+            Harm::Mute => self.cut(relay, [true, false], true, for_ms),
+            Harm::Deaf => self.cut(relay, [false, true], true, for_ms),
+            Harm::Cut => self.cut(relay, [true, true], false, for_ms),
+            Harm::Upgrade => self.upgrade(relay)?,
+            Harm::HandOver => {
+                let mut command = Command::new(&self.ground.program);
+                command.args(["fleet", "--wait", "20", "--operator"]).arg(self.staff()?);
+                command.args(["hand-over", job]).stdin(Stdio::null());
+                // A leader that changes meanwhile may make it fail; then the job stays where it is.
+                self.replacements
+                    .push(thread::spawn(move || command.output().map(drop).map_err(|e| e.to_string())));
+            }
+        }
+        Ok(())
+    }
+
+    /// Another relay has the job than the one that came to harm last, and all that run have obeyed it.
+    fn taken(&mut self, job: &str) -> io::Result<()> {
+        let before =
+            self.harmed.iter().rev().find(|harmed| harmed.job == job).map_or(0, |harmed| harmed.token);
+        self.wait("an owner that all obey", |rig| {
+            let Some((_, token)) = rig.owner(job).filter(|(_, token)| *token > before) else { return false };
+            let runs = |relay: &usize| rig.relays[*relay].is_some() && !rig.stopped.contains(relay);
+            let words = format!("fleet: obeys {job} under token {token}");
+            (0..rig.relays.len()).filter(runs).all(|relay| rig.has_said(relay, &words))
+        })
+    }
+
+    /// Every client that stays stands, before anything is done.
+    fn all_stand(&mut self) -> io::Result<()> {
+        let all = self.scenario.standing;
+        self.wait("all clients that stay", |rig| {
+            let stays = lock(&rig.stays);
+            stays.iter().map(|stay| stay.client).collect::<BTreeSet<_>>().len() == all
+        })
+    }
+
     /// Whether a process of this relay has said these words.
     fn has_said(&self, relay: usize, words: &str) -> bool {
-        let said = |lines: &[String]| lines.iter().any(|line| line.contains(words));
+        let said = |lines: &[Said]| lines.iter().any(|(_, line)| line.contains(words));
         self.logs.iter().any(|(of, lines)| *of == relay && said(lines))
-            || self.relays[relay].as_ref().is_some_and(|process| said(&process.lines()))
+            || self.relays[relay].as_ref().is_some_and(|process| said(&process.stamped()))
     }
 
     /// A fault that is awaited, not timed: one that did not come would prove nothing.
@@ -620,7 +837,7 @@
         self.armed.insert(relay, points.to_string());
         // At some points it ends before it serves; what it said then is all there is of it.
         if let Err(e) = self.start(relay) {
-            self.logs.push((relay, vec![e.to_string()]));
+            self.logs.push((relay, vec![(Instant::now(), e.to_string())]));
         }
         self.armed.remove(&relay);
         let end = Instant::now() + crate::PATIENCE;
@@ -740,13 +957,17 @@
         let end = Instant::now() + crate::PATIENCE;
         let mut outcome = String::new();
         while outcome != "in-force" && Instant::now() < end {
-            let thread = self.change(policy(cell), Duration::from_secs(10))?;
+            let thread =
+                self.change(policy(cell, self.scenario.moves_per_second), Duration::from_secs(10))?;
             outcome = thread.join().map_or_else(|_| "unknown".into(), |told| told.word);
         }
         if outcome != "in-force" {
             let text = format!("a change after all was mended is {outcome}: {}", self.all_logs());
             return Ok(vec![Broken { rule: "the fleet comes together", at: self.now(), text }]);
         }
+        if let Some(broken) = self.jobs_are_done(cell)? {
+            return Ok(vec![broken]);
+        }
         let end = Instant::now() + crate::PATIENCE;
         let all: BTreeSet<usize> = (0..self.relays.len()).collect();
         loop {
@@ -773,6 +994,38 @@
         }
     }
 
+    /// Each job has its owner, all relays obey the load watch's, and every client that stays stands in the last cell.
+    fn jobs_are_done(&mut self, cell: usize) -> io::Result<Option<Broken>> {
+        if !self.scenario.jobs {
+            return Ok(None);
+        }
+        let owned = self.wait("an owner of each job", |rig| {
+            let sound = |job: &Job| job.owner.is_some() && job.why.is_empty();
+            rig.jobs().is_some_and(|jobs| jobs.len() == 2 && jobs.iter().all(sound))
+        });
+        let obeyed = owned.and_then(|()| {
+            self.wait("relays that all obey the load watch", |rig| {
+                let Some((_, token)) = rig.owner("load/a") else { return false };
+                let words = format!("fleet: obeys load/a under token {token}");
+                (0..rig.relays.len()).all(|relay| rig.has_said(relay, &words))
+            })
+        });
+        let moved = obeyed.and_then(|()| {
+            self.wait("clients that all stand in the last cell", |rig| {
+                let here: BTreeSet<String> =
+                    rig.backends[cell].book(|book| book.opened.iter().map(|(_, id)| id.clone()).collect());
+                let mut last: BTreeMap<usize, bool> = BTreeMap::new();
+                for stay in lock(&rig.stays).iter() {
+                    last.insert(stay.client, !stay.moved && here.contains(&stay.id));
+                }
+                last.len() == rig.scenario.standing && last.values().all(|stands| *stands)
+            })
+        });
+        let broken =
+            |e: io::Error| Broken { rule: "each job has its owner", at: self.now(), text: e.to_string() };
+        Ok(moved.err().map(broken))
+    }
+
     fn end(mut self, requests: Vec<Request>, mut broken: Vec<Broken>) -> Played {
         let mut cells: BTreeMap<String, usize> = BTreeMap::new();
         for (cell, backend) in self.backends.iter().enumerate() {
@@ -791,22 +1044,25 @@
             self.write(Fact::Fault { text });
         }
         // Which cell each epoch means, as the relays that took it said: by its text's digest.
-        let digests: BTreeMap<String, usize> =
-            (0..CELLS).map(|cell| (jaspermoor::config::policy::digest(&policy(cell)), cell)).collect();
+        let texts = |cell| {
+            let text = policy(cell, self.scenario.moves_per_second);
+            [text.clone() + LATER, text].map(|text| (jaspermoor::config::policy::digest(&text), cell))
+        };
+        let digests: BTreeMap<String, usize> = (0..CELLS).flat_map(texts).collect();
         let mut logs = std::mem::take(&mut self.logs);
         for (relay, process) in self.relays.iter().enumerate() {
-            logs.extend(process.iter().map(|process| (relay, process.lines())));
+            logs.extend(process.iter().map(|process| (relay, process.stamped())));
         }
         let mut epochs: BTreeMap<usize, u64> = BTreeMap::new();
-        for (relay, line) in
+        let mut second = vec![0; self.relays.len()];
+        for (relay, (said, line)) in
             logs.iter().flat_map(|(relay, lines)| lines.iter().map(move |line| (*relay, line)))
         {
+            let at = said.saturating_duration_since(self.begin).as_micros() as Moment;
+            let mut write = |fact| self.book.push(Line { at, fact });
+            second[relay] += usize::from(line == SECOND_PROCESS);
             if let Some((epoch, digest)) = adopted(line) {
-                let at = self.now();
-                self.book.push(Line {
-                    at,
-                    fact: Fact::Holds { relay: format!("n{relay}"), epoch, text: digest.clone() },
-                });
+                write(Fact::Holds { relay: format!("n{relay}"), epoch, text: digest.clone() });
                 if let Some(cell) = digests.get(&digest) {
                     epochs.insert(*cell, epoch);
                 }
@@ -814,17 +1070,34 @@
             if let Some(term) =
                 line.split_once("fleet: leads in term ").and_then(|(_, n)| n.trim().parse().ok())
             {
-                let at = self.now();
-                self.book.push(Line { at, fact: Fact::Leads { voter: relay as u64 + 1, term } });
+                write(Fact::Leads { voter: relay as u64 + 1, term });
+            }
+            if let Some((job, token)) = obeyed(line) {
+                let receiver = format!("n{relay}{}", "'".repeat(second[relay]));
+                write(Fact::Obeyed { receiver, job, token });
             }
             if line.contains("fleet: the ledger:") || line.contains("panicked") {
-                broken.push(Broken {
-                    rule: "a voter keeps what it has answered for",
-                    at: self.now(),
-                    text: line.clone(),
-                });
+                let rule = "a voter keeps what it has answered for";
+                broken.push(Broken { rule, at, text: line.clone() });
+            }
+        }
+        let taken = self.harmed.iter().filter_map(|harmed| {
+            let first = |line: &&Line| match &line.fact {
+                Fact::Obeyed { job, token, .. } => *job == harmed.job && *token > harmed.token,
+                _ => false,
+            };
+            let at = self.book.iter().filter(first).map(|line| line.at).min()?;
+            Some((harmed.harm, Duration::from_micros(at.saturating_sub(harmed.at))))
+        });
+        let taken = taken.collect();
+        let rate = self.scenario.moves_per_second;
+        for stay in std::mem::take(&mut *lock(&self.stays)) {
+            if let (true, Some(cell)) = (stay.moved, cells.get(&stay.id)) {
+                let fact = Fact::Moved { client: stay.client, from: *cell, rate };
+                self.book.push(Line { at: stay.at, fact });
             }
         }
+        let probes = self.backends.iter().map(|backend| backend.book(|book| book.probes)).sum();
         let (mut admitted, mut refused) = (0, 0);
         for request in &requests {
             let relay = format!("n{}", request.relay);
@@ -860,7 +1133,10 @@
         });
         self.book.sort_by_key(|line| line.at);
         broken.extend(check(&self.book));
-        Played { broken, book: std::mem::take(&mut self.book), took, logs, admitted, refused }
+        let logs =
+            logs.into_iter().map(|(relay, said)| (relay, said.into_iter().map(|(_, line)| line).collect()));
+        let (book, logs) = (std::mem::take(&mut self.book), logs.collect());
+        Played { broken, book, took, logs, taken, probes, admitted, refused }
     }
 }
 
--- a/crates/lab/src/faults/scenario.rs
+++ b/crates/lab/src/faults/scenario.rs
@@ -12,6 +12,13 @@
     Propose,
     /// A policy is proposed that no relay of this build understands.
     ProposeBad,
+    /// A policy is proposed with a parameter that an older build does not know.
+    ProposeLater,
+    /// A relay is killed and started as this build, whichever it was before.
+    Rebuild {
+        /// Which one.
+        relay: usize,
+    },
     /// Two policies are proposed at once.
     ProposeTwo,
     /// A relay is killed, and started again with its disk after so long.
@@ -135,12 +142,52 @@
         /// See there.
         keys: Vec<String>,
     },
+    /// Something is done to the relay that has a job, whichever it is then.
+    Owner {
+        /// The job.
+        job: String,
+        /// What.
+        harm: Harm,
+        /// In milliseconds.
+        for_ms: u64,
+    },
+    /// Nothing goes on before a relay other than the job's last owner has been obeyed by all that run.
+    Taken {
+        /// The job.
+        job: String,
+    },
     /// All connections between processes are reset.
     Reset,
     /// Nothing goes on before every change so far has its outcome and every relay that runs has had some clients since.
     Await,
 }
 
+/// What is done to a job's owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Harm {
+    /// Its process is killed, and started again.
+    Kill,
+    /// Its process is stopped, and goes on.
+    Stop,
+    /// It is not heard: what it says is held back, and let go at the end.
+    Mute,
+    /// It does not hear.
+    Deaf,
+    /// Both, and what was said is lost.
+    Cut,
+    /// Staff give its job to another.
+    HandOver,
+    /// It is upgraded: a second process takes over.
+    Upgrade,
+}
+
+impl Harm {
+    /// All of them.
+    pub const ALL: [Harm; 7] =
+        [Harm::Kill, Harm::Stop, Harm::Mute, Harm::Deaf, Harm::Cut, Harm::HandOver, Harm::Upgrade];
+}
+
 /// What has become of a voter that is replaced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -177,11 +224,51 @@
     /// How long a lease is, in milliseconds.
     #[serde(default = "lease_ms")]
     pub lease_ms: u64,
+    /// Whether the relays take jobs of the fleet.
+    #[serde(default)]
+    pub jobs: bool,
+    /// Relays that are of an older build, and of a later one, until they are rebuilt.
+    #[serde(default)]
+    pub older: Vec<usize>,
+    /// See `older`.
+    #[serde(default)]
+    pub later: Vec<usize>,
+    /// Whether relays may probe backends, also without jobs.
+    #[serde(default)]
+    pub probes: bool,
+    /// Clients that stay until they are moved.
+    #[serde(default)]
+    pub standing: usize,
+    /// Moves of standing clients that each policy allows a second.
+    #[serde(default = "moves_per_second")]
+    pub moves_per_second: u64,
+    /// Fail points that each relay's first process is started with.
+    #[serde(default)]
+    pub points: String,
     /// What is done, in the order of time.
     #[serde(default)]
     pub step: Vec<Step>,
 }
 
+impl Default for Scenario {
+    fn default() -> Scenario {
+        Scenario {
+            about: String::new(),
+            voters: 3,
+            observers: 0,
+            lease_ms: lease_ms(),
+            jobs: false,
+            older: Vec::new(),
+            later: Vec::new(),
+            probes: false,
+            standing: 0,
+            moves_per_second: moves_per_second(),
+            points: String::new(),
+            step: Vec::new(),
+        }
+    }
+}
+
 /// Fail points of the relay: before and after each of its durable steps.
 pub const POINTS: [&str; 8] = [
     "before-store",
@@ -194,12 +281,16 @@
     "after-seat",
 ];
 
+fn moves_per_second() -> u64 {
+    1_000
+}
+
 fn lease_ms() -> u64 {
     600
 }
 
 /// Scenarios that come with the program: name and text.
-pub const NAMED: [(&str, &str); 15] = [
+pub const NAMED: [(&str, &str); 19] = [
     ("change", include_str!("../../faults/change.toml")),
     ("majority-killed", include_str!("../../faults/majority-killed.toml")),
     ("leader-stopped", include_str!("../../faults/leader-stopped.toml")),
@@ -215,6 +306,10 @@
     ("key-change", include_str!("../../faults/key-change.toml")),
     ("upgrades", include_str!("../../faults/upgrades.toml")),
     ("never-answers", include_str!("../../faults/never-answers.toml")),
+    ("two-builds", include_str!("../../faults/two-builds.toml")),
+    ("owners-harmed", include_str!("../../faults/owners-harmed.toml")),
+    ("owner-asleep", include_str!("../../faults/owner-asleep.toml")),
+    ("paced-moves", include_str!("../../faults/paced-moves.toml")),
 ];
 
 impl Scenario {
@@ -230,6 +325,7 @@
                 Deed::Kill { relay, .. } | Deed::Stop { relay, .. } | Deed::Cut { relay, .. } => relay,
                 Deed::Arm { relay, .. } | Deed::Tear { relay, .. } | Deed::Upgrade { relay } => relay,
                 Deed::Reach { relay, .. } | Deed::Restart { relay } | Deed::Said { relay, .. } => relay,
+                Deed::Rebuild { relay } => relay,
                 Deed::Replace { relay, by, .. } if by < scenario.voters || relay == by => {
                     return Err(format!("step[{n}].by: is {by}, which votes already"));
                 }
@@ -302,7 +398,45 @@
             at_ms += rng.random_range(50..600);
         }
         let about = format!("drawn from seed {seed}");
-        Scenario { about, voters, observers, lease_ms: lease_ms(), step }
+        Scenario { about, voters, observers, step, ..Scenario::default() }
+    }
+
+    /// A play drawn from a seed in which owners of jobs come to harm, one after the other and all at once, while policies
+    /// change.
+    pub fn random_owners(seed: u64) -> Scenario {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let voters = if rng.random_bool(0.3) { 5 } else { 3 };
+        let observers = rng.random_range(2..=4);
+        let (mut step, mut at_ms) = (Vec::new(), 300);
+        while at_ms < 6_000 {
+            let relay = rng.random_range(0..voters + observers);
+            // Over a lease and under one.
+            let for_ms =
+                if rng.random_bool(0.6) { rng.random_range(700..2_500) } else { rng.random_range(50..500) };
+            let job = ["load/a", "moves"][usize::from(rng.random_bool(0.3))].to_string();
+            let deed = match rng.random_range(0..14) {
+                0..=6 => Deed::Owner { job, harm: Harm::ALL[rng.random_range(0..Harm::ALL.len())], for_ms },
+                7 | 8 => Deed::Propose,
+                9 => Deed::Stop { relay, for_ms },
+                10 => Deed::StopLeader { for_ms },
+                11 => Deed::Lossy {
+                    permille: rng.random_range(0..300),
+                    by_ms: rng.random_range(1..100),
+                    for_ms,
+                },
+                12 => Deed::Slow { by_ms: rng.random_range(5..300), for_ms },
+                _ if rng.random_bool(0.3) => Deed::KillAll { for_ms: 100 },
+                _ => Deed::Reset,
+            };
+            step.push(Step { at_ms, deed });
+            at_ms += rng.random_range(50..800);
+        }
+        // Half of the plays with an owner that sleeps between the look at its lease and its order.
+        let sleep = rng.random_range(700..3_000);
+        let points = format!("before-order={}*off->1*sleep({sleep})->off", rng.random_range(1..8));
+        let points = if rng.random_bool(0.5) { points } else { String::new() };
+        let about = format!("owners, drawn from seed {seed}");
+        Scenario { about, voters, observers, jobs: true, standing: 6, points, step, ..Scenario::default() }
     }
 
     /// The fewest steps with which `broken` still holds: parts are left out, halves first, then single ones.
@@ -336,9 +470,11 @@
             Scenario::read(text).unwrap_or_else(|e| panic!("{name}: {e}"));
         }
         for seed in 0..50 {
-            let drawn = Scenario::random(seed);
-            assert_eq!(Scenario::read(&drawn.text()).unwrap(), drawn);
-            assert_eq!(Scenario::random(seed), drawn);
+            for draw in [Scenario::random, Scenario::random_owners] {
+                let drawn = draw(seed);
+                assert_eq!(Scenario::read(&drawn.text()).unwrap(), drawn);
+                assert_eq!(draw(seed), drawn);
+            }
         }
         let wrong = |steps: &str| Scenario::read(&format!("about = 'x'\nvoters = 3\n{steps}")).unwrap_err();
         assert!(
--- a/crates/lab/src/faults/virtual_fleet.rs
+++ b/crates/lab/src/faults/virtual_fleet.rs
@@ -7,14 +7,17 @@
 
 use super::books::{Broken, Fact, Line, Moment};
 use jaspermoor_control::fence::{Fence, Verdict};
+use jaspermoor_control::follower::Follower;
 use jaspermoor_control::holder::{Alone, Effect, Holder};
 use jaspermoor_control::log::{Kept, Log, Stored};
-use jaspermoor_control::message::{Answer, Ask, Message, Relay};
+use jaspermoor_control::message::{Answer, Ask, Message, News, Relay};
+use jaspermoor_control::moves::Moving;
 use jaspermoor_control::owner::Owner;
 use jaspermoor_control::owners::Deal;
 use jaspermoor_control::seats::{Change, Seats};
 use jaspermoor_control::state::{Policy, Proposal, ProposalId};
 use jaspermoor_control::voter::Voter;
+use jaspermoor_control::worker::{Deed, Scene, Worker};
 use jaspermoor_control::{Micros, Plant, Planted, Times};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -86,6 +89,8 @@
     pub checkpoints: u64,
     /// See `orders`.
     pub hands: usize,
+    /// Reports of the load watch that relays took.
+    pub words: usize,
     /// Of the three jobs whose owners fail: how long nobody could act on each, in microseconds.
     pub ownerless: [Moment; 3],
     /// Bytes that each process has sent to others, voters first, and how long that took.
@@ -109,6 +114,9 @@
     fence: Fence,
     /// Orders that it asks about before it obeys or refuses them.
     doubts: Vec<Order>,
+    /// What it does for the fleet as a relay does it, and its connections that wait to be moved.
+    worker: Option<Worker>,
+    moving: Moving,
     policy: Policy,
     /// What it has not stored, though it should have: lost in a crash.
     unstored: Vec<Stored>,
@@ -121,6 +129,11 @@
     wakes: Moment,
 }
 
+/// Jobs that are done as relays do them; with the others owners act at random.
+const DONE: [&str; 2] = ["load/z", "moves"];
+/// Moves a second that the policy allows all relays together.
+const MOVES: u64 = 20;
+
 /// What an owner tells a receiver.
 #[derive(Clone, Debug)]
 struct Order {
@@ -179,6 +192,8 @@
     /// When each text was proposed, and when the last relay took it.
     texts: BTreeMap<String, (Moment, Moment)>,
     leads: BTreeMap<u64, u64>,
+    /// Moves that all relays have made.
+    moves: u64,
 }
 
 /// Applies what is stored to a disk, as the relay's own store does.
@@ -241,6 +256,7 @@
             admitted: BTreeMap::new(),
             texts: BTreeMap::new(),
             leads: BTreeMap::new(),
+            moves: 0,
         }
     }
 
@@ -282,6 +298,8 @@
                 reborn: false,
                 fence: Fence::planted(Planted(self.play.plant)),
                 doubts: Vec::new(),
+                worker: None,
+                moving: Moving { waiting: 200, ..Moving::default() },
                 policy: Policy::default(),
                 unstored: Vec::new(),
                 starts: 0,
@@ -366,6 +384,9 @@
             Holder::new(relay, voters, p.policy.clone(), times, Alone::Refuse).planted(planted, local);
         holder.seated(&p.seats);
         holder.works(Owner::planted(planted));
+        p.worker = Some(Worker::new(Follower::new(holder.relay().clone())).planted(planted));
+        // Counted since the start of each process.
+        p.moving = Moving { waiting: p.moving.waiting, ..Moving::default() };
         p.holder = Some(holder);
         // A disk without a log is that of a relay that has no vote, or was lost.
         if p.kept.snapshot.is_some() {
@@ -412,7 +433,7 @@
     fn kill(&mut self, n: usize) {
         let planted = self.planted();
         let p = &mut self.processes[n];
-        (p.voter, p.holder) = (None, None);
+        (p.voter, p.holder, p.worker) = (None, None, None);
         p.inbox.clear();
         p.unstored.clear();
         p.doubts.clear();
@@ -449,15 +470,92 @@
         self.carry_out(n, effect.into_iter().collect());
         self.knock(n);
         self.act(n);
+        self.do_jobs(n, None);
+        self.work(n);
         self.ask_doubts(n);
         self.later(self.now + BEAT, Event::Beat(n));
     }
 
+    /// What a relay does for the fleet; or what it does with news of a voter.
+    fn do_jobs(&mut self, n: usize, heard: Option<(u64, News)>) {
+        let local = self.local(n);
+        let p = &mut self.processes[n];
+        let (Some(worker), Some(holder)) = (&mut p.worker, &mut p.holder) else { return };
+        let moving = p.moving;
+        let scene = Scene {
+            columns: &["s".to_string(), "us".to_string()],
+            listed: &|zone| if zone == "z" { (0..6).collect() } else { Vec::new() },
+            moves: &|| Some((moving, MOVES)),
+        };
+        let deeds = match heard {
+            Some((voter, news)) => worker.news(local, voter, holder, scene, news),
+            None => worker.turn(local, holder, scene),
+        };
+        let acts: Vec<(String, u64)> = worker.acts_on().map(|(name, token)| (name.into(), token)).collect();
+        if deeds.iter().any(|deed| matches!(deed, Deed::Act(..))) {
+            for (job, token) in acts.iter().filter(|(name, _)| DONE.contains(&name.as_str())) {
+                self.write(Fact::Acted { relay: format!("n{n}"), job: job.clone(), token: *token });
+            }
+        }
+        for deed in deeds {
+            match deed {
+                Deed::Send(voter, message) | Deed::Act(voter, message) => {
+                    self.send(n, voter as usize - 1, message);
+                }
+                Deed::Probe(server) => {
+                    // When it was true, in what it says.
+                    let says = vec![(self.now / 1_000_000) as f32, (self.now % 1_000_000) as f32];
+                    let report = self.rng.random_bool(0.9).then_some(says);
+                    self.processes[n].worker.iter_mut().for_each(|w| w.found(local, server, report.clone()));
+                }
+                Deed::Loads(rows) => rows.iter().for_each(|(_, at, row)| self.word(n, *at, row)),
+                Deed::Permit(upto) => {
+                    let moving = &mut self.processes[n].moving;
+                    moving.permitted = moving.permitted.max(upto);
+                }
+                Deed::Log(line) => {
+                    if let Some((job, token)) = super::books::obeyed(&line) {
+                        self.write(Fact::Obeyed {
+                            receiver: format!("n{n}/{}", self.processes[n].starts),
+                            job,
+                            token,
+                        });
+                    }
+                }
+            }
+        }
+        let moving = &mut self.processes[n].moving;
+        while moving.waiting > 0 && moving.made < moving.permitted {
+            (moving.waiting, moving.made, self.moves) = (moving.waiting - 1, moving.made + 1, self.moves + 1);
+        }
+        let most = MOVES * (self.now / 1_000_000 + 2) * 102 / 100;
+        if self.moves > most {
+            let text = format!("{} moves by all relays, at {MOVES} a second", self.moves);
+            self.seen.broken.push(Broken { rule: "paced", at: self.now, text });
+        }
+    }
+
+    /// A word of the load watch: it is no younger than it is, whatever clocks and links do.
+    fn word(&mut self, n: usize, at: Micros, row: &[f32]) {
+        self.seen.words += 1;
+        let [seconds, us] = row else { return };
+        let truth = *seconds as Moment * 1_000_000 + *us as Moment;
+        let (offset, rate) = self.processes[n].clock;
+        let here = offset + truth / 1_000 * rate / 1_000;
+        // Clocks go in milliseconds here, and five readings of them are in a word's age; the rest is what they drift.
+        let slack = 6_000 + (self.now - truth) * self.times.drift / 1_000;
+        if at > here + slack {
+            let text = format!("n{n} took a report of {truth} us for one that is {} us younger", at - here);
+            self.seen.broken.push(Broken { rule: "no word is younger than it is", at: self.now, text });
+        }
+    }
+
     /// An owner acts: it sends an order, says how far it is, or gives a job up.
     fn act(&mut self, n: usize) {
         let (local, all) = (self.local(n), self.processes.len());
         let Some(owner) = self.processes[n].holder.as_mut().and_then(Holder::owner_mut) else { return };
-        let names: Vec<String> = owner.names().map(String::from).collect();
+        let names = owner.names().filter(|name| !DONE.contains(name));
+        let names: Vec<String> = names.map(String::from).collect();
         for job in names {
             // Some hundred orders a job and play.
             if self.rng.random_range(0..20) > 0 {
@@ -595,7 +693,14 @@
             }
             (Message::Renew(renew), Some(voter), _) => voter.renew(local, from as u64, renew),
             (Message::Ask(number, ask), Some(voter), _) => voter.ask(local, from as u64, number, ask),
+            (Message::Follow(follow), Some(voter), _) => voter.follow(local, from as u64, follow),
+            (Message::Publish(publish), Some(voter), _) => voter.publish(local, from as u64, publish),
+            (Message::News(news), ..) => self.do_jobs(n, Some((from as u64 + 1, news))),
+            (Message::Stale(job, token), _, Some(holder)) => {
+                p.worker.iter_mut().for_each(|worker| worker.stale(local, holder, &job, token));
+            }
             (Message::Answer(_, Answer::Token(job, token)), ..) => {
+                p.worker.iter_mut().for_each(|worker| worker.known(&job, token));
                 p.fence.known(&job, token);
                 let (known, wait): (Vec<Order>, _) = p.doubts.drain(..).partition(|order| order.job == job);
                 p.doubts = wait;
@@ -635,7 +740,7 @@
                     self.write(Fact::Holds { relay, epoch, text });
                 }
                 Effect::Seats(seats) => self.processes[n].seats = seats,
-                Effect::Send(voter, renew) => self.send(n, voter as usize - 1, Message::Renew(renew)),
+                Effect::Send(voter, renew) => self.send(n, voter as usize - 1, Message::Renew(*renew)),
             }
         }
     }
@@ -855,7 +960,8 @@
 
     fn staff_jobs(&mut self) {
         self.later(self.now + 3_000_000, Event::Jobs);
-        let names: Vec<String> = (0..self.play.jobs).map(|n| format!("job-{n}")).collect();
+        let names = (0..self.play.jobs).map(|n| format!("job-{n}"));
+        let names: Vec<String> = names.chain(DONE.map(String::from)).collect();
         let some = names[self.rng.random_range(0..names.len())].clone();
         let known = self.leader().map(|leader| leader.state().jobs.clone()).unwrap_or_default();
         let deal = match known.of.get(&some) {
@@ -954,8 +1060,9 @@
                 self.seen.broken.push(Broken { rule: "each job has its owner", at: self.now, text });
             }
         }
-        if jobs.of.len() != self.play.jobs {
-            let text = format!("{} of {} jobs are there", jobs.of.len(), self.play.jobs);
+        let wanted = if self.play.jobs > 0 { self.play.jobs + DONE.len() } else { 0 };
+        if jobs.of.len() != wanted {
+            let text = format!("{} of {wanted} jobs are there", jobs.of.len());
             self.seen.broken.push(Broken { rule: "each job has its owner", at: self.now, text });
         }
         let states: Vec<(bool, u64)> = (0..self.processes.len())
--- a/crates/lab/src/faults_cli.rs
+++ b/crates/lab/src/faults_cli.rs
@@ -5,9 +5,10 @@
 use jaspermoor_control::Plant;
 use jaspermoor_lab::faults::harness::{play, write_book, Ground, Played};
 use jaspermoor_lab::faults::plot;
-use jaspermoor_lab::faults::scenario::{Scenario, NAMED};
+use jaspermoor_lab::faults::scenario::{Harm, Scenario, NAMED};
 use jaspermoor_lab::faults::virtual_fleet;
 use jaspermoor_lab::relay;
+use std::collections::BTreeMap;
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -36,7 +37,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "run")]
 struct Run {
-    /// a scenario's name, a file, or 'policy' for random plays
+    /// a scenario's name, a file, or 'policy' or 'owners' for random plays
     #[argh(positional)]
     what: String,
     /// the seed of the first random play (default 1); each further one has the next
@@ -134,7 +135,11 @@
             for (name, text) in NAMED {
                 println!("{name:<16} {}", Scenario::read(text)?.about);
             }
-            println!("{:<16} random plays, by --seed and --plays", "policy");
+            println!("{:<16} random plays of changes, by --seed and --plays", "policy");
+            println!(
+                "{:<16} random plays of jobs whose owners come to harm, by --seed and --plays",
+                "owners"
+            );
             println!("planted faults: {}", Plant::ALL.map(|(name, _)| name).join(" "));
             Ok(())
         }
@@ -246,10 +251,12 @@
     planted(run.plant.as_deref())?;
     let bar = progress(run.plays);
     let (mut broken, mut took, mut admitted): (u64, Vec<Duration>, usize) = (0, Vec::new(), 0);
+    let mut taken: BTreeMap<Harm, Vec<Duration>> = BTreeMap::new();
     for n in 0..run.plays {
         let seed = run.seed + n;
         let (name, scenario) = match NAMED.iter().find(|(name, _)| *name == run.what) {
             _ if run.what == "policy" => (format!("policy-{seed}"), Scenario::random(seed)),
+            _ if run.what == "owners" => (format!("owners-{seed}"), Scenario::random_owners(seed)),
             Some((name, text)) => (format!("{name}-{n}"), Scenario::read(text)?),
             None => (format!("play-{n}"), read(Path::new(&run.what))?),
         };
@@ -268,12 +275,17 @@
             let line = serde_json::json!({
                 "play": name, "seed": seed, "admitted": played.admitted, "refused": played.refused,
                 "took_ms": played.took.iter().map(|t| t.as_millis() as u64).collect::<Vec<_>>(),
+                "taken_ms": played.taken.iter().map(|(harm, t)| (harm, t.as_millis() as u64)).collect::<Vec<_>>(),
+                "probes": played.probes,
                 "broken": played.broken.iter().map(ToString::to_string).collect::<Vec<_>>(),
             });
             bar.suspend(|| println!("{line}"));
         }
         admitted += played.admitted;
         took.extend(&played.took);
+        for (harm, time) in &played.taken {
+            taken.entry(*harm).or_default().push(*time);
+        }
         bar.set_message(format!("broken {broken}"));
         bar.inc(1);
     }
@@ -286,6 +298,14 @@
             took.len()
         );
     }
+    for (harm, mut times) in taken {
+        times.sort();
+        let (median, most) = (times[times.len() / 2].as_millis(), times[times.len() - 1].as_millis());
+        println!(
+            "owner {harm:?}: {} times, until another is obeyed median {median} ms, worst {most} ms",
+            times.len()
+        );
+    }
     closing(run.plays, broken)
 }
 
--- a/crates/lab/src/line.rs
+++ b/crates/lab/src/line.rs
@@ -15,6 +15,8 @@
     pub opened: Vec<(Instant, String)>,
     /// How often each line of clients came.
     pub received: BTreeMap<String, u32>,
+    /// How often it was probed.
+    pub probes: usize,
 }
 
 /// A backend that serves until it is dropped: `UP`, and every line back.
@@ -64,7 +66,10 @@
         let mut book = book.lock().unwrap_or_else(PoisonError::into_inner);
         let answer = match line.split(' ').collect::<Vec<_>>()[..] {
             ["PING"] => "PONG".to_string(),
-            ["STATS"] => "PONG inflight=1,x0=0.2,qps=1,eps=0".to_string(),
+            ["STATS"] => {
+                book.probes += 1;
+                "PONG inflight=1,x0=0.2,qps=1,eps=0".to_string()
+            }
             ["OPEN", id, ..] if !up => {
                 up = true;
                 book.opened.push((Instant::now(), id.to_string()));
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What a relay is started with.
 #[derive(Clone, Debug)]
@@ -37,6 +37,8 @@
     pub held: Option<Arc<TcpListener>>,
     /// A fault of the fleet's control that is planted in it; builds that serve know none.
     pub plant: Option<String>,
+    /// Which build of a fleet it stands for: `older` or `later` than this one.
+    pub build: Option<String>,
     /// Where it ends or its disk fails, as the library `fail` writes it.
     pub fail_points: Option<String>,
 }
@@ -68,7 +70,7 @@
 /// A running relay.
 pub struct Relay {
     child: Child,
-    log: Arc<Mutex<Vec<String>>>,
+    log: Arc<Mutex<Vec<(Instant, String)>>>,
     /// Reads its log to the end.
     reader: Option<JoinHandle<()>>,
     config: PathBuf,
@@ -111,6 +113,10 @@
             Some(plant) => command.env("JASPERMOOR_PLANT", plant),
             None => command.env_remove("JASPERMOOR_PLANT"),
         };
+        match &setup.build {
+            Some(build) => command.env("JASPERMOOR_BUILD", build),
+            None => command.env_remove("JASPERMOOR_BUILD"),
+        };
         match &setup.fail_points {
             Some(points) => command.env("FAILPOINTS", points),
             None => command.env_remove("FAILPOINTS"),
@@ -127,12 +133,12 @@
             Some(held) => command.env("BALANCER_ACCEPT_FD", "5").stdin(OwnedFd::from(held.try_clone()?)),
         };
         let mut child = on_core(setup.core, || command.stderr(Stdio::piped()).spawn())?;
-        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let log: Arc<Mutex<Vec<(Instant, String)>>> = Arc::default();
         let reader = child.stderr.take().map(|said| {
             let lines = log.clone();
             thread::spawn(move || {
                 for line in BufReader::new(said).lines().map_while(Result::ok) {
-                    lines.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+                    lines.lock().unwrap_or_else(PoisonError::into_inner).push((Instant::now(), line));
                 }
             })
         });
@@ -153,6 +159,11 @@
 
     /// Its log so far.
     pub fn lines(&self) -> Vec<String> {
+        self.stamped().into_iter().map(|(_, line)| line).collect()
+    }
+
+    /// The same, with when each line was read.
+    pub fn stamped(&self) -> Vec<(Instant, String)> {
         self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
@@ -236,13 +247,13 @@
     }
 
     /// Ends it at once: all that it has logged, to the last line. Its words may still be on their way when it has ended.
-    pub fn end(mut self) -> Vec<String> {
+    pub fn end(mut self) -> Vec<(Instant, String)> {
         let _ = self.child.kill();
         let _ = self.child.wait();
         if let Some(reader) = self.reader.take() {
             let _ = reader.join();
         }
-        self.lines()
+        self.stamped()
     }
 
     /// Waits for its end.
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -1,5 +1,6 @@
 //! `fleet`: what a fleet needs before it is one, and who votes in it.
 
+use super::jobs::{HandOver, Hold, JobsOf, OwnerOf, Release};
 use super::policy::json_object;
 use super::voters::Voters;
 use super::Failure;
@@ -16,14 +17,14 @@
 /// Pause between two looks at how far a change is.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// Makes what a fleet needs, and changes who votes in it.
+/// Makes what a fleet needs, changes who votes in it, and who does what for it.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "fleet")]
 pub struct FleetOf {
     /// the operator file
     #[argh(option)]
     operator: PathBuf,
-    /// how long to wait for a change of the voters, in seconds (default 30)
+    /// how long to wait for a change, in seconds (default 30)
     #[argh(option, default = "30")]
     wait: u64,
     /// answers as JSON, one object a line
@@ -42,6 +43,11 @@
     Add(Add),
     Remove(Remove),
     Replace(Replace),
+    Jobs(JobsOf),
+    Owner(OwnerOf),
+    HandOver(HandOver),
+    Hold(Hold),
+    Release(Release),
 }
 
 /// Makes the ledger of a voter of a new fleet: once, before its first start. Never to replace one that was lost.
@@ -127,6 +133,11 @@
                 "start this relay, then: jaspermoor fleet --operator FILE add {voter} --address ADDRESS"
             );
         }
+        What::Jobs(jobs) => jobs.run(&mut voters, asked.json)?,
+        What::Owner(owner) => owner.run(&mut voters, asked.json)?,
+        What::HandOver(over) => over.run(&mut voters, asked.json)?,
+        What::Hold(hold) => hold.run(&mut voters, asked.json)?,
+        What::Release(release) => release.run(&mut voters, asked.json)?,
         What::Voters(_) => list(&mut voters, asked.json)?,
         What::Add(add) => change(&mut voters, add_of(add.number, add.address), asked.json)?,
         What::Remove(remove) => change(&mut voters, |_| Ok(Change::Remove(remove.number)), asked.json)?,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 pub mod cells;
 pub mod check;
 pub mod fleet;
+pub mod jobs;
 pub mod policy;
 pub mod serve;
 mod voters;
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -3,16 +3,17 @@
 use super::{env, Failure};
 use argh::FromArgs;
 use crossbeam_channel::bounded;
-use jaspermoor::api::{ListKind, Member};
+use jaspermoor::api::{Column, ListKind, Member};
 use jaspermoor::cells::Cells;
 use jaspermoor::config::operator::OperatorFile;
 use jaspermoor::config::policy::{self, Rules};
 use jaspermoor::config::Config;
 use jaspermoor::decide::{Decisions, Orders};
+use jaspermoor::load::LoadBook;
 use jaspermoor::log::{self, log, Format};
 use jaspermoor::net::core::{Core, Xmpp};
 use jaspermoor::net::engine::{Engine, Speaks};
-use jaspermoor::net::fleet::{Fleet, Setup};
+use jaspermoor::net::fleet::{Fleet, Ground, Setup};
 use jaspermoor::net::listen::Door;
 use jaspermoor::ops::admin::{Admin, Staffed};
 use jaspermoor::ops::bans::Bans;
@@ -82,7 +83,7 @@
     // Before the first request: no site is placed by another map.
     let tuning = operator.as_ref().map(policy::tuning).transpose()?.unwrap_or_default();
     decisions.policy(cells.clone(), tuning);
-    let fleet = match operator.as_ref().map(Setup::of).transpose()?.flatten() {
+    let mut fleet = match operator.as_ref().map(Setup::of).transpose()?.flatten() {
         // Before the first client: until it has a lease nobody is admitted.
         Some(setup) => Some(Fleet::open(setup, &config.name, Rules { cells, tuning }, decisions.clone())?),
         None => None,
@@ -90,6 +91,22 @@
     let core = Core::new(&config, decisions, directory);
     core.adopt_xmpp(xmpp);
     let mut engine = Engine::new(core.clone(), config.names.clone(), probe_orders)?;
+    let jobs = operator.as_ref().and_then(|file| file.operator.fleet.as_ref()).map(|fleet| fleet.jobs);
+    if let (Some(fleet), Some(jobs)) = (&mut fleet, jobs) {
+        let book = Arc::new(LoadBook::default());
+        if jobs.load_watch {
+            engine.watch(book.clone());
+        }
+        fleet.work_with(Ground {
+            directory: core.directory.clone(),
+            zones: config.names.zones.clone(),
+            columns: config.names.columns.clone(),
+            zone: config.settings.zone,
+            probes: config.settings.may_probe && config.settings.columns.contains(&Column::Load),
+            book,
+        });
+    }
+    let fleet_handle = fleet.as_ref().map(Fleet::handle);
     engine.open(door.clone(), Speaks::Line)?;
     if let (true, Some(dir)) = (door.held, &config.shared) {
         if let Err(e) = engine.share(dir.clone()) {
@@ -161,6 +178,8 @@
         if signal == SIGHUP {
             reload(&mut config, &source, &core, operator.as_ref());
         } else if !std::mem::replace(&mut stopping, true) {
+            // Its jobs first: others have them before it has gone.
+            fleet_handle.iter().for_each(|fleet| fleet.stop());
             control.stop();
             log(&format!("{}: signal {signal}, moving the standing connections", config.name));
         }
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -74,6 +74,28 @@
     /// How long a relay that serves may take to check and store a proposal.
     #[serde(default = "patience_ms")]
     pub patience_ms: u64,
+    /// `[fleet.jobs]`
+    #[serde(default)]
+    pub jobs: Jobs,
+}
+
+/// `[fleet.jobs]`: work that one relay does for all. Off where nothing is said.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Jobs {
+    /// One relay probes a zone's backends and tells all others what they said.
+    #[serde(default)]
+    pub load_watch: bool,
+    /// One relay paces the moves of standing connections to their sites' new cells, for all.
+    #[serde(default)]
+    pub paced_moves: bool,
+}
+
+impl Jobs {
+    /// Whether there is any.
+    pub fn any(self) -> bool {
+        self.load_watch || self.paced_moves
+    }
 }
 
 fn lease_ms() -> u64 {
--- a/src/config/policy.rs
+++ b/src/config/policy.rs
@@ -24,7 +24,7 @@
     let mut tuning = Tuning::default();
     for (name, value) in &file.operator.parameters {
         let key = format!("parameters.{name}");
-        if !Tuning::NAMES.contains(&name.as_str()) {
+        if !Tuning::NAMES.contains(&name.as_str()) || of_a_later_build(name) {
             let known = Tuning::NAMES.join(", ");
             return Err(file.error(&key, format!("no parameter has this name; there are {known}")));
         }
@@ -35,6 +35,17 @@
     Ok(tuning)
 }
 
+/// Whether this process does as an older build, which does not know that parameter: for tests of fleets of two builds.
+#[cfg(feature = "plants")]
+fn of_a_later_build(name: &str) -> bool {
+    name == "look_both" && std::env::var("JASPERMOOR_BUILD").is_ok_and(|build| build == "older")
+}
+
+#[cfg(not(feature = "plants"))]
+fn of_a_later_build(_: &str) -> bool {
+    false
+}
+
 /// Reads a policy's text; `path` is what errors call it.
 pub fn read(path: &Path, text: &str) -> Result<Rules, OperatorError> {
     let file = OperatorFile::parse(path, text.to_string())?;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -127,6 +127,9 @@
     /// Connections that are to be moved to their site's new cell, and whether a timer is set for the next.
     moves: VecDeque<RequestId>,
     moving: bool,
+    /// How many moves were made since the start, and how many may be, where the fleet paces them.
+    made: u64,
+    permitted: Option<u64>,
     last: Micros,
     next_id: u32,
     entries: BTreeMap<RequestId, Entry>,
@@ -176,6 +179,8 @@
                 by_hand: BTreeSet::new(),
                 moves: VecDeque::new(),
                 moving: false,
+                made: 0,
+                permitted: None,
                 last: 0,
                 next_id: 0,
                 entries: BTreeMap::new(),
@@ -419,6 +424,27 @@
         self.act(self.lock(), |inner, now, calls| inner.adopt_cells(cells, now, calls));
     }
 
+    /// From now on a connection is moved to its site's new cell only where the fleet has permitted one more.
+    pub fn pace_moves(&self) {
+        self.lock().permitted.get_or_insert(0);
+    }
+
+    /// So many moves may have been made since the start. A lower number than before changes nothing.
+    pub fn permit(&self, upto: u64) {
+        self.act(self.lock(), |inner, now, _| {
+            inner.permitted = inner.permitted.map(|before| before.max(upto));
+            inner.next_move(now);
+        });
+    }
+
+    /// How the fleet's moves are here, where it paces them: connections that wait, moves made and permitted since the
+    /// start, and how many a second the whole fleet may make.
+    pub fn moving(&self) -> Option<(u64, u64, u64, u64)> {
+        let inner = self.lock();
+        let rate = SECOND / inner.cells.move_pause.max(1);
+        inner.permitted.map(|permitted| (inner.moves.len() as u64, inner.made, permitted, rate))
+    }
+
     /// What is counted of each cell, and how many connections still wait to be moved to another one.
     pub fn cell_figures(&self) -> (Vec<CellFigures>, usize) {
         let mut inner = self.lock();
@@ -627,7 +653,8 @@
 
     /// Sets the timer of the next move, where one waits and none is set.
     fn next_move(&mut self, now: Micros) {
-        if !self.moves.is_empty() && !std::mem::replace(&mut self.moving, true) {
+        let may = self.permitted.is_none_or(|permitted| self.made < permitted);
+        if may && !self.moves.is_empty() && !std::mem::replace(&mut self.moving, true) {
             self.timers.push(Reverse((now + self.cells.move_pause, MOVES, 0)));
         }
     }
@@ -642,6 +669,7 @@
                 continue;
             }
             if self.parts[home].figures.usable {
+                self.made += 1;
                 calls.push(Call::Relocate(entry.flow.clone()));
             } else {
                 self.moves.push_back(id);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod config;
 pub mod decide;
 pub mod front;
+pub mod load;
 pub mod log;
 pub mod logic;
 pub mod net;
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -12,6 +12,7 @@
 use crate::config::listing::server_id;
 use crate::config::Names;
 use crate::front::line::Lines;
+use crate::load::LoadBook;
 use crate::log::log;
 use crate::net::conn::{Backend, Conn, Phase, NUMBER_SHIFT};
 use crate::net::core::Core;
@@ -23,7 +24,7 @@
 use crate::net::session::{Account, Session};
 use crate::platform::probe::{self, Probe, PROBES};
 use crate::platform::takeover::{Heir, Older, Passed, Rest, Successor};
-use crate::sys::{timed_out, Wake};
+use crate::sys::{boottime, timed_out, Wake};
 use crossbeam_channel::Receiver;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -113,6 +114,8 @@
     older: BTreeMap<u64, Older>,
     next_older: u64,
     orders: Receiver<ServerId>,
+    /// What the fleet's load watch knows, where there is one.
+    book: Option<Arc<LoadBook>>,
     names: Names,
     probes: BTreeMap<u64, Probe>,
     next_probe: u64,
@@ -146,6 +149,7 @@
             older: BTreeMap::new(),
             next_older: OLDER,
             orders,
+            book: None,
             names,
             probes: BTreeMap::new(),
             next_probe: 0,
@@ -169,6 +173,12 @@
         Ok(())
     }
 
+    /// Probes for the fleet's load watch, and takes what it knows in place of own probes.
+    pub fn watch(&mut self, book: Arc<LoadBook>) {
+        book.wakes_prober(self.handle.wake.clone());
+        self.book = Some(book);
+    }
+
     /// Takes over what older processes pass on in this directory, and passes on there what stands at the end.
     pub fn share(&mut self, dir: PathBuf) -> io::Result<()> {
         let heir = Heir::open(&dir)?;
@@ -352,20 +362,35 @@
 
     // Probes.
 
+    /// The next probe that is to be made, and whether it is for the load watch. Where what the watch knows is as good,
+    /// the decisions are told that.
+    fn ordered(&mut self) -> Option<(ServerId, bool)> {
+        for _ in 0..TURN {
+            let Ok(server) = self.orders.try_recv() else { break };
+            let directory = &self.core.directory;
+            let book = self.book.as_ref().filter(|_| directory.takes_new(server));
+            match book.and_then(|book| book.fresh(server, boottime())) {
+                Some(report) => self.probed(server, false, Outcome::Ok, report),
+                None => return Some((server, false)),
+            }
+        }
+        self.book.as_ref()?.wanted().map(|server| (server, true))
+    }
+
     fn start_probes(&mut self) {
         while self.probes.len() < PROBES {
-            let Ok(server) = self.orders.try_recv() else { return };
+            let Some((server, watch)) = self.ordered() else { return };
             // It may have been told to leave since the probe was asked for.
             let directory = &self.core.directory;
             let Some(endpoint) = directory.endpoint(server).filter(|_| directory.takes_new(server)) else {
-                self.probed(server, Outcome::Moot, Vec::new());
+                self.probed(server, watch, Outcome::Moot, Vec::new());
                 continue;
             };
             let now = self.core.decisions.now();
             let (n, token) = (self.next_probe, self.next_probe << NUMBER_SHIFT | PROBE);
             let begun = dial(endpoint.addr).and_then(|stream| {
                 self.poller.watch(&stream, token, None, Some(WRITE))?;
-                Ok(Probe::new(server, stream, now, self.probe_limit))
+                Ok(Probe::new(server, watch, stream, now, self.probe_limit))
             });
             match begun {
                 Ok(probe) => {
@@ -373,7 +398,7 @@
                     self.due.insert((probe.by, token));
                     self.probes.insert(n, probe);
                 }
-                Err(_) => self.probed(server, Outcome::ConnectFailed, Vec::new()),
+                Err(_) => self.probed(server, watch, Outcome::ConnectFailed, Vec::new()),
             }
         }
     }
@@ -390,13 +415,16 @@
             }
             return;
         };
-        let server = probe.server;
+        let (server, watch) = (probe.server, probe.watch);
         self.probes.remove(&n);
-        self.probed(server, outcome, report);
+        self.probed(server, watch, outcome, report);
     }
 
-    fn probed(&self, server: ServerId, outcome: Outcome, report: Vec<f32>) {
-        tracing::debug!(server = server.0, ?outcome, ?report, "probe");
+    fn probed(&self, server: ServerId, watch: bool, outcome: Outcome, report: Vec<f32>) {
+        tracing::debug!(server = server.0, watch, ?outcome, ?report, "probe");
+        if let Some(book) = self.book.as_ref().filter(|_| watch) {
+            return book.found(server, boottime(), (outcome == Outcome::Ok).then_some(report));
+        }
         self.core.decisions.probed(server, outcome, report);
     }
 
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -7,28 +7,35 @@
 //! Guards against: a voter that is slow or hostile (bounded frames and queues, the replaceable goes first), one that
 //! vanished (a link that takes nothing is dialled anew), and a full or failing disk (the vote ends, service does not).
 
-use crate::api::Micros;
+use crate::api::{Micros, ServerId};
 use crate::config::operator::{self, FleetVoter, OperatorError, OperatorFile};
 use crate::config::policy::{self, Rules};
 use crate::decide::Decisions;
+use crate::load::LoadBook;
 use crate::log::log;
 use crate::net::poll::{dial, Events, Interest, Poller, Ready};
 use crate::ops::metrics::Metrics;
-use crate::platform::ledger::{Ledger, Owner};
-use crate::sys::{boottime, timed_out};
+use crate::platform::directory::Directory;
+use crate::platform::ledger::{self, Ledger};
+use crate::sys::{boottime, timed_out, Wake};
+use jaspermoor_control::follower::Follower;
 use jaspermoor_control::holder::{Alone, Effect, Holder};
-use jaspermoor_control::message::{Message, Relay};
+use jaspermoor_control::message::{Answer, Message, Relay, Skills};
+use jaspermoor_control::moves::{self, Moving};
+use jaspermoor_control::owner::Owner;
 use jaspermoor_control::seal::Session;
 use jaspermoor_control::seats::Seats;
 use jaspermoor_control::state::Policy;
 use jaspermoor_control::voter::Voter;
+use jaspermoor_control::watch;
+use jaspermoor_control::worker::{Deed, Scene, Worker};
 use jaspermoor_control::Times;
 use socket2::{Domain, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::Ordering::Relaxed;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -112,8 +119,8 @@
     }
 
     /// Whose ledger it is.
-    pub fn owner(&self) -> Owner {
-        Owner { fleet: self.fleet.id.clone(), voter: self.fleet.voter.unwrap_or(0) }
+    pub fn owner(&self) -> ledger::Owner {
+        ledger::Owner { fleet: self.fleet.id.clone(), voter: self.fleet.voter.unwrap_or(0) }
     }
 
     /// The numbers of the voters.
@@ -128,6 +135,59 @@
     }
 }
 
+/// What jobs of the fleet need of the relay.
+pub struct Ground {
+    /// Its backends.
+    pub directory: Arc<Directory>,
+    /// The names of its zones, in the order of the settings, and of the columns in which backends tell their load.
+    pub zones: Vec<String>,
+    /// See `zones`.
+    pub columns: Vec<String>,
+    /// Its own zone, by its place.
+    pub zone: u16,
+    /// Whether its settings let it probe, and backends tell their load then.
+    pub probes: bool,
+    /// What the load watch knows.
+    pub book: Arc<LoadBook>,
+}
+
+impl Ground {
+    fn of_zone(&self, zone: &str) -> Vec<u64> {
+        let Some(at) = self.zones.iter().position(|of| of == zone) else { return Vec::new() };
+        self.directory.of_zone(at as u16).into_iter().map(|server| server.0).collect()
+    }
+
+    /// What this relay can do for the fleet.
+    fn skills(&self, jobs: operator::Jobs) -> Skills {
+        let mut skills = Skills::default();
+        if jobs.load_watch && self.probes {
+            skills.kinds.push(watch::KIND.into());
+            skills.opens.extend(self.zones.iter().map(|zone| format!("{}/{zone}", watch::KIND)));
+        }
+        if jobs.paced_moves {
+            skills.kinds.push(moves::KIND.into());
+            skills.opens.push(moves::KIND.into());
+        }
+        skills.zone = self.zones.get(usize::from(self.zone)).cloned().unwrap_or_default();
+        skills
+    }
+}
+
+/// What other threads may ask of the fleet's.
+#[derive(Clone)]
+pub struct Handle {
+    stop: Arc<AtomicBool>,
+    wake: Wake,
+}
+
+impl Handle {
+    /// The relay stops: it gives its jobs up, so that others have them before it has gone.
+    pub fn stop(&self) {
+        self.stop.store(true, Relaxed);
+        (self.wake)();
+    }
+}
+
 /// Random bytes for a session.
 pub fn number() -> [u8; 16] {
     let mut number = [0; 16];
@@ -165,6 +225,11 @@
     ledger: Option<Ledger>,
     voter: Option<Voter>,
     holder: Holder,
+    /// What it does for the fleet, and what it needs for that; none where the operator file wants no jobs.
+    work: Option<(Worker, Ground)>,
+    handle: Handle,
+    /// It has given its jobs up.
+    stopped: bool,
     /// When the ledger is asked for again.
     retry: Option<Micros>,
     leads: Option<u64>,
@@ -193,6 +258,8 @@
             // Once a process: the library holds a lock for as long as a set-up lasts, and a second one would wait for good.
             static POINTS: std::sync::Once = std::sync::Once::new();
             POINTS.call_once(|| std::mem::forget(fail::FailScenario::setup()));
+            let later = std::env::var("JASPERMOOR_BUILD").is_ok_and(|build| build == "later");
+            jaspermoor_control::wire::LATER.store(later, Relaxed);
         }
         let poller = Poller::new()?;
         let mut start = [0; 8];
@@ -232,8 +299,12 @@
         #[cfg(feature = "plants")]
         let holder = holder.planted(planted(), now);
         decisions.lease(if foreign { 0 } else { holder.until(now) });
+        let handle = Handle { stop: Arc::default(), wake: poller.wake() };
         let mut fleet = Fleet {
             name: name.into(),
+            work: None,
+            handle,
+            stopped: false,
             own,
             decisions,
             poller,
@@ -258,6 +329,35 @@
         Ok(fleet)
     }
 
+    /// What other threads may ask of it.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// It takes jobs of the fleet, and follows those that others have, as far as its operator file wants that.
+    pub fn work_with(&mut self, ground: Ground) {
+        let jobs = self.setup.fleet.jobs;
+        if !jobs.any() {
+            return;
+        }
+        if jobs.load_watch && !ground.probes {
+            log("fleet.jobs.load_watch: the settings allow no probes, or backends tell no load: it does none of that");
+        }
+        ground.book.wakes_teller(self.poller.wake());
+        if jobs.paced_moves {
+            self.decisions.pace_moves();
+        }
+        #[cfg(not(feature = "plants"))]
+        let owner = Owner::default();
+        #[cfg(feature = "plants")]
+        let owner = Owner::planted(planted());
+        self.holder.works(owner.skilled(ground.skills(jobs)));
+        let worker = Worker::new(Follower::new(self.holder.relay().clone()));
+        #[cfg(feature = "plants")]
+        let worker = worker.planted(planted());
+        self.work = Some((worker, ground));
+    }
+
     /// Becomes the voter that the ledger says, and listens: not before, or links would lead to a process that cannot
     /// answer while the older one of this relay still votes.
     fn take_vote(&mut self) -> Result<(), Box<dyn std::error::Error>> {
@@ -299,7 +399,14 @@
             self.turn();
             let now = boottime();
             let beat = if self.voter.is_some() { now + self.setup.times().tick / 2 } else { Micros::MAX };
-            let due = self.holder.due().min(beat).min(self.retry.unwrap_or(Micros::MAX)).min(now + SECOND);
+            let worker = self.work.as_ref().map_or(Micros::MAX, |(worker, _)| worker.due());
+            let due = self
+                .holder
+                .due()
+                .min(worker)
+                .min(beat)
+                .min(self.retry.unwrap_or(Micros::MAX))
+                .min(now + SECOND);
             self.poller.wait(Duration::from_micros(due.saturating_sub(now)), &mut events, &mut ready);
             for ready in ready.drain(..) {
                 self.ready(ready);
@@ -322,6 +429,12 @@
         let effect = self.holder.tick(now);
         self.carry_out(effect.into_iter().collect());
         self.work();
+        if self.handle.stop.load(Relaxed) && !std::mem::replace(&mut self.stopped, true) {
+            let effect = self.holder.stop_work(now);
+            self.carry_out(effect.into_iter().collect());
+        }
+        self.do_jobs();
+        self.work();
         self.publish();
         let stuck = |wire: &Wire| wire.blocked.is_some_and(|since| now >= since + STUCK);
         let stuck: Vec<u64> =
@@ -397,12 +510,79 @@
         }
     }
 
+    /// What it does for the fleet.
+    fn do_jobs(&mut self) {
+        let Some((worker, ground)) = &mut self.work else { return };
+        let now = boottime();
+        for (server, at, report) in ground.book.take() {
+            worker.found(at, server.0, report);
+        }
+        let (decisions, paced) = (&self.decisions, self.setup.fleet.jobs.paced_moves);
+        let scene = Scene {
+            columns: &ground.columns,
+            listed: &|zone| ground.of_zone(zone),
+            moves: &|| moving(decisions).filter(|_| paced),
+        };
+        let deeds = worker.turn(now, &mut self.holder, scene);
+        let figures = &self.metrics.control;
+        figures.works.store(true, Relaxed);
+        figures.obeyed.store(worker.obeyed, Relaxed);
+        figures.refused.store(worker.refused, Relaxed);
+        figures.spared.store(ground.book.spared.load(Relaxed), Relaxed);
+        figures.made.store(ground.book.made.load(Relaxed), Relaxed);
+        // Told by name only where it has changed: a turn is short.
+        let mut told = crate::sys::lock(&figures.jobs);
+        if !told.iter().map(|(name, token)| (name.as_str(), *token)).eq(worker.acts_on()) {
+            *told = worker.acts_on().map(|(name, token)| (name.to_string(), token)).collect();
+        }
+        drop(told);
+        self.carry_out_deeds(deeds);
+    }
+
+    fn hear_news(&mut self, from: u64, news: jaspermoor_control::message::News) {
+        let voter = if from == LOCAL {
+            self.setup.fleet.voter
+        } else {
+            self.wires.get(&from).and_then(|wire| wire.voter)
+        };
+        let (Some(voter), Some((worker, ground))) = (voter, &mut self.work) else { return };
+        let scene = Scene { columns: &ground.columns, listed: &|_| Vec::new(), moves: &|| None };
+        let deeds = worker.news(boottime(), voter, &self.holder, scene, news);
+        self.carry_out_deeds(deeds);
+    }
+
+    fn carry_out_deeds(&mut self, deeds: Vec<Deed>) {
+        for deed in deeds {
+            match deed {
+                Deed::Send(voter, message) => self.tell(voter, message),
+                Deed::Act(voter, message) => {
+                    // The worst moment to be stopped: the lease was looked at, the order is not sent.
+                    #[cfg(feature = "plants")]
+                    fail::fail_point!("before-order");
+                    self.tell(voter, message);
+                }
+                Deed::Probe(server) => {
+                    if let Some((_, ground)) = &self.work {
+                        ground.book.want([ServerId(server)]);
+                    }
+                }
+                Deed::Loads(rows) => {
+                    let Some((_, ground)) = &self.work else { continue };
+                    ground.book.forget(boottime(), |server| ground.directory.endpoint(server).is_some());
+                    ground.book.tell(rows.into_iter().map(|(server, at, row)| (ServerId(server), at, row)));
+                }
+                Deed::Permit(upto) => self.decisions.permit(upto),
+                Deed::Log(line) => log(&line),
+            }
+        }
+    }
+
     fn carry_out(&mut self, effects: Vec<Effect>) {
         // A lease that has ended ends before the words that say so.
         self.decisions.lease(self.until(boottime()));
         for effect in effects {
             match effect {
-                Effect::Send(voter, renew) => self.tell(voter, Message::Renew(renew)),
+                Effect::Send(voter, renew) => self.tell(voter, Message::Renew(*renew)),
                 Effect::Adopt(policy) => self.adopt(&policy),
                 Effect::Seats(seats) => self.seat(seats),
                 Effect::Prepare(proposal) => {
@@ -566,6 +746,9 @@
 
     fn close(&mut self, token: u64, why: &str) {
         let Some(wire) = self.wires.remove(&token) else { return };
+        if let Some(voter) = &mut self.voter {
+            voter.gone(token);
+        }
         if let Some((link, _)) = wire.voter.and_then(|voter| self.voters.get_mut(&voter)) {
             *link = None;
         }
@@ -663,6 +846,20 @@
                     }
                     (Message::Renew(renew), Some(voter)) => voter.renew(now, from, renew),
                     (Message::Ask(number, ask), Some(voter)) => voter.ask(now, from, number, ask),
+                    (Message::Follow(follow), Some(voter)) => voter.follow(now, from, follow),
+                    (Message::Publish(publish), Some(voter)) => voter.publish(now, from, publish),
+                    (Message::News(news), _) => self.hear_news(from, news),
+                    (Message::Stale(job, token), _) => {
+                        if let Some((worker, _)) = &mut self.work {
+                            log(&format!("fleet: {job} has token {token} by now: it acts on it no more"));
+                            worker.stale(now, &mut self.holder, &job, token);
+                        }
+                    }
+                    (Message::Answer(_, Answer::Token(job, token)), _) => {
+                        if let Some((worker, _)) = &mut self.work {
+                            worker.known(&job, token);
+                        }
+                    }
                     (Message::Reply(reply), _) => {
                         let check = |text: &str| {
                             policy::read(Path::new("policy"), text).map(drop).map_err(|e| e.to_string())
@@ -724,6 +921,12 @@
 
 const SECOND: Micros = crate::api::SECOND;
 
+/// How the fleet's moves are here, and how many a second there may be in the whole fleet.
+fn moving(decisions: &Decisions) -> Option<(Moving, u64)> {
+    let (waiting, made, permitted, rate) = decisions.moving()?;
+    Some((Moving { waiting, made, permitted }, rate))
+}
+
 fn listen(voter: &FleetVoter) -> Result<TcpListener, String> {
     let addr = voter.listen.unwrap_or(voter.address);
     let open = || -> io::Result<TcpListener> {
@@ -766,6 +969,7 @@
             alone: operator::Alone::Serve,
             lease_ms: 2_000,
             patience_ms: 10_000,
+            jobs: operator::Jobs::default(),
         };
         let setup = Setup { fleet, keys: vec![vec![7; KEY_LEAST]], directory: dir.path().into() };
         let ((watch, _), (probe, _)) = (bounded(1), bounded(1));
--- a/src/ops/metrics.rs
+++ b/src/ops/metrics.rs
@@ -47,8 +47,23 @@
     pub votes: AtomicBool,
     /// See `votes`.
     pub leads: AtomicU64,
+    /// Whether it takes jobs of the fleet.
+    pub works: AtomicBool,
+    /// The jobs that it acts on, with their tokens; as many as are told by name.
+    pub jobs: Mutex<Vec<(String, u64)>>,
+    /// Words of owners that it has obeyed, and words of owners of before that it has refused.
+    pub obeyed: AtomicU64,
+    /// See `obeyed`.
+    pub refused: AtomicU64,
+    /// Probes for which a report of the load watch stood, and those that were made for want of one.
+    pub spared: AtomicU64,
+    /// See `spared`.
+    pub made: AtomicU64,
 }
 
+/// Jobs that are told by name: a relay that has more tells how many.
+const NAMED_JOBS: usize = 32;
+
 /// Figures of the XMPP front; they are shown where there is one.
 #[derive(Default)]
 pub struct Xmpp {
@@ -143,7 +158,22 @@
             ("fleet_leads_term", "gauge", self.control.leads.load(Relaxed)),
         ];
         let control = control.into_iter().filter(|_| self.control.on.load(Relaxed));
-        for (name, kind, n) in single.into_iter().chain(xmpp).chain(control) {
+        let own = crate::sys::lock(&self.control.jobs).clone();
+        let jobs = [
+            ("fleet_jobs", "gauge", own.len() as u64),
+            ("fleet_words_obeyed_total", "counter", self.control.obeyed.load(Relaxed)),
+            ("fleet_words_refused_total", "counter", self.control.refused.load(Relaxed)),
+            ("fleet_probes_spared_total", "counter", self.control.spared.load(Relaxed)),
+            ("fleet_probes_made_total", "counter", self.control.made.load(Relaxed)),
+        ];
+        let jobs = jobs.into_iter().filter(|_| self.control.works.load(Relaxed));
+        if !own.is_empty() {
+            text.push_str("# TYPE edge_balancer_fleet_job_token gauge\n");
+        }
+        for (name, token) in own.iter().take(NAMED_JOBS) {
+            let _ = writeln!(text, "edge_balancer_fleet_job_token{{job=\"{}\"}} {token}", escaped(name));
+        }
+        for (name, kind, n) in single.into_iter().chain(xmpp).chain(control).chain(jobs) {
             let _ = writeln!(text, "# TYPE edge_balancer_{name} {kind}\nedge_balancer_{name} {n}");
         }
         if fleet.cells.len() > 1 {
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -10,7 +10,7 @@
 /// Where the backends are, and which of them may be sent something new.
 #[derive(Default)]
 pub struct Directory {
-    servers: Mutex<BTreeMap<ServerId, (Endpoint, MemberState)>>,
+    servers: Mutex<BTreeMap<ServerId, (Endpoint, MemberState, u16)>>,
     /// Those that staff have taken out, listed or not.
     by_hand: Mutex<BTreeSet<ServerId>>,
     /// How often the list has changed.
@@ -19,7 +19,7 @@
 }
 
 impl Directory {
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<ServerId, (Endpoint, MemberState)>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<ServerId, (Endpoint, MemberState, u16)>> {
         self.servers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -45,7 +45,7 @@
         for (endpoint, member) in servers {
             match member.state {
                 MemberState::Gone => drop(known.remove(&member.server)),
-                state => drop(known.insert(member.server, (endpoint.clone(), state))),
+                state => drop(known.insert(member.server, (endpoint.clone(), state, member.zone))),
             }
         }
         drop(known);
@@ -55,7 +55,7 @@
 
     /// A backend's name and address.
     pub fn endpoint(&self, server: ServerId) -> Option<Endpoint> {
-        self.lock().get(&server).map(|(endpoint, _)| endpoint.clone())
+        self.lock().get(&server).map(|(endpoint, ..)| endpoint.clone())
     }
 
     /// How many backends the list has.
@@ -65,10 +65,20 @@
 
     /// Whether something new may go there.
     pub fn takes_new(&self, server: ServerId) -> bool {
-        let ready = self.lock().get(&server).is_some_and(|&(_, state)| state == MemberState::Ready);
+        let ready = self.lock().get(&server).is_some_and(|&(_, state, _)| state == MemberState::Ready);
         ready && !self.bans().contains(&server)
     }
 
+    /// The backends of a zone, by its place in the settings, to which something new may go.
+    pub fn of_zone(&self, zone: u16) -> Vec<ServerId> {
+        let bans = self.bans().clone();
+        let ready =
+            |(_, state, of): &(Endpoint, MemberState, u16)| *state == MemberState::Ready && *of == zone;
+        let known = self.lock();
+        let of = known.iter().filter(|(server, entry)| ready(entry) && !bans.contains(server));
+        of.map(|(server, _)| *server).collect()
+    }
+
     /// From now on this is called after each change of the list. Once.
     pub fn wakes(&self, wake: Wake) {
         let _ = self.wake.set(wake);
--- a/src/platform/probe.rs
+++ b/src/platform/probe.rs
@@ -26,6 +26,8 @@
 pub struct Probe {
     /// The server that it asks.
     pub server: ServerId,
+    /// Whether it is made for the fleet's load watch, not for this relay's decisions.
+    pub watch: bool,
     /// Its socket; the dial was begun when the probe was.
     pub stream: TcpStream,
     /// When the step that it is at has taken too long.
@@ -37,8 +39,8 @@
 
 impl Probe {
     /// A probe whose dial has begun.
-    pub fn new(server: ServerId, stream: TcpStream, now: Micros, limit: Micros) -> Probe {
-        Probe { server, stream, by: now + limit, asked: false, buffer: Buffer::default(), limit }
+    pub fn new(server: ServerId, watch: bool, stream: TcpStream, now: Micros, limit: Micros) -> Probe {
+        Probe { server, watch, stream, by: now + limit, asked: false, buffer: Buffer::default(), limit }
     }
 
     /// Whether it waits for its dial.
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -1,8 +1,9 @@
 //! Fleets of real processes with faults between them: what must hold does, and planted faults are found.
 
 use jaspermoor_lab::discovery::{Discovery, Entry};
+use jaspermoor_lab::faults::books::Fact;
 use jaspermoor_lab::faults::harness::{play, Ground, Played};
-use jaspermoor_lab::faults::scenario::{Scenario, NAMED};
+use jaspermoor_lab::faults::scenario::{Harm, Scenario, NAMED};
 use jaspermoor_lab::line::Backend;
 use jaspermoor_lab::relay::{Relay, Setup};
 use std::io::{BufRead, BufReader, Write};
@@ -101,6 +102,42 @@
     sound("upgrades");
 }
 
+#[test]
+fn a_fleet_of_three_builds_agrees_and_the_oldest_refuses_by_name_what_it_does_not_know() {
+    let played = sound("two-builds");
+    let told = |word: &str| {
+        played.book.iter().filter(|l| matches!(&l.fact, Fact::Fault { text } if text.contains(word))).count()
+    };
+    assert_eq!((told(": refused after"), told(": in-force after")), (1, 3), "{:?}", played.book.last());
+}
+
+#[test]
+fn a_job_that_its_owner_lost_goes_to_another_and_no_order_of_before_is_obeyed() {
+    let played = sound("owners-harmed");
+    let harmed: Vec<Harm> = played.taken.iter().map(|(harm, _)| *harm).collect();
+    assert_eq!(harmed, Harm::ALL, "each was somebody's who had the job");
+}
+
+#[test]
+fn an_owner_that_sleeps_between_its_lease_and_its_order_is_refused_by_voters_and_relays() {
+    let asleep = named("owner-asleep");
+    let played = run(&asleep, None);
+    assert!(played.broken.is_empty(), "{}", played.broken[0]);
+    let refused = |(_, lines): &(usize, Vec<String>)| {
+        lines.iter().any(|line| line.contains("by now: it acts on it no more"))
+    };
+    assert!(played.logs.iter().any(refused), "what it sent when it woke came to nobody");
+    let played = run(&asleep, Some("no-fence"));
+    assert!(played.broken.iter().any(|b| b.rule == "fenced"), "{:?}", played.broken);
+}
+
+#[test]
+fn a_site_is_moved_once_and_at_the_fleets_pace_though_whoever_paces_it_is_killed_and_stopped() {
+    let played = sound("paced-moves");
+    let moves = played.book.iter().filter(|line| matches!(line.fact, Fact::Moved { .. })).count();
+    assert!(moves >= 60, "{moves} of 60 clients and two changes");
+}
+
 /// A relay is cut off all through a change: what keeps it from serving on is taken away, one thing at a time.
 #[test]
 fn what_is_planted_is_found_in_the_books_of_real_processes() {
@@ -141,6 +178,7 @@
         core: None,
         held: None,
         plant: None,
+        build: None,
         fail_points: None,
     };
     Relay::start(&setup).unwrap()
