Take connections along whose server is of their site's new cell, in place of moving them

A process that takes over from an older one cannot open the fleet's ledger while that one has it, so it begins without the policy, takes the standing connections over under one cell, and at its first answer adopts the cells: Inner::adopt_cells put every connection whose balancer was another than its site's on the list of moves, though its server had come to that very cell. Ruled out: moves by load, a doubled permit, a policy that was adopted early (the books show one move before any change). A plain reload that splits a cell around its sites did the same.

Change: such connections change the balancer, not the server (Inner::take_along), before the old cell hears that its servers drain. Staff's looks undo what is due meanwhile. A round of the load watch that nobody answered asked to be called at a moment that had passed (Watch::due).

--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -99,10 +99,14 @@
     pub fn tell(&mut self, now: Micros, columns: &[String]) -> Option<Loads> {
         let began = self.began?;
         let done = self.todo.is_empty() && self.out.is_empty();
-        if self.told || self.found.is_empty() || !(done || now >= began + ROUND_END) {
+        if self.told || !(done || now >= began + ROUND_END) {
             return None;
         }
+        // Also where there is nothing to tell: the round is over, and nothing is due before the next.
         self.told = true;
+        if self.found.is_empty() {
+            return None;
+        }
         let row = |(server, (at, report)): (&u64, &(Micros, Vec<f32>))| (*server, now - at, report.clone());
         Some(Loads { columns: columns.to_vec(), of: self.found.iter().map(row).collect() })
     }
@@ -142,6 +146,9 @@
         assert_eq!(told.of[0].1, ROUND_END - 1_000);
         assert_eq!(watch.tell(ROUND_END + 1, &of), None, "once a round");
         assert_eq!(watch.turn(ROUND, 0..2), [0, 1], "the next round waits for nobody");
+        // Nobody answers: it once asked to be called at a moment that had passed, again and again.
+        assert_eq!(watch.tell(ROUND + ROUND_END, &of), None);
+        assert_eq!(watch.due(), 2 * ROUND);
     }
 
     #[test]
--- a/crates/lab/src/faults/harness.rs
+++ b/crates/lab/src/faults/harness.rs
@@ -474,7 +474,7 @@
         let relays = format!(r#""peers_total": {}"#, self.relays.len());
         let replace = [
             (r#""probes": false"#, r#""probes": true"#),
-            (r#""columns": []"#, r#""columns": ["inflight", "x0"]"#),
+            (r#""columns": []"#, r#""columns": ["active", "x0"]"#),
             (r#""peers_total": 1"#, &relays),
         ];
         replace.map(|(from, to)| (from.to_string(), to.to_string())).into()
@@ -748,11 +748,19 @@
     }
 
     /// The fleet's jobs as staff see them; none where nobody answers just now.
-    fn jobs(&self) -> Option<Vec<Job>> {
+    fn jobs(&mut self) -> Option<Vec<Job>> {
         let staff = self.ground.dir.join("staff.toml");
         let mut command = Command::new(&self.ground.program);
-        command.args(["fleet", "--json", "--wait", "2", "--operator"]).arg(staff).arg("jobs");
-        let output = command.stdin(Stdio::null()).output().ok()?;
+        command.args(["fleet", "--json", "--wait", "1", "--operator"]).arg(staff).arg("jobs");
+        command.stdin(Stdio::null()).stderr(Stdio::null()).stdout(Stdio::piped());
+        let mut call = command.spawn().ok()?;
+        // It says a few lines, which fit into the pipe; and it waits for voters that may be stopped: what is due to be
+        // undone meanwhile is undone.
+        while call.try_wait().ok()?.is_none() {
+            self.undo_until(self.now()).ok()?;
+            thread::sleep(KNOCK);
+        }
+        let output = call.wait_with_output().ok()?;
         let said = String::from_utf8(output.stdout).ok()?;
         let job = |line: &str| {
             let said: serde_json::Value = serde_json::from_str(line).ok()?;
@@ -765,7 +773,7 @@
     }
 
     /// Whoever has the job, and its token.
-    fn owner(&self, name: &str) -> Option<(usize, u64)> {
+    fn owner(&mut self, name: &str) -> Option<(usize, u64)> {
         let jobs = self.jobs()?;
         let job = jobs.into_iter().find(|job| job.name == name)?;
         Some((job.owner?, job.token))
@@ -806,6 +814,7 @@
         let before =
             self.harmed.iter().rev().find(|harmed| harmed.job == job).map_or(0, |harmed| harmed.token);
         self.wait("an owner that all obey", |rig| {
+            thread::sleep(LOOK);
             let Some((_, token)) = rig.owner(job).filter(|(_, token)| *token > before) else { return false };
             let runs = |relay: &usize| rig.relays[*relay].is_some() && !rig.stopped.contains(relay);
             let words = format!("fleet: obeys {job} under token {token}");
@@ -859,7 +868,7 @@
     }
 
     /// Waits until something is there; what is due to be undone meanwhile is undone.
-    fn wait(&mut self, what: &str, there: impl Fn(&Rig) -> bool) -> io::Result<()> {
+    fn wait(&mut self, what: &str, mut there: impl FnMut(&mut Rig) -> bool) -> io::Result<()> {
         let end = Instant::now() + crate::PATIENCE;
         while !there(self) {
             if Instant::now() > end {
@@ -1001,10 +1010,12 @@
         }
         let owned = self.wait("an owner of each job", |rig| {
             let sound = |job: &Job| job.owner.is_some() && job.why.is_empty();
+            thread::sleep(LOOK);
             rig.jobs().is_some_and(|jobs| jobs.len() == 2 && jobs.iter().all(sound))
         });
         let obeyed = owned.and_then(|()| {
             self.wait("relays that all obey the load watch", |rig| {
+                thread::sleep(LOOK);
                 let Some((_, token)) = rig.owner("load/a") else { return false };
                 let words = format!("fleet: obeys load/a under token {token}");
                 (0..rig.relays.len()).all(|relay| rig.has_said(relay, &words))
--- a/crates/lab/src/line.rs
+++ b/crates/lab/src/line.rs
@@ -17,6 +17,8 @@
     pub received: BTreeMap<String, u32>,
     /// How often it was probed.
     pub probes: usize,
+    /// Connections that stand.
+    pub standing: usize,
 }
 
 /// A backend that serves until it is dropped: `UP`, and every line back.
@@ -39,7 +41,11 @@
                     return;
                 }
                 let (book, Ok(socket)) = (book.clone(), socket) else { continue };
-                thread::spawn(move || drop(serve(&socket, &book)));
+                thread::spawn(move || {
+                    let mut up = false;
+                    let _ = serve(&socket, &book, &mut up);
+                    book.lock().unwrap_or_else(PoisonError::into_inner).standing -= usize::from(up);
+                });
             }
         });
         Ok(backend)
@@ -58,9 +64,11 @@
     }
 }
 
-fn serve(mut socket: &TcpStream, book: &Mutex<Book>) -> io::Result<()> {
+/// Connections that fill a backend: what it says of its load follows from those that stand.
+const FULL: f64 = 1_000.0;
+
+fn serve(mut socket: &TcpStream, book: &Mutex<Book>, up: &mut bool) -> io::Result<()> {
     socket.set_nodelay(true)?;
-    let mut up = false;
     for line in BufReader::new(socket).lines() {
         let line = line?;
         let mut book = book.lock().unwrap_or_else(PoisonError::into_inner);
@@ -68,14 +76,16 @@
             ["PING"] => "PONG".to_string(),
             ["STATS"] => {
                 book.probes += 1;
-                "PONG inflight=1,x0=0.2,qps=1,eps=0".to_string()
+                let (standing, load) = (book.standing, book.standing as f64 / FULL);
+                format!("PONG active={standing},inflight={standing},x0={load},qps=1,eps=0")
             }
-            ["OPEN", id, ..] if !up => {
-                up = true;
+            ["OPEN", id, ..] if !*up => {
+                *up = true;
+                book.standing += 1;
                 book.opened.push((Instant::now(), id.to_string()));
                 format!("UP lab-{id}")
             }
-            _ if up => {
+            _ if *up => {
                 *book.received.entry(line.clone()).or_default() += 1;
                 line
             }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -91,9 +91,9 @@
 }
 
 struct Entry {
-    /// Its balancer, and the key of its group.
+    /// Its balancer, and what it asked for.
     at: usize,
-    group: u64,
+    request: Request,
     borrowed: bool,
     verdicts: Sender<Verdict>,
     flow: Arc<dyn Flow>,
@@ -279,7 +279,7 @@
             Some(Placed::Refused) | None => (None, false),
         };
         let home = inner.by_cell[inner.cells.map.home(request.group).0];
-        let (id, verdicts) = inner.admit(flow, ServerId::default(), false, at.unwrap_or(home), request.group);
+        let (id, verdicts) = inner.admit(flow, ServerId::default(), false, at.unwrap_or(home), &request);
         taken(id);
         match at {
             Some(at) => {
@@ -302,7 +302,7 @@
     pub fn adopt(&self, request: Request, server: ServerId, flow: Arc<dyn Flow>) -> RequestId {
         let mut inner = self.lock();
         let at = inner.part_of(server);
-        let (id, _) = inner.admit(flow, server, true, at, request.group);
+        let (id, _) = inner.admit(flow, server, true, at, &request);
         if inner.by_cell[inner.cells.map.home(request.group).0] != at && !inner.cells.map.is_empty() {
             // Its site was being moved when another process had it: this one goes on with that.
             inner.moves.push_back(id);
@@ -518,7 +518,7 @@
         server: ServerId,
         answered: bool,
         at: usize,
-        group: u64,
+        request: &Request,
     ) -> (RequestId, Receiver<Verdict>) {
         let (verdicts, mailbox) = bounded(MAILBOX);
         self.next_id = self.next_id.wrapping_add(1);
@@ -527,7 +527,9 @@
         }
         let id = RequestId(self.next_id);
         let borrowed = false;
-        self.entries.insert(id, Entry { at, group, borrowed, verdicts, flow, server, attempts: 0, answered });
+        let request = Request { id, ..request.clone() };
+        self.entries
+            .insert(id, Entry { at, request, borrowed, verdicts, flow, server, attempts: 0, answered });
         self.parts[at].figures.holds += 1;
         (id, mailbox)
     }
@@ -614,6 +616,7 @@
             })
             .collect();
         self.cells = cells;
+        let stay = self.take_along(now, calls);
         // A new part begins with the list as it is; others hear what has changed.
         let mut news: Vec<Vec<Member>> = vec![Vec::new(); self.parts.len()];
         let mut banned = Vec::new();
@@ -644,13 +647,50 @@
             let at = self.part_of(server);
             self.handle(at, now, Event::ByHand(server, true), calls);
         }
+        for id in stay {
+            let Some(entry) = self.entries.get(&id) else { continue };
+            let (at, server, request) = (entry.at, entry.server, entry.request.clone());
+            self.handle(at, now, Event::Open(request, server), calls);
+        }
         // Whoever stands elsewhere than its site lives now. Borrowed ones as well: their time there is over.
         let (map, by_cell) = (&self.cells.map, &self.by_cell);
-        let away = |(id, e): (&RequestId, &Entry)| (by_cell[map.home(e.group).0] != e.at).then_some(*id);
+        let away =
+            |(id, e): (&RequestId, &Entry)| (by_cell[map.home(e.request.group).0] != e.at).then_some(*id);
         self.moves = self.entries.iter().filter(|(_, e)| e.answered).filter_map(away).collect();
         self.next_move(now);
     }
 
+    /// Connections whose server goes to the cell that their site has now, too: they stand where they belong, and change
+    /// the balancer, not the server. Found by the fault laboratory: after an upgrade the new process, which knew no
+    /// policy yet, took connections over under one cell, and moved each of them once it had the policy of the fleet.
+    fn take_along(&mut self, now: Micros, calls: &mut Vec<Call>) -> Vec<RequestId> {
+        let (map, by_cell, members) = (&self.cells.map, &self.by_cell, &self.members);
+        let stays = |e: &Entry| {
+            let listed = members.contains_key(&e.server);
+            let to = by_cell[map.of_server(e.server)];
+            (e.answered && listed && to != e.at && to == by_cell[map.home(e.request.group).0]).then_some(to)
+        };
+        let stay: Vec<(RequestId, usize)> =
+            self.entries.iter().filter_map(|(id, e)| Some((*id, stays(e)?))).collect();
+        for (id, to) in &stay {
+            let Some(entry) = self.entries.get_mut(id) else { continue };
+            let (from, server, borrowed) = (entry.at, entry.server, std::mem::take(&mut entry.borrowed));
+            entry.at = *to;
+            self.parts[from].figures.holds -= 1;
+            self.parts[from].figures.borrowed -= u32::from(borrowed);
+            self.parts[*to].figures.holds += 1;
+            let event = Event::Outcome {
+                id: *id,
+                server,
+                outcome: Outcome::Cancelled,
+                last: true,
+                report: Vec::new(),
+            };
+            self.handle(from, now, event, calls);
+        }
+        stay.into_iter().map(|(id, _)| id).collect()
+    }
+
     /// Sets the timer of the next move, where one waits and none is set.
     fn next_move(&mut self, now: Micros) {
         let may = self.permitted.is_none_or(|permitted| self.made < permitted);
@@ -664,7 +704,7 @@
         self.moving = false;
         while let Some(id) = self.moves.pop_front() {
             let Some(entry) = self.entries.get(&id) else { continue };
-            let home = self.by_cell[self.cells.map.home(entry.group).0];
+            let home = self.by_cell[self.cells.map.home(entry.request.group).0];
             if home == entry.at {
                 continue;
             }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -118,3 +118,36 @@
     b.decisions.members(ListKind::Failed, vec![]);
     assert_eq!(b.watch.recv(), Ok(true));
 }
+
+/// A process that takes connections over before it knows the fleet's cells once moved every one of them, though each
+/// stood at a server of its site's own cell.
+#[test]
+fn a_connection_whose_server_is_of_its_sites_new_cell_stays_and_counts_there() {
+    use jaspermoor::cells::Cells;
+    use jaspermoor::config::listing::server_id;
+    use jaspermoor::config::operator::OperatorFile;
+    let bench = bench(0);
+    let listed = |name: &str| Member { server: server_id(name), ..member(0, MemberState::Ready) };
+    bench.decisions.members(ListKind::Full, vec![listed("s-1"), listed("s-2")]);
+    let open = Request { group: 42, ..request(SECOND) };
+    let id = bench.decisions.adopt(open, server_id("s-1"), bench.flow.clone());
+    let cells = |cell: &str| {
+        let text = format!(
+            "[cells]\nmoves_per_second = 1000\n[[cells.cell]]\nname = 'a'\nservers = ['s-1']\n\
+             [[cells.cell]]\nname = 'b'\nservers = ['s-2']\n[[cells.site]]\nkey = '2a'\ncell = '{cell}'\n"
+        );
+        Cells::of(&OperatorFile::parse(std::path::Path::new("cells"), text).unwrap()).unwrap()
+    };
+    let holds = || {
+        let (figures, waiting) = bench.decisions.cell_figures();
+        (figures.iter().map(|cell| cell.holds).collect::<Vec<_>>(), waiting)
+    };
+    bench.decisions.cells(cells("a"));
+    assert_eq!(holds(), (vec![1, 0], 0));
+    assert!(bench.asked.is_empty(), "it was moved though it stands where it belongs");
+    // Its new balancer knows it: it is moved when its site leaves, and forgotten when it ends.
+    bench.decisions.cells(cells("b"));
+    assert_eq!(bench.asked.recv().unwrap(), None);
+    bench.decisions.end(id, Outcome::Ok, Vec::new());
+    assert_eq!(holds(), (vec![0, 0], 0));
+}
