--- a/crates/lab/src/fleet/calibrate.rs
+++ b/crates/lab/src/fleet/calibrate.rs
@@ -127,7 +127,7 @@
         days,
         seeds: (1..=seeds).collect(),
         sizes: vec![None],
-        variants: vec![Named { name: "now".into(), policy }],
+        variants: vec![Named { name: "now".into(), policy, load_watch: false }],
     };
     let mut cells = Vec::new();
     for (kind, days) in &by_kind {
--- a/crates/lab/src/fleet/experiment.rs
+++ b/crates/lab/src/fleet/experiment.rs
@@ -37,6 +37,9 @@
     name: String,
     /// `own` (the relay's decisions) or `chance`.
     policy: Option<String>,
+    /// Whether one relay a zone probes for all.
+    #[serde(default)]
+    load_watch: bool,
     /// Parameters by name.
     #[serde(default)]
     set: BTreeMap<String, f64>,
@@ -82,6 +85,8 @@
     pub name: String,
     /// Its decisions.
     pub policy: Policy,
+    /// Whether one relay a zone probes for all.
+    pub load_watch: bool,
 }
 
 /// One combination.
@@ -195,7 +200,7 @@
                 Some("chance") => return Err(wrong("chance has no parameters".into())),
                 Some(other) => return Err(wrong(format!("policy '{other}' is neither own nor chance"))),
             };
-            variants.push(Named { name: choice.name.clone(), policy });
+            variants.push(Named { name: choice.name.clone(), policy, load_watch: choice.load_watch });
         }
         for (what, none) in [("days", days.is_empty()), ("seeds", seeds.is_empty())] {
             if none {
@@ -258,7 +263,8 @@
     let begun = std::time::Instant::now();
     let scene = Scene::draw(day, seed);
     let (relays, backends, groups) = (scene.relays, scene.backends, scene.groups);
-    let variant = Variant { policy: variant.policy.clone(), cells: CellMap::default() };
+    let load_watch = variant.load_watch;
+    let variant = Variant { policy: variant.policy.clone(), cells: CellMap::default(), load_watch };
     let mut out = World::new(scene, variant, None).run();
     let figures = figures(&mut out, day, relays, groups);
     let broken = out.breaks.first().map_or(String::new(), |b| b.to_string());
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -112,6 +112,8 @@
     Until { relay: usize, life: u32, id: u32, number: u32 },
     Answered { client: usize, turn: u64, wait: Option<Micros> },
     Probed { relay: usize, life: u32, part: usize, backend: usize, backend_life: u32, sent: Micros },
+    Told { relay: usize, life: u32, part: usize, backend: usize },
+    Watch(usize),
     Tell { relay: usize, life: u32 },
     Called { relay: usize, life: u32, ok: bool },
     Listed(usize, MemberState),
@@ -135,8 +137,28 @@
     pub policy: Policy,
     /// The cells; one for all where there are none.
     pub cells: CellMap,
+    /// Whether one relay a zone probes the zone's backends and tells all others (the job `load/ZONE`).
+    pub load_watch: bool,
 }
 
+/// The load watch of a zone, as its job does it.
+#[derive(Default)]
+struct Watch {
+    /// Its owner's process, and from when on that acts.
+    owner: Option<(usize, u32)>,
+    from: Micros,
+    /// What it found last of each backend, and when.
+    told: HashMap<usize, (Micros, Vec<f32>)>,
+}
+
+/// The pace of the watch's rounds, how long a report stands for a probe, and the longest that it may take from a relay by a
+/// voter to another beside the ways: as in the relay.
+const ROUND: Micros = 500_000;
+const FRESH: Micros = 1_000_000;
+const HANDLED: Micros = 2_000;
+/// How long a job is without an owner whose relay died: measured in the virtual fleet, median of 20 plays.
+const OWNERLESS: Micros = 3_070_000;
+
 /// What a run came to.
 pub struct Outcomes {
     /// The books.
@@ -171,6 +193,8 @@
     group_weights: Vec<f64>,
     /// What discovery shows, in the order of its changes.
     shown: Vec<Option<MemberState>>,
+    /// Of each zone, where the fleet has load watches.
+    watches: Vec<Watch>,
     log: Vec<usize>,
     call_free: Micros,
     call_rate: f64,
@@ -240,7 +264,7 @@
             (0..scene.groups).map(|n| ((n + 1) as f64).powf(-scene.group_zipf)).collect();
         let groups = scene.groups;
         let shown = vec![Some(MemberState::Ready); scene.backends];
-        let calls = scene.calls_per_s;
+        let (calls, zones_of) = (scene.calls_per_s, scene.zones);
         let sorts = scene.sorts.len();
         let mut world = World {
             touched: vec![Vec::new(); scene.troubles.len()],
@@ -260,6 +284,7 @@
             group_keys,
             group_weights,
             shown,
+            watches: (0..zones_of).map(|_| Watch::default()).collect(),
             log: Vec::new(),
             call_free: 0,
             call_rate: calls,
@@ -292,6 +317,10 @@
             world.at(at, Ev::Trouble(n));
         }
         world.at(STEP, Ev::Step);
+        for zone in 0..if world.variant.load_watch { zones_of } else { 0 } {
+            // Owners were given their jobs one after the other.
+            world.at(STEP + ROUND * zone as u64 / zones_of as u64, Ev::Watch(zone));
+        }
         world
     }
 
@@ -907,8 +936,77 @@
 
     // Probes and the list.
 
+    /// A zone's owner probes its backends, round by round; another takes its place where it has died.
+    fn watch(&mut self, zone: usize) {
+        self.later(ROUND, Ev::Watch(zone));
+        let alive = |n: &usize| self.relays[*n].alive && !self.relays[*n].stopping;
+        let holds =
+            self.watches[zone].owner.is_some_and(|(n, life)| alive(&n) && self.relays[n].life == life);
+        if !holds {
+            let next = (0..self.relays.len()).filter(alive).find(|n| self.relays[*n].zone == zone);
+            let (now, relays) = (self.now, &self.relays);
+            let watch = &mut self.watches[zone];
+            watch.from = if watch.owner.is_some() { now + OWNERLESS } else { now };
+            watch.owner = next.map(|n| (n, relays[n].life));
+        }
+        let Some((owner, _)) = self.watches[zone].owner.filter(|_| self.now >= self.watches[zone].from)
+        else {
+            return;
+        };
+        for backend in 0..self.backends.len() {
+            let ready = self.relays[owner].list.get(backend) == Some(&Some(MemberState::Ready));
+            if self.backends[backend].zone != zone || !ready {
+                continue;
+            }
+            self.books.probes += 1;
+            if let Some(report) = self.report_of(backend) {
+                self.watches[zone].told.insert(backend, (self.now, report));
+            }
+        }
+    }
+
+    /// Whether what the watch told stands for a probe of this relay: young enough, and come to it by now.
+    fn is_told(&mut self, relay: usize, backend: usize) -> bool {
+        let (from, zone) = (self.backends[backend].zone, self.relays[relay].zone);
+        let way = micros(self.link(from, zone) * 2.0) + HANDLED;
+        let Some((at, _)) = self.watches.get(from).and_then(|watch| watch.told.get(&backend)) else {
+            return false;
+        };
+        self.variant.load_watch && self.reaches(zone, from) && self.now >= at + way && self.now < at + FRESH
+    }
+
+    /// What a backend that answers says of its load, and what saying it costs.
+    fn report_of(&mut self, backend: usize) -> Option<Vec<f32>> {
+        let b = &mut self.backends[backend];
+        if matches!(b.runs, Runs::Down | Runs::Silent) {
+            return None;
+        }
+        b.side += self.scene.probe_work;
+        if self.now >= b.next_told.0 {
+            b.told = b.next_told.1;
+        }
+        let noise = 1.0 + self.scene.report_noise * self.rng.random_range(-1.7..1.7);
+        let load = (b.told.load * noise) as f32;
+        Some(vec![0.0, b.told.active as f32, 0.0, load])
+    }
+
+    fn told(&mut self, relay: usize, life: u32, part: usize, backend: usize) {
+        let r = &self.relays[relay];
+        if !r.alive || r.life != life {
+            return;
+        }
+        let watch = &self.watches[self.backends[backend].zone];
+        let Some((_, report)) = watch.told.get(&backend).cloned() else { return };
+        let server = self.backends[backend].id;
+        self.tell(relay, part, Event::Probed { server, outcome: Outcome::Ok, report });
+    }
+
     fn probe(&mut self, relay: usize, part: usize, server: ServerId) {
         let Some(&backend) = self.by_id.get(&server) else { return };
+        if self.variant.load_watch && self.is_told(relay, backend) {
+            let life = self.relays[relay].life;
+            return self.later(1, Ev::Told { relay, life, part, backend });
+        }
         self.books.probes += 1;
         let (life, zone, b) = (self.relays[relay].life, self.relays[relay].zone, &self.backends[backend]);
         let (backend_life, at) = (b.life, b.zone);
@@ -926,22 +1024,12 @@
             return;
         }
         let reaches = self.reaches(r.zone, self.backends[backend].zone) && !silent;
-        let b = &mut self.backends[backend];
-        let (outcome, report) = match b.runs {
-            Runs::Down => (Outcome::ConnectFailed, Vec::new()),
-            Runs::Silent => (Outcome::ConnectFailed, Vec::new()),
-            _ if !reaches => (Outcome::ConnectFailed, Vec::new()),
-            _ => {
-                b.side += self.scene.probe_work;
-                if self.now >= b.next_told.0 {
-                    b.told = b.next_told.1;
-                }
-                let noise = 1.0 + self.scene.report_noise * self.rng.random_range(-1.7..1.7);
-                let load = (b.told.load * noise) as f32;
-                (Outcome::Ok, vec![0.0, b.told.active as f32, 0.0, load])
-            }
+        let report = if reaches { self.report_of(backend) } else { None };
+        let (outcome, report) = match report {
+            Some(report) => (Outcome::Ok, report),
+            None => (Outcome::ConnectFailed, Vec::new()),
         };
-        let server = b.id;
+        let server = self.backends[backend].id;
         self.tell(relay, part, Event::Probed { server, outcome, report });
     }
 
@@ -1498,6 +1586,8 @@
                     || self.backends[backend].life != backend_life && self.backends[backend].runs != Runs::Up;
                 self.probed(relay, life, part, backend, silent);
             }
+            Ev::Told { relay, life, part, backend } => self.told(relay, life, part, backend),
+            Ev::Watch(zone) => self.watch(zone),
             Ev::Tell { relay, life } => self.tell_list(relay, life),
             Ev::Called { relay, life, ok } => self.called(relay, life, ok),
             Ev::Listed(backend, state) => self.listed(backend, state),
--- a/crates/lab/src/fleet_cli.rs
+++ b/crates/lab/src/fleet_cli.rs
@@ -96,6 +96,9 @@
     /// place by chance
     #[argh(switch)]
     chance: bool,
+    /// one relay a zone probes for all (the job load/ZONE)
+    #[argh(switch)]
+    load_watch: bool,
     /// print JSON
     #[argh(switch)]
     json: bool,
@@ -159,7 +162,8 @@
 
 fn play(p: &Play) -> Result<bool, Failure> {
     let day = Day::load(&p.day)?.sized(p.relays, p.backends);
-    let variant = Variant { policy: policy(&p.set, p.chance)?, cells: Default::default() };
+    let variant =
+        Variant { policy: policy(&p.set, p.chance)?, cells: Default::default(), load_watch: p.load_watch };
     let scene = Scene::draw(&day, p.seed);
     let (relays, backends, groups) = (scene.relays, scene.backends, scene.groups);
     let begun = std::time::Instant::now();
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -609,7 +609,7 @@
     use crate::config::Config;
     use crate::decide::{Decisions, Orders};
     use crate::platform::directory::Directory;
-    use crossbeam_channel::bounded;
+    use crossbeam_channel::{bounded, Sender};
     use std::io::{ErrorKind, Read, Write};
     use std::net::{TcpListener, TcpStream};
 
@@ -625,10 +625,10 @@
         }
     }
 
-    /// A lost zone once held up the probes of all others, 250 ms for each of its servers.
-    #[test]
-    fn silent_servers_do_not_hold_up_the_probes_of_the_others() {
-        let doors: Vec<TcpListener> = (0..7).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    /// An engine that serves nobody, listening stand-ins for its backends, and where probes are ordered.
+    fn probing(backends: usize) -> (Engine, Vec<TcpListener>, Sender<ServerId>) {
+        let doors: Vec<TcpListener> =
+            (0..backends).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
         doors.iter().for_each(|door| door.set_nonblocking(true).unwrap());
         let text = format!(
             r#"{{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"1","settings":{}}}"#,
@@ -643,11 +643,51 @@
         };
         let directory = Arc::new(Directory::default());
         directory.update(true, &doors.iter().enumerate().map(listed).collect::<Vec<_>>());
-        let ((watch, _watch), (probe, _probe)) = (bounded(1), bounded(1));
+        let ((watch, _), (probe, _)) = (bounded(1), bounded(1));
         let decisions = Decisions::new(config.settings.clone(), 1, Vec::new(), Orders { watch, probe });
         let (order, orders) = bounded(16);
-        let core = Core::new(&config, decisions, directory);
-        let mut engine = Engine::new(core, config.names.clone(), orders).unwrap();
+        let names = Names { columns: vec!["x0".into()], ..config.names.clone() };
+        (Engine::new(Core::new(&config, decisions, directory), names, orders).unwrap(), doors, order)
+    }
+
+    /// The probe that comes to this backend.
+    fn probed(door: &TcpListener) -> TcpStream {
+        let mut asked: TcpStream = until(|| door.accept().ok()).0;
+        asked.set_nonblocking(false).unwrap();
+        let mut line = [0; 7];
+        asked.read_exact(&mut line).unwrap();
+        assert_eq!(&line, b"STATS\r\n");
+        asked
+    }
+
+    #[test]
+    fn what_the_fleets_watch_told_stands_for_a_probe_and_what_it_wants_is_probed() {
+        let (mut engine, doors, order) = probing(3);
+        let book = Arc::new(LoadBook::default());
+        // Young for as long as the test may take.
+        book.tell([(ServerId(0), boottime() + 3_600_000_000, vec![0.5])]);
+        engine.watch(book.clone());
+        let handle = engine.handle();
+        // Both are there before it begins: in their order.
+        order.send(ServerId(0)).unwrap();
+        order.send(ServerId(1)).unwrap();
+        let serving = std::thread::spawn(move || engine.run());
+        drop(probed(&doors[1]));
+        assert_eq!(doors[0].accept().unwrap_err().kind(), ErrorKind::WouldBlock);
+        assert_eq!((book.spared.load(Relaxed), book.made.load(Relaxed)), (1, 1));
+        book.want([ServerId(2)]);
+        probed(&doors[2]).write_all(b"PONG x0=0.25\r\n").unwrap();
+        let found = until(|| book.take().pop());
+        assert_eq!((found.0, found.2), (ServerId(2), Some(vec![0.25])));
+        assert_eq!(book.fresh(ServerId(2), found.1), Some(vec![0.25]), "its own relay knows it at once");
+        handle.stop();
+        serving.join().unwrap();
+    }
+
+    /// A lost zone once held up the probes of all others, 250 ms for each of its servers.
+    #[test]
+    fn silent_servers_do_not_hold_up_the_probes_of_the_others() {
+        let (mut engine, doors, order) = probing(7);
         // So long a limit that a seventh which waited for the six would never be asked.
         engine.probe_limit = 3_600_000_000;
         let handle = engine.handle();
@@ -655,12 +695,7 @@
         let ask = |n: usize| {
             order.send(ServerId(n as u64)).unwrap();
             (handle.wake)();
-            let mut asked: TcpStream = until(|| doors[n].accept().ok()).0;
-            asked.set_nonblocking(false).unwrap();
-            let mut line = [0; 7];
-            asked.read_exact(&mut line).unwrap();
-            assert_eq!(&line, b"STATS\r\n");
-            asked
+            probed(&doors[n])
         };
         let silent: Vec<TcpStream> = (0..6).map(ask).collect();
         let mut seventh = ask(6);
