Wait in the scenario of three builds for leases, so that the oldest relay is always asked

Cause: in one run of the checks the change that the older relay does not know took hold: on a busy machine that relay had no lease at that moment, so it was not waited for, which is the rule, and refused clients afterwards.

--- a/crates/lab/src/faults/harness.rs
+++ b/crates/lab/src/faults/harness.rs
@@ -729,7 +729,8 @@
             Deed::Owner { ref job, harm, for_ms } => self.harm(job, harm, for_ms)?,
             Deed::Taken { ref job } => self.taken(job)?,
             Deed::Reset => self.links.values().for_each(Proxy::reset),
-            Deed::Await => self.settle()?,
+            Deed::Await => self.settle(|_| true)?,
+            Deed::Admitted => self.settle(|word| word == "UP")?,
         }
         Ok(())
     }
@@ -900,14 +901,16 @@
         Ok(())
     }
 
-    fn settle(&mut self) -> io::Result<()> {
+    /// Every change so far has its outcome, and every relay that runs has had some clients since with such an answer.
+    fn settle(&mut self, answer: fn(&str) -> bool) -> io::Result<()> {
         self.wait_for_outcomes()?;
         let since = self.now();
         self.wait("clients at every relay", |rig| {
             let requests = lock(&rig.requests);
             let runs = |relay: &usize| rig.relays[*relay].is_some() && !rig.stopped.contains(relay);
             let had = |relay: usize| {
-                requests.iter().filter(|r| r.relay == relay && r.asked > since).count() >= SOME
+                let of = |r: &&Request| r.relay == relay && r.asked > since && answer(&r.word);
+                requests.iter().filter(of).count() >= SOME
             };
             (0..rig.relays.len()).filter(runs).all(had)
         })
--- a/crates/lab/src/faults/scenario.rs
+++ b/crates/lab/src/faults/scenario.rs
@@ -160,6 +160,8 @@
     Reset,
     /// Nothing goes on before every change so far has its outcome and every relay that runs has had some clients since.
     Await,
+    /// Nothing goes on before every relay that runs has admitted some clients since: each has a lease.
+    Admitted,
 }
 
 /// What is done to a job's owner.
