--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod watch;
 pub mod wire;
 pub mod worker;
+pub mod zones;
 
 /// A moment or a span of time, in microseconds.
 pub type Micros = u64;
