Bound what a leader and a hub look at for each question, and ask for the list once a round

Hub::follow looked through all jobs for each fact of each follower (300 relays and 16,384 jobs: five million looks a question); Worker::turn asked for the zone's backends in each turn, of which a voter has one a message; a name that no job may have was handed to the log with each question of a relay (voter/jobs.rs, renewed); probes for the watch that found no room were noted without a bound (LoadBook::want).

Change: kinds that a follower owns are gathered once; the list is asked for once a round; names are checked before they are handed to the log; both queues of the load book are bounded.

--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -11,7 +11,7 @@
 use crate::message::{kind_of, Fact, Follow, From, Item, Message, News, Publish, Relay};
 use crate::owners::{Job, Jobs, Token};
 use crate::{at_least, at_most, Micros, Plant, Planted};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Relays that follow one voter at most: beyond that they are told nothing, and follow another.
 const FOLLOWERS: usize = 4096;
@@ -65,14 +65,13 @@
         let knows = follow.knows.into_iter().map(|(job, token, number)| (job, (token, number))).collect();
         let follower = Follower { relay: follow.relay, number: follow.number, heard: now, knows, facts };
         let mut news = self.news(now, &follower);
-        let owns = |kind: &str| {
-            let own = |(name, job): (&String, &Job)| {
-                kind_of(name) == kind && job.owner.as_ref() == Some(&follower.relay)
-            };
-            jobs.of.iter().any(own)
-        };
-        for other in self.followers.values().chain([&follower]) {
-            let facts: Vec<Fact> = other.facts.iter().filter(|fact| owns(&fact.kind)).cloned().collect();
+        // Once for all: there may be thousands of jobs, and hundreds of relays that say something.
+        let own = |job: &Job| job.owner.as_ref() == Some(&follower.relay);
+        let kinds: BTreeSet<&str> =
+            jobs.of.iter().filter(|(_, job)| own(job)).map(|(name, _)| kind_of(name)).collect();
+        for other in self.followers.values().chain([&follower]).filter(|_| !kinds.is_empty()) {
+            let to_it = |fact: &&Fact| kinds.contains(fact.kind.as_str());
+            let facts: Vec<Fact> = other.facts.iter().filter(to_it).cloned().collect();
             if !facts.is_empty() {
                 news.facts.push((other.relay.clone(), now - other.heard, facts));
             }
--- a/crates/control/src/owners.rs
+++ b/crates/control/src/owners.rs
@@ -84,7 +84,7 @@
         match deal {
             Deal::Open(names) => {
                 for name in names {
-                    if !name.is_empty() && name.len() <= MOST_NAME && self.of.len() < MOST_JOBS {
+                    if may_be_named(&name) && self.of.len() < MOST_JOBS {
                         self.of.entry(name).or_default();
                     }
                 }
@@ -208,6 +208,11 @@
     }
 }
 
+/// Whether a job may have this name.
+pub fn may_be_named(name: &str) -> bool {
+    !name.is_empty() && name.len() <= MOST_NAME
+}
+
 fn weight(name: &str, relay: &Relay) -> u64 {
     xxh3_64_with_seed(name.as_bytes(), xxh3_64_with_seed(relay.name.as_bytes(), 0))
 }
--- a/crates/control/src/voter/jobs.rs
+++ b/crates/control/src/voter/jobs.rs
@@ -3,7 +3,7 @@
 use super::{From, Known, Office, Voter};
 use crate::message::{kind_of, Answer, Follow, Message, OwnJobs, Publish, Relay, Renew, Reply, Skills};
 use crate::owner::STOPS;
-use crate::owners::{Deal, Jobs, BATCH, MOST_JOBS};
+use crate::owners::{may_be_named, Deal, Jobs, BATCH, MOST_JOBS};
 use crate::state::Command;
 use crate::{Micros, Plant};
 
@@ -65,7 +65,9 @@
             deals.push(Deal::Yield(gives_up));
         }
         let opens = &renew.skills.opens;
-        let new: Vec<String> = opens.iter().filter(|name| !jobs.of.contains_key(*name)).cloned().collect();
+        // One that can never be opened would be handed to the log with each question.
+        let new = opens.iter().filter(|name| may_be_named(name) && !jobs.of.contains_key(*name));
+        let new: Vec<String> = new.cloned().collect();
         if !new.is_empty() && jobs.of.len() + new.len() <= MOST_JOBS {
             deals.push(Deal::Open(new));
         }
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/watch.rs
@@ -68,11 +68,14 @@
 }
 
 impl Watch {
-    /// Time has passed: which of the zone's backends are to be probed now.
-    pub fn turn(&mut self, now: Micros, listed: impl Iterator<Item = u64>) -> Vec<u64> {
+    /// Time has passed: which of the zone's backends are to be probed now. Who is listed is asked once a round.
+    pub fn turn<L>(&mut self, now: Micros, listed: impl FnOnce() -> L) -> Vec<u64>
+    where
+        L: IntoIterator<Item = u64>,
+    {
         if self.began.is_none_or(|began| now >= began + ROUND) {
             (self.began, self.told) = (Some(now), false);
-            self.todo = listed.collect();
+            self.todo = listed().into_iter().collect();
             self.out.clear();
             self.found.clear();
         }
@@ -133,10 +136,10 @@
     #[test]
     fn a_round_asks_each_once_few_at_a_time_and_tells_who_answered() {
         let (mut watch, of) = (Watch::default(), columns(&["x0"]));
-        assert_eq!(watch.turn(0, 0..6), [0, 1, 2, 3]);
+        assert_eq!(watch.turn(0, || 0..6), [0, 1, 2, 3]);
         watch.found(1_000, 0, Some(vec![0.5]));
         watch.found(2_000, 1, None);
-        assert_eq!(watch.turn(2_000, 0..6), [4, 5]);
+        assert_eq!(watch.turn(2_000, || 0..6), [4, 5]);
         assert_eq!(watch.tell(3_000, &of), None, "four are out");
         for server in 2..5 {
             watch.found(4_000, server, Some(vec![1.0]));
@@ -145,7 +148,7 @@
         assert_eq!(told.of.iter().map(|row| row.0).collect::<Vec<_>>(), [0, 2, 3, 4]);
         assert_eq!(told.of[0].1, ROUND_END - 1_000);
         assert_eq!(watch.tell(ROUND_END + 1, &of), None, "once a round");
-        assert_eq!(watch.turn(ROUND, 0..2), [0, 1], "the next round waits for nobody");
+        assert_eq!(watch.turn(ROUND, || 0..2), [0, 1], "the next round waits for nobody");
         // Nobody answers: it once asked to be called at a moment that had passed, again and again.
         assert_eq!(watch.tell(ROUND + ROUND_END, &of), None);
         assert_eq!(watch.due(), 2 * ROUND);
@@ -157,12 +160,12 @@
         for n in 0..7 {
             let now = n * ROUND;
             assert_eq!(watch.useless(now), None, "{n}");
-            watch.turn(now, 0..2);
+            watch.turn(now, || 0..2);
             watch.found(now, 0, None);
             watch.found(now, 1, (n == 0).then(|| vec![1.0]));
         }
         assert!(watch.useless(7 * ROUND).is_some());
-        watch.turn(7 * ROUND, 0..2);
+        watch.turn(7 * ROUND, || 0..2);
         watch.found(7 * ROUND, 5, Some(vec![0.1]));
         assert!(watch.useless(7 * ROUND).is_some(), "that one was not asked");
         watch.found(7 * ROUND, 0, Some(vec![0.1]));
--- a/crates/control/src/worker.rs
+++ b/crates/control/src/worker.rs
@@ -99,8 +99,8 @@
             let said = match job {
                 Job::Watch(watch) => {
                     let zone = name.split_once('/').map_or("", |(_, zone)| zone);
-                    let listed = (scene.listed)(zone);
-                    deeds.extend(watch.turn(now, listed.into_iter()).into_iter().map(Deed::Probe));
+                    let probes = watch.turn(now, || (scene.listed)(zone));
+                    deeds.extend(probes.into_iter().map(Deed::Probe));
                     if let Some(why) = watch.useless(now) {
                         owner.give_up(name, why);
                         deeds.push(Deed::Log(format!("fleet: gives up {name}, token {token}: {why}")));
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -83,7 +83,7 @@
         for server in servers {
             if inner.wanted.len() < QUEUE {
                 inner.wanted.push_back(server);
-            } else {
+            } else if inner.found.len() < QUEUE {
                 inner.found.push_back((server, 0, None));
             }
         }
