--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -12,6 +12,7 @@
 use crate::config::listing::server_id;
 use crate::config::Names;
 use crate::front::line::Lines;
+use crate::load::LoadBook;
 use crate::log::log;
 use crate::net::conn::{Backend, Conn, Phase, NUMBER_SHIFT};
 use crate::net::core::Core;
@@ -23,7 +24,7 @@
 use crate::net::session::{Account, Session};
 use crate::platform::probe::{self, Probe, PROBES};
 use crate::platform::takeover::{Heir, Older, Passed, Rest, Successor};
-use crate::sys::{timed_out, Wake};
+use crate::sys::{boottime, timed_out, Wake};
 use crossbeam_channel::Receiver;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -113,6 +114,8 @@
     older: BTreeMap<u64, Older>,
     next_older: u64,
     orders: Receiver<ServerId>,
+    /// What the fleet's load watch knows, where there is one.
+    book: Option<Arc<LoadBook>>,
     names: Names,
     probes: BTreeMap<u64, Probe>,
     next_probe: u64,
@@ -146,6 +149,7 @@
             older: BTreeMap::new(),
             next_older: OLDER,
             orders,
+            book: None,
             names,
             probes: BTreeMap::new(),
             next_probe: 0,
@@ -169,6 +173,12 @@
         Ok(())
     }
 
+    /// Probes for the fleet's load watch, and takes what it knows in place of own probes.
+    pub fn watch(&mut self, book: Arc<LoadBook>) {
+        book.wakes_prober(self.handle.wake.clone());
+        self.book = Some(book);
+    }
+
     /// Takes over what older processes pass on in this directory, and passes on there what stands at the end.
     pub fn share(&mut self, dir: PathBuf) -> io::Result<()> {
         let heir = Heir::open(&dir)?;
@@ -352,20 +362,35 @@
 
     // Probes.
 
+    /// The next probe that is to be made, and whether it is for the load watch. Where what the watch knows is as good,
+    /// the decisions are told that.
+    fn ordered(&mut self) -> Option<(ServerId, bool)> {
+        for _ in 0..TURN {
+            let Ok(server) = self.orders.try_recv() else { break };
+            let directory = &self.core.directory;
+            let book = self.book.as_ref().filter(|_| directory.takes_new(server));
+            match book.and_then(|book| book.fresh(server, boottime())) {
+                Some(report) => self.probed(server, false, Outcome::Ok, report),
+                None => return Some((server, false)),
+            }
+        }
+        self.book.as_ref()?.wanted().map(|server| (server, true))
+    }
+
     fn start_probes(&mut self) {
         while self.probes.len() < PROBES {
-            let Ok(server) = self.orders.try_recv() else { return };
+            let Some((server, watch)) = self.ordered() else { return };
             // It may have been told to leave since the probe was asked for.
             let directory = &self.core.directory;
             let Some(endpoint) = directory.endpoint(server).filter(|_| directory.takes_new(server)) else {
-                self.probed(server, Outcome::Moot, Vec::new());
+                self.probed(server, watch, Outcome::Moot, Vec::new());
                 continue;
             };
             let now = self.core.decisions.now();
             let (n, token) = (self.next_probe, self.next_probe << NUMBER_SHIFT | PROBE);
             let begun = dial(endpoint.addr).and_then(|stream| {
                 self.poller.watch(&stream, token, None, Some(WRITE))?;
-                Ok(Probe::new(server, stream, now, self.probe_limit))
+                Ok(Probe::new(server, watch, stream, now, self.probe_limit))
             });
             match begun {
                 Ok(probe) => {
@@ -373,7 +398,7 @@
                     self.due.insert((probe.by, token));
                     self.probes.insert(n, probe);
                 }
-                Err(_) => self.probed(server, Outcome::ConnectFailed, Vec::new()),
+                Err(_) => self.probed(server, watch, Outcome::ConnectFailed, Vec::new()),
             }
         }
     }
@@ -390,13 +415,16 @@
             }
             return;
         };
-        let server = probe.server;
+        let (server, watch) = (probe.server, probe.watch);
         self.probes.remove(&n);
-        self.probed(server, outcome, report);
+        self.probed(server, watch, outcome, report);
     }
 
-    fn probed(&self, server: ServerId, outcome: Outcome, report: Vec<f32>) {
-        tracing::debug!(server = server.0, ?outcome, ?report, "probe");
+    fn probed(&self, server: ServerId, watch: bool, outcome: Outcome, report: Vec<f32>) {
+        tracing::debug!(server = server.0, watch, ?outcome, ?report, "probe");
+        if let Some(book) = self.book.as_ref().filter(|_| watch) {
+            return book.found(server, boottime(), (outcome == Outcome::Ok).then_some(report));
+        }
         self.core.decisions.probed(server, outcome, report);
     }
 
@@ -581,7 +609,7 @@
     use crate::config::Config;
     use crate::decide::{Decisions, Orders};
     use crate::platform::directory::Directory;
-    use crossbeam_channel::bounded;
+    use crossbeam_channel::{bounded, Sender};
     use std::io::{ErrorKind, Read, Write};
     use std::net::{TcpListener, TcpStream};
 
@@ -597,10 +625,10 @@
         }
     }
 
-    /// A lost zone once held up the probes of all others, 250 ms for each of its servers.
-    #[test]
-    fn silent_servers_do_not_hold_up_the_probes_of_the_others() {
-        let doors: Vec<TcpListener> = (0..7).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    /// An engine that serves nobody, listening stand-ins for its backends, and where probes are ordered.
+    fn probing(backends: usize) -> (Engine, Vec<TcpListener>, Sender<ServerId>) {
+        let doors: Vec<TcpListener> =
+            (0..backends).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
         doors.iter().for_each(|door| door.set_nonblocking(true).unwrap());
         let text = format!(
             r#"{{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"1","settings":{}}}"#,
@@ -615,11 +643,51 @@
         };
         let directory = Arc::new(Directory::default());
         directory.update(true, &doors.iter().enumerate().map(listed).collect::<Vec<_>>());
-        let ((watch, _watch), (probe, _probe)) = (bounded(1), bounded(1));
+        let ((watch, _), (probe, _)) = (bounded(1), bounded(1));
         let decisions = Decisions::new(config.settings.clone(), 1, Vec::new(), Orders { watch, probe });
         let (order, orders) = bounded(16);
-        let core = Core::new(&config, decisions, directory);
-        let mut engine = Engine::new(core, config.names.clone(), orders).unwrap();
+        let names = Names { columns: vec!["x0".into()], ..config.names.clone() };
+        (Engine::new(Core::new(&config, decisions, directory), names, orders).unwrap(), doors, order)
+    }
+
+    /// The probe that comes to this backend.
+    fn probed(door: &TcpListener) -> TcpStream {
+        let mut asked: TcpStream = until(|| door.accept().ok()).0;
+        asked.set_nonblocking(false).unwrap();
+        let mut line = [0; 7];
+        asked.read_exact(&mut line).unwrap();
+        assert_eq!(&line, b"STATS\r\n");
+        asked
+    }
+
+    #[test]
+    fn what_the_fleets_watch_told_stands_for_a_probe_and_what_it_wants_is_probed() {
+        let (mut engine, doors, order) = probing(3);
+        let book = Arc::new(LoadBook::default());
+        // Young for as long as the test may take.
+        book.tell([(ServerId(0), boottime() + 3_600_000_000, vec![0.5])]);
+        engine.watch(book.clone());
+        let handle = engine.handle();
+        // Both are there before it begins: in their order.
+        order.send(ServerId(0)).unwrap();
+        order.send(ServerId(1)).unwrap();
+        let serving = std::thread::spawn(move || engine.run());
+        drop(probed(&doors[1]));
+        assert_eq!(doors[0].accept().unwrap_err().kind(), ErrorKind::WouldBlock);
+        assert_eq!((book.spared.load(Relaxed), book.made.load(Relaxed)), (1, 1));
+        book.want([ServerId(2)]);
+        probed(&doors[2]).write_all(b"PONG x0=0.25\r\n").unwrap();
+        let found = until(|| book.take().pop());
+        assert_eq!((found.0, found.2), (ServerId(2), Some(vec![0.25])));
+        assert_eq!(book.fresh(ServerId(2), found.1), Some(vec![0.25]), "its own relay knows it at once");
+        handle.stop();
+        serving.join().unwrap();
+    }
+
+    /// A lost zone once held up the probes of all others, 250 ms for each of its servers.
+    #[test]
+    fn silent_servers_do_not_hold_up_the_probes_of_the_others() {
+        let (mut engine, doors, order) = probing(7);
         // So long a limit that a seventh which waited for the six would never be asked.
         engine.probe_limit = 3_600_000_000;
         let handle = engine.handle();
@@ -627,12 +695,7 @@
         let ask = |n: usize| {
             order.send(ServerId(n as u64)).unwrap();
             (handle.wake)();
-            let mut asked: TcpStream = until(|| doors[n].accept().ok()).0;
-            asked.set_nonblocking(false).unwrap();
-            let mut line = [0; 7];
-            asked.read_exact(&mut line).unwrap();
-            assert_eq!(&line, b"STATS\r\n");
-            asked
+            probed(&doors[n])
         };
         let silent: Vec<TcpStream> = (0..6).map(ask).collect();
         let mut seventh = ask(6);
