Keep the watch on a pushed list, and have any list again within 6 s of discovery's return

Ruled out: the decisions, which rightly ask for nothing where lists are pushed (tests/module.rs); parsing. Faulty: src/platform/discovery.rs watched only on an order of the decisions, which src/logic.rs gives in the mode on_request alone. The same file: the liveness timeout was a read timeout that any byte renewed; objects were cut at line feeds; a Content-Length was not read; an order to watch that came with a move was swallowed by try_recv() == Ok(false), and decide.rs dropped a fifth; src/logic.rs let 5 to 15 s pass after a failure in a large fleet. Change: answer.rs reads head, chunks, length and whole objects without I/O; Source holds the wanted state (place, on, calls asked for) in one value; a watch stands by itself where lists are pushed; each call and each whole object has a deadline; pauses are bounded so that the sum stays under 6 s (ListKind::Silent tells the decisions that a timeout came first).

--- a/src/api.rs
+++ b/src/api.rs
@@ -195,6 +195,8 @@
     Cached,
     /// A call failed or the subscription dropped; the old list stands.
     Failed,
+    /// The same, seen only after a timeout: little is left of the time after which a change counts as told.
+    Silent,
     /// The list is to be had elsewhere from now on; the old list stands.
     Moved,
 }
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -18,7 +18,7 @@
 use jaspermoor::ops::admin::{Admin, Staffed};
 use jaspermoor::ops::bans::Bans;
 use jaspermoor::platform::directory::Directory;
-use jaspermoor::platform::discovery::{Source, Watcher};
+use jaspermoor::platform::discovery::{Source, Upkeep, Watcher};
 use jaspermoor::sys::{spawn, STACK};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::{Handle, Signals};
@@ -70,8 +70,10 @@
             .map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?,
     };
     let (address, door) = (door.addr()?, Arc::new(door));
-    let source = Source::new(config.discovery);
-    let (watch, watch_orders) = bounded(4);
+    let upkeep = if config.settings.list_on_request { Upkeep::Asked } else { Upkeep::Standing };
+    let source = Source::new(config.discovery, upkeep);
+    let orders = source.clone();
+    let watch = Box::new(move |on| orders.order(on));
     let (probe, probe_orders) = bounded(64);
     let directory = Arc::new(Directory::default());
     directory.update(true, &config.known);
@@ -141,7 +143,7 @@
             decisions: &shared.decisions,
             version,
         };
-        watcher.run(&watch_orders);
+        watcher.run();
     })?;
     if let Some(addr) = config.admin {
         let staffed = Staffed {
@@ -246,7 +248,7 @@
     }
     *config = new;
     let moved = source.relocate(config.discovery);
-    if moved {
+    if moved && config.settings.list_on_request {
         core.decisions.members(ListKind::Moved, Vec::new());
     }
     core.metrics.loads.fetch_add(1, Relaxed);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -61,10 +61,10 @@
     Delay(Micros),
 }
 
-/// Where orders go that concern no single request. Both are bounded and never waited for.
+/// Where orders go that concern no single request. Neither may block.
 pub struct Orders {
-    /// Subscribe to the list of servers, or stop.
-    pub watch: Sender<bool>,
+    /// Subscribe to the list of servers, once more after each that failed, or stop. Called with the lock held.
+    pub watch: Box<dyn Fn(bool) + Send>,
     /// Probe this server.
     pub probe: Sender<ServerId>,
 }
@@ -752,7 +752,7 @@
             }
             Action::Timer(at, token) => self.timers.push(Reverse((at, part, token))),
             // There is one watch; what the first balancer hears of it they all hear, and so it asks for all.
-            Action::Watch(on) if part == 0 => drop(self.orders.watch.try_send(on)),
+            Action::Watch(on) if part == 0 => (self.orders.watch)(on),
             Action::Watch(_) => {}
             Action::Probe(server) => {
                 // A prober that is behind must not be waited for: the probe has failed.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -60,8 +60,10 @@
 /// Advised wait of a refused client, give or take a half: long enough that its next try meets other counts.
 retry_after: Micros = SECOND * 2 / 5;
 /// Backoff of a failed call for the list, at least so much a balancer of the fleet, doubled up to eight times
-/// this and jittered; the first call comes within one share: the service takes few calls a second.
+/// this and jittered; the first call comes within one share: the service takes few calls a second. At most ASK_MOST,
+/// or ASK_SOON where a timeout came before: a change counts as told 6 s after it could be had (platform/discovery).
 ask_backoff: Micros = SECOND / 4; ask_share: Micros = SECOND / 20;
+ask_most: Micros = 4 * SECOND; ask_soon: Micros = SECOND * 9 / 10;
 /// A server called back by hand is used again within this; one that drains or is full is left over that.
 back_within: Micros = 3 * SECOND; move_span: Micros = 2 * SECOND;
 }}
@@ -217,13 +219,16 @@
     fn members(&mut self, kind: ListKind, members: Vec<Member>, out: &mut Out) {
         // Who has not asked within `ask_within` counts as told: no turn may be longer.
         let within = self.settings.ask_within.max(2);
-        let share = (self.t.ask_share * u64::from(self.settings.balancers.max(1))).min(within / 2);
-        if kind == ListKind::Failed {
+        let share = self.t.ask_share * u64::from(self.settings.balancers.max(1));
+        let share = share.min(within / 2).min(self.t.ask_most);
+        if matches!(kind, ListKind::Failed | ListKind::Silent) {
             // A failed call or a dropped subscription: ask anew, and not in step with the others.
             self.watching = false;
-            let wait = (self.t.ask_backoff.max(share) << self.ask_failures.min(3)).min(within);
+            let most = if kind == ListKind::Silent { self.t.ask_soon } else { self.t.ask_most };
+            let wait =
+                (self.t.ask_backoff.max(share) << self.ask_failures.min(3)).min(within).min(most).max(8);
             self.ask_failures += 1;
-            out.push(Action::Timer(self.now + wait / 2 + self.rng.range(0..wait), TIMER_ASK));
+            out.push(Action::Timer(self.now + self.rng.range(wait / 8..wait), TIMER_ASK));
             return;
         }
         let moved = kind == ListKind::Moved;
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -343,7 +343,7 @@
         let text = format!(r#"{{"listen":"{addr}","discovery":"{addr}","seed":"1","settings":{settings}}}"#);
         let config = Config::parse(text.into_bytes(), &|_| None).unwrap();
         let member = |state| Member { server: SERVER, zone: 0, cell: 0, state, size: 1.0, started: None };
-        let ((watch, _), (probe, _)) = (bounded(1), bounded(1));
+        let (watch, (probe, _)) = (Box::new(|_| ()), bounded(1));
         let cached = vec![member(MemberState::Ready)];
         let decisions = Decisions::new(config.settings.clone(), 1, cached, Orders { watch, probe });
         let directory = Arc::new(Directory::default());
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -643,7 +643,7 @@
         };
         let directory = Arc::new(Directory::default());
         directory.update(true, &doors.iter().enumerate().map(listed).collect::<Vec<_>>());
-        let ((watch, _), (probe, _)) = (bounded(1), bounded(1));
+        let (watch, (probe, _)) = (Box::new(|_| ()), bounded(1));
         let decisions = Decisions::new(config.settings.clone(), 1, Vec::new(), Orders { watch, probe });
         let (order, orders) = bounded(16);
         let names = Names { columns: vec!["x0".into()], ..config.names.clone() };
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -987,7 +987,7 @@
         let dir = tempfile::tempdir().unwrap();
         let kinds = |load_watch, paced_moves, probes| {
             let jobs = operator::Jobs { load_watch, paced_moves };
-            let ((watch, _), (probe, _)) = (bounded(1), bounded(1));
+            let (watch, (probe, _)) = (Box::new(|_| ()), bounded(1));
             let decisions = Decisions::new(Settings::default(), 1, Vec::new(), Orders { watch, probe });
             let mut fleet = Fleet::open(setup(dir.path(), jobs), "n1", Rules::default(), decisions).unwrap();
             let (zones, columns) = (vec!["a".into(), "b".repeat(90)], vec!["x0".into()]);
@@ -1011,7 +1011,7 @@
     fn nobody_is_admitted_under_a_policy_that_this_build_does_not_understand() {
         let dir = tempfile::tempdir().unwrap();
         let setup = setup(dir.path(), operator::Jobs::default());
-        let ((watch, _), (probe, _)) = (bounded(1), bounded(1));
+        let (watch, (probe, _)) = (Box::new(|_| ()), bounded(1));
         let decisions = Decisions::new(Settings::default(), 1, Vec::new(), Orders { watch, probe });
         let open = || Fleet::open(setup.clone(), "n1", Rules::default(), decisions.clone()).unwrap();
         let policy = |epoch, text: &str| Policy { epoch, text: text.into(), ..Policy::default() };
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -1,78 +1,179 @@
 //! Discovery: the list of backends as it is written to this relay, and the watch that brings it.
+//!
+//! Guards against: a watch that falls silent or dribbles, an order or a move that comes while the thread is busy
+//! elsewhere (the wanted state is one value, not a queue of edges), and calls that together take longer than the time
+//! after which a change counts as told.
 
 use crate::api::{ListKind, Member};
 use crate::config::listing::{listing, shallow, Endpoint};
 use crate::config::Names;
 use crate::decide::Decisions;
 use crate::log::log;
+use crate::platform::answer::{Answer, Piece};
 use crate::platform::directory::Directory;
 use crate::sys::{lock, timed_out};
-use crossbeam_channel::Receiver;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
+/// A change counts as told so long after discovery had it and could be reached, whatever call has failed meanwhile
+/// (the platform's term). What follows, with the pauses of the decisions (`ask_most`, `ask_soon`), adds up to less: a
+/// test holds the sums.
+pub const TOLD: Duration = Duration::from_millis(6_000);
 /// The longest wait for a connection to discovery.
-const DIAL: Duration = Duration::from_secs(1);
-/// A watch that brings nothing for so long is dead: an empty line is due every 2 s.
-const SILENT: Duration = Duration::from_millis(4_500);
-/// The longest head of an answer.
-const MAX_HEAD: usize = 16 * 1024;
-/// The longest line of a watch.
-const MAX_OBJECT: usize = 4 << 20;
+pub const DIAL: Duration = Duration::from_millis(1_000);
+/// The longest wait, from the dial on, for the first whole object or beat: a crowded service has calls wait in line
+/// for up to 3 s, and then says that they have failed.
+pub const CALL: Duration = Duration::from_millis(3_200);
+/// The liveness timeout: a watch that brings no whole object or beat for so long is dead, whatever bytes it brings. A
+/// beat is due every 2 s.
+pub const SILENT: Duration = Duration::from_millis(3_200);
+/// What is left of the time for the call that succeeds.
+pub const ANSWER: Duration = Duration::from_millis(1_800);
+/// Pauses before a watch that the platform pushes on is opened anew, the first at once: what its agent has counts as
+/// told, so they stay under the least time after which a drain must be kept. The agent is this machine's own.
+const AGAIN: Duration = Duration::from_millis(25);
+const AGAIN_MOST: Duration = Duration::from_millis(100);
 /// Entries of a change that the log names.
 const NAMED: usize = 16;
 
-/// Where discovery is. It can move while a watch is open.
+/// Who says when discovery is called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Upkeep {
+    /// The decisions, each time anew: all relays share one service.
+    Asked,
+    /// Nobody: the platform pushes its lists, and the watch is to stand at all times.
+    Standing,
+}
+
+/// Where discovery is, and what is wanted of it. Whoever changes either does it here; the thread of the watch looks
+/// here before each call, and sleeps here between two.
 pub struct Source {
-    place: Mutex<Place>,
+    upkeep: Upkeep,
+    wanted: Mutex<Wanted>,
+    changed: Condvar,
 }
 
-struct Place {
+struct Wanted {
     addr: SocketAddr,
-    /// How often it has moved.
+    /// How often the place has moved.
     moves: u64,
-    /// The watch that is open there.
+    /// Whether a watch is wanted, and how many calls have been asked for.
+    on: bool,
+    orders: u64,
+    /// The calls among them that were begun, or stood for by a watch that was open.
+    begun: u64,
+    /// The watch that is open at that place.
     open: Option<Arc<TcpStream>>,
 }
 
+/// A call that is to be made.
+struct Call {
+    addr: SocketAddr,
+    moves: u64,
+}
+
+/// How a watch has ended.
+#[derive(Debug, PartialEq, Eq)]
+enum End {
+    Failed,
+    Moved,
+    Unwanted,
+}
+
 impl Source {
     /// Discovery at this address.
-    pub fn new(addr: SocketAddr) -> Arc<Source> {
-        Arc::new(Source { place: Mutex::new(Place { addr, moves: 0, open: None }) })
+    pub fn new(addr: SocketAddr, upkeep: Upkeep) -> Arc<Source> {
+        let on = upkeep == Upkeep::Standing;
+        let wanted = Wanted { addr, moves: 0, on, orders: 0, begun: 0, open: None };
+        Arc::new(Source { upkeep, wanted: Mutex::new(wanted), changed: Condvar::new() })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Wanted> {
+        lock(&self.wanted)
     }
 
-    fn lock(&self) -> MutexGuard<'_, Place> {
-        lock(&self.place)
+    /// Calls discovery once more, or ends the watch. A watch that is open stands for a call.
+    pub fn order(&self, on: bool) {
+        let mut wanted = self.lock();
+        wanted.on = on;
+        if on {
+            wanted.orders += 1;
+        } else {
+            wanted.end_watch();
+        }
+        self.changed.notify_all();
     }
 
     /// From now on discovery is at this address: a watch elsewhere is ended. False if it is there already.
     pub fn relocate(&self, addr: SocketAddr) -> bool {
-        let mut place = self.lock();
-        if place.addr == addr {
+        let mut wanted = self.lock();
+        if wanted.addr == addr {
             return false;
         }
-        (place.addr, place.moves) = (addr, place.moves + 1);
-        if let Some(open) = place.open.take() {
-            // Wakes the thread that reads there.
-            let _ = open.shutdown(Shutdown::Both);
-        }
+        (wanted.addr, wanted.moves) = (addr, wanted.moves + 1);
+        wanted.end_watch();
+        self.changed.notify_all();
         true
     }
 
-    fn current(&self) -> (SocketAddr, u64) {
-        let place = self.lock();
-        (place.addr, place.moves)
+    /// Waits for the next call that is to be made. Where the watch stands by itself, that is after `pause` at the
+    /// latest, and at once where discovery has moved since `moves`.
+    fn call(&self, pause: Duration, moves: u64) -> Call {
+        let mut wanted = self.lock();
+        let by = Instant::now() + pause;
+        loop {
+            let left = by.saturating_duration_since(Instant::now());
+            let due = match self.upkeep {
+                Upkeep::Asked => wanted.on && wanted.orders != wanted.begun,
+                Upkeep::Standing => wanted.moves != moves || left.is_zero(),
+            };
+            if due {
+                wanted.begun = wanted.orders;
+                return Call { addr: wanted.addr, moves: wanted.moves };
+            }
+            wanted = match self.upkeep {
+                Upkeep::Asked => self.changed.wait(wanted).unwrap_or_else(PoisonError::into_inner),
+                Upkeep::Standing => {
+                    self.changed.wait_timeout(wanted, left).unwrap_or_else(PoisonError::into_inner).0
+                }
+            };
+        }
+    }
+
+    /// Takes the socket of a call; false if it is not wanted any more.
+    fn hold(&self, stream: &Arc<TcpStream>, call: &Call) -> bool {
+        let mut wanted = self.lock();
+        let holds = wanted.on && wanted.moves == call.moves;
+        if holds {
+            wanted.open = Some(stream.clone());
+        }
+        holds
+    }
+
+    /// A call or its watch is over: why, and in one step with that the orders for which it stood are done.
+    fn over(&self, call: &Call) -> End {
+        let mut wanted = self.lock();
+        wanted.open = None;
+        if wanted.moves != call.moves {
+            return End::Moved;
+        }
+        wanted.begun = wanted.orders;
+        if wanted.on {
+            End::Failed
+        } else {
+            End::Unwanted
+        }
     }
+}
 
-    /// Takes the socket of a watch; false if discovery has moved since the address was read.
-    fn hold(&self, stream: &Arc<TcpStream>, moves: u64) -> bool {
-        let mut place = self.lock();
-        if place.moves == moves {
-            place.open = Some(stream.clone());
+impl Wanted {
+    /// Wakes the thread that reads there.
+    fn end_watch(&mut self) {
+        if let Some(open) = self.open.take() {
+            let _ = open.shutdown(Shutdown::Both);
         }
-        place.moves == moves
     }
 }
 
@@ -90,85 +191,118 @@
     pub version: u64,
 }
 
+/// Why a call or its watch has ended, and whether that took a timeout to see.
+struct Fault {
+    why: String,
+    silent: bool,
+}
+
+impl From<String> for Fault {
+    fn from(why: String) -> Fault {
+        Fault { why, silent: false }
+    }
+}
+
+impl From<&str> for Fault {
+    fn from(why: &str) -> Fault {
+        why.to_string().into()
+    }
+}
+
+impl From<std::io::Error> for Fault {
+    fn from(e: std::io::Error) -> Fault {
+        match timed_out(&e) {
+            true => Fault { why: "silent".into(), silent: true },
+            false => e.to_string().into(),
+        }
+    }
+}
+
 impl Watcher<'_> {
-    /// Watches whenever the decisions ask for it. A watch that fails is told to them: when to try
-    /// again, and with what jitter, is theirs to say.
-    pub fn run(mut self, orders: &Receiver<bool>) {
-        let mut known = self.source.current().1;
-        for mut on in orders {
-            // Orders that have piled up: the last one counts.
-            while let Ok(later) = orders.try_recv() {
-                on = later;
-            }
-            if !on {
-                continue;
-            }
-            // Read after the orders: a move that comes later than this ends the watch and brings an order.
-            let (addr, moves) = self.source.current();
-            if moves != known {
+    /// Watches whenever that is wanted. A watch that fails is told to the decisions: when to try again, and with what
+    /// jitter, is theirs to say, but where the watch stands by itself.
+    pub fn run(mut self) {
+        let (mut known, mut failures) = (0, 0);
+        loop {
+            let pause = AGAIN * failures.min(AGAIN_MOST.as_millis() as u32 / AGAIN.as_millis() as u32);
+            let call = self.source.call(pause, known);
+            if call.moves != known {
                 // Versions of one place say nothing at another: its whole list is asked for.
-                (known, self.version) = (moves, 0);
+                (known, self.version) = (call.moves, 0);
             }
-            let result = self.watch(addr, moves, orders);
-            self.source.lock().open = None;
-            match result {
-                Ok(()) => log("discovery: the watch was ended as asked"),
-                // The decisions have asked for the new place already.
-                Err(_) if self.source.current().1 != moves => log(&format!("discovery: moved from {addr}")),
-                Err(e) => {
-                    log(&format!("discovery: the watch failed: {e}"));
-                    self.decisions.members(ListKind::Failed, Vec::new());
+            let mut heard = false;
+            let Err(fault) = self.watch(&call, &mut heard);
+            failures = if heard { 0 } else { failures + 1 };
+            match self.source.over(&call) {
+                End::Moved => log(&format!("discovery: moved from {}", call.addr)),
+                End::Unwanted => log("discovery: the watch was ended as asked"),
+                End::Failed => {
+                    // One that stands is tried again many times a second: the first failure says it all.
+                    if heard || failures == 1 || self.source.upkeep == Upkeep::Asked {
+                        log(&format!("discovery: the watch failed: {}", fault.why));
+                    }
+                    if self.source.upkeep == Upkeep::Asked {
+                        let kind = if fault.silent { ListKind::Silent } else { ListKind::Failed };
+                        self.decisions.members(kind, Vec::new());
+                    }
                 }
             }
         }
     }
 
-    fn watch(&mut self, addr: SocketAddr, moves: u64, orders: &Receiver<bool>) -> Result<(), String> {
-        let said = |e: std::io::Error| if timed_out(&e) { "silent".to_string() } else { e.to_string() };
-        let shared = Arc::new(TcpStream::connect_timeout(&addr, DIAL).map_err(said)?);
-        if !self.source.hold(&shared, moves) {
+    fn watch(&mut self, call: &Call, heard: &mut bool) -> Result<std::convert::Infallible, Fault> {
+        let mut by = Instant::now() + CALL;
+        let shared = Arc::new(TcpStream::connect_timeout(&call.addr, DIAL)?);
+        if !self.source.hold(&shared, call) {
             return Err("it moved".into());
         }
         let mut stream = &*shared;
-        stream.set_nodelay(true).map_err(said)?;
-        stream.set_read_timeout(Some(SILENT)).map_err(said)?;
-        stream.set_write_timeout(Some(DIAL)).map_err(said)?;
+        stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(DIAL))?;
         let after = if self.version > 0 { format!("&after={}", self.version) } else { String::new() };
-        let request = format!("GET /v1/endpoints?watch=1{after} HTTP/1.1\r\nHost: {addr}\r\n\r\n");
-        stream.write_all(request.as_bytes()).map_err(said)?;
+        let request = format!("GET /v1/endpoints?watch=1{after} HTTP/1.1\r\nHost: {}\r\n\r\n", call.addr);
+        stream.write_all(request.as_bytes())?;
         let mut answer = Answer::default();
         let mut piece = [0; 4096];
         loop {
+            // What has come is read before it is judged: a process that was stopped finds its time up, and a whole
+            // list waiting for it.
+            let left = by.saturating_duration_since(Instant::now());
+            stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
             let n = match stream.read(&mut piece) {
-                // A process that is stopped and goes on sees this, although nothing has failed.
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                read => read.map_err(said)?,
+                read => read?,
             };
             if n == 0 {
                 return Err("it ended".into());
             }
             answer.take(&piece[..n])?;
-            while let Some(mut line) = answer.line()? {
-                if !line.trim_ascii().is_empty() {
-                    self.object(&mut line)?;
+            let mut whole = false;
+            while let Some(piece) = answer.next()? {
+                whole = true;
+                if let Piece::Object(mut object) = piece {
+                    self.object(&mut object)?;
                 }
             }
+            if whole {
+                (*heard, by) = (true, Instant::now() + SILENT);
+            } else if left.is_zero() {
+                // Bytes alone are no life: half a head, half a chunk or half an object may dribble for ever.
+                return Err(Fault { why: "nothing whole in time".into(), silent: true });
+            }
             if answer.ended() {
                 return Err("it ended".into());
             }
-            if orders.try_recv() == Ok(false) {
-                return Ok(());
-            }
         }
     }
 
-    fn object(&mut self, line: &mut [u8]) -> Result<(), String> {
-        let read = shallow(line).and_then(|()| {
-            let value = simd_json::to_owned_value(line).map_err(|e| format!("not JSON: {e}"))?;
+    fn object(&mut self, object: &mut [u8]) -> Result<(), String> {
+        let read = shallow(object).and_then(|()| {
+            let value = simd_json::to_owned_value(object).map_err(|e| format!("not JSON: {e}"))?;
             listing(&value, &self.names.zones)
         });
         let listing = read.inspect_err(|_| {
-            // What this line would have changed is not known: the next watch begins with the whole list.
+            // What this object would have changed is not known: the next watch begins with the whole list.
             self.version = 0;
         })?;
         for problem in &listing.problems {
@@ -186,134 +320,3 @@
         Ok(())
     }
 }
-
-/// An HTTP answer as it comes in: head, chunks, lines.
-#[derive(Default)]
-pub struct Answer {
-    raw: Vec<u8>,
-    body: Vec<u8>,
-    part: Part,
-    chunked: bool,
-}
-
-#[derive(Clone, Copy, Default, PartialEq)]
-enum Part {
-    #[default]
-    Head,
-    Size,
-    Data(usize),
-    DataEnd,
-    Plain,
-    Ended,
-}
-
-impl Answer {
-    /// Takes bytes off the wire.
-    pub fn take(&mut self, bytes: &[u8]) -> Result<(), String> {
-        self.raw.extend_from_slice(bytes);
-        loop {
-            let used = match self.part {
-                Part::Head => self.head()?,
-                Part::Size => match httparse::parse_chunk_size(&self.raw) {
-                    Ok(httparse::Status::Complete((used, size))) => {
-                        let size = usize::try_from(size).map_err(|_| "a chunk is too long")?;
-                        self.part = if size == 0 { Part::Ended } else { Part::Data(size) };
-                        used
-                    }
-                    Ok(httparse::Status::Partial) if self.raw.len() < MAX_HEAD => 0,
-                    _ => return Err("malformed chunk".into()),
-                },
-                Part::Data(left) => {
-                    let n = left.min(self.raw.len());
-                    self.body.extend_from_slice(&self.raw[..n]);
-                    self.part = if n == left { Part::DataEnd } else { Part::Data(left - n) };
-                    n
-                }
-                Part::DataEnd if self.raw.len() < 2 => 0,
-                Part::DataEnd if self.raw.starts_with(b"\r\n") => {
-                    self.part = Part::Size;
-                    2
-                }
-                Part::DataEnd => return Err("malformed end of a chunk".into()),
-                Part::Plain => {
-                    self.body.extend_from_slice(&self.raw);
-                    self.raw.len()
-                }
-                Part::Ended => return Ok(()),
-            };
-            self.raw.drain(..used);
-            if used == 0 {
-                return Ok(());
-            }
-        }
-    }
-
-    fn head(&mut self) -> Result<usize, String> {
-        let mut headers = [httparse::EMPTY_HEADER; 32];
-        let mut response = httparse::Response::new(&mut headers);
-        let used = match response.parse(&self.raw) {
-            Ok(httparse::Status::Complete(used)) => used,
-            Ok(httparse::Status::Partial) if self.raw.len() < MAX_HEAD => return Ok(0),
-            Ok(httparse::Status::Partial) => return Err("the head is too long".into()),
-            Err(e) => return Err(format!("malformed head: {e}")),
-        };
-        if response.code != Some(200) {
-            return Err(format!("status {}", response.code.unwrap_or(0)));
-        }
-        let chunked = |h: &httparse::Header| {
-            h.name.eq_ignore_ascii_case("transfer-encoding")
-                && h.value.to_ascii_lowercase().ends_with(b"chunked")
-        };
-        self.chunked = response.headers.iter().any(chunked);
-        self.part = if self.chunked { Part::Size } else { Part::Plain };
-        Ok(used)
-    }
-
-    /// The next whole line of the body.
-    pub fn line(&mut self) -> Result<Option<Vec<u8>>, String> {
-        let end = self.body.iter().position(|&b| b == b'\n');
-        match end {
-            Some(at) => Ok(Some(self.body.drain(..=at).collect())),
-            None if self.body.len() > MAX_OBJECT => Err("a line is too long".into()),
-            None => Ok(None),
-        }
-    }
-
-    /// Whether the last chunk has come.
-    pub fn ended(&self) -> bool {
-        self.part == Part::Ended
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn chunks_are_put_together_wherever_they_are_cut() {
-        let wire = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab\nc\n\r\n3;x=y\r\nde\n\r\n0\r\n\r\n";
-        for step in 1..wire.len() {
-            let (mut answer, mut lines) = (Answer::default(), Vec::new());
-            for piece in wire.chunks(step) {
-                answer.take(piece).unwrap();
-                while let Some(line) = answer.line().unwrap() {
-                    lines.push(String::from_utf8(line).unwrap());
-                }
-            }
-            assert_eq!((lines.concat().as_str(), answer.ended()), ("ab\nc\nde\n", true), "step {step}");
-        }
-    }
-
-    #[test]
-    fn answers_that_are_none_are_refused() {
-        let cases: &[&[u8]] = &[
-            b"HTTP/1.1 503 Service Unavailable\r\n\r\n",
-            b"nonsense\r\n\r\n",
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc",
-        ];
-        for case in cases {
-            assert!(Answer::default().take(case).is_err(), "{}", String::from_utf8_lossy(case));
-        }
-    }
-}
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -36,7 +36,12 @@
     let (probe, _) = unbounded();
     let settings = Settings { list_on_request: true, max_retry_after: SECOND, ..Settings::default() };
     let cached = (1..=n).map(|n| member(n, MemberState::Ready)).collect();
-    let decisions = Decisions::new(settings, 7, cached, Orders { watch, probe });
+    let decisions = Decisions::new(
+        settings,
+        7,
+        cached,
+        Orders { watch: Box::new(move |on| watch.send(on).unwrap()), probe },
+    );
     let ticker = Arc::downgrade(&decisions);
     thread::spawn(move || {
         while let Some(decisions) = ticker.upgrade() {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -41,6 +41,10 @@
         self.stream.write_all(format!("{line}\r\n").as_bytes()).unwrap();
     }
 
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
     pub fn line(&mut self) -> String {
         let mut line = String::new();
         self.reader.read_line(&mut line).unwrap();
@@ -126,6 +130,9 @@
     pub discovery: Discovery,
 }
 
+/// The head of the answer to a watch.
+pub const WATCHED: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// Discovery at one address.
 pub struct Discovery(TcpListener);
 
@@ -138,13 +145,19 @@
         self.0.local_addr().unwrap()
     }
 
+    /// Takes in the relay's next call, which gets no answer yet; its request.
+    pub fn called(&self) -> (Peer, String) {
+        let mut peer = until("a call", || self.0.accept().ok().map(|(stream, _)| Peer::new(stream)));
+        let line = peer.line();
+        while !peer.line().is_empty() {}
+        (peer, line)
+    }
+
     /// Takes in the relay's watch, which must begin with this request.
     pub fn watched(&self, request: &str) -> Watch {
-        let mut peer = until("a watch", || self.0.accept().ok().map(|(stream, _)| Peer::new(stream)));
-        let line = peer.line();
+        let (mut peer, line) = self.called();
         assert!(line.starts_with(request), "{line}");
-        while !peer.line().is_empty() {}
-        peer.stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        peer.write(WATCHED);
         Watch { peer }
     }
 }
@@ -368,7 +381,11 @@
     }
 
     pub fn wait_for_log(&self, part: &str) {
-        until(part, || self.log.lock().unwrap().iter().any(|l| l.contains(part)).then_some(()));
+        until(part, || self.logged(part).then_some(()));
+    }
+
+    pub fn logged(&self, part: &str) -> bool {
+        self.log.lock().unwrap().iter().any(|l| l.contains(part))
     }
 
     pub fn signal(&self, name: &str) {
