--- a/src/platform/answer.rs
+++ b/src/platform/answer.rs
@@ -127,7 +127,7 @@
     }
 
     /// The next whole piece of the body. An object ends where its last brace does, however many lines it has.
-    pub fn next(&mut self) -> Result<Option<Piece>, String> {
+    pub fn piece(&mut self) -> Result<Option<Piece>, String> {
         while let Some(&b) = self.body.get(self.scan.at) {
             let scan = &mut self.scan;
             scan.at += 1;
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -278,7 +278,7 @@
             }
             answer.take(&piece[..n])?;
             let mut whole = false;
-            while let Some(piece) = answer.next()? {
+            while let Some(piece) = answer.piece()? {
                 whole = true;
                 if let Piece::Object(mut object) = piece {
                     self.object(&mut object)?;
--- a/tests/answer.rs
+++ b/tests/answer.rs
@@ -7,7 +7,7 @@
     let (mut answer, mut pieces) = (Answer::default(), Vec::new());
     for part in wire.chunks(step) {
         answer.take(part)?;
-        while let Some(piece) = answer.next()? {
+        while let Some(piece) = answer.piece()? {
             pieces.push(piece);
         }
     }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -38,7 +38,7 @@
     use Fault::{Call, Watch};
     let cases: [(&str, Fault); 10] = [
         ("accepted and mute", Call(|_| {})),
-        ("reset", Call(|peer| reset(peer))),
+        ("reset", Call(reset)),
         ("503", Call(|peer| peer.write(b"HTTP/1.1 503 Service Unavailable\r\n\r\n"))),
         ("half a head", Call(|peer| peer.write(b"HTTP/1.1 200 OK\r\nTransfer-"))),
         ("a head that dribbles", Call(|peer| dribble(peer, b"HTTP/1.1 200 OK\r\nX: ", b"y"))),
