Let a relay's room at a cold backend lapse when it is not used within the rule's time

Ruled out: restarts with empty memories and lists that come at different times: with the saving bounded both hold. Faulty: src/logic.rs, credited(): what a relay had earned stayed until it was used, so each of hundreds kept a whole call. Change: where a relay earns less than one call in the rule's time, a whole one that is not used within that time lapses. Measured: 3, 20 and 30 relays, 40 plays each, and 300 relays, 8 plays: all within N + 2 roots of N + 2.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -440,7 +440,10 @@
             / self.settings.fall as f32;
         let pace = fill.max(self.t.slow_start * self.mean(size) / self.settings.warm_within as f32) * warmth;
         let s = &mut self.servers[i];
-        s.credit = (s.credit + self.now.saturating_sub(s.credit_at) as f32 * pace).min(1.0);
+        let (earned, keep) =
+            (s.credit + self.now.saturating_sub(s.credit_at) as f32 * pace, pace * self.settings.fall as f32);
+        // What is not used within the rule's time is lost: hundreds had saved up one each, and came at once.
+        s.credit = if keep < 1.0 { earned - (earned - keep).max(0.0).floor() } else { earned.min(1.0) };
         s.credit_at = self.now;
         warmth >= 1.0 || s.credit >= 1.0
     }
@@ -627,7 +630,7 @@
     fn due(&mut self, p: &Pending) -> Option<usize> {
         let due = |s: &Server| s.held == 0 && s.due.is_some_and(|at| at <= self.now);
         let i = self.ready.iter().copied().find(|&i| due(&self.servers[i]))?;
-        self.servers[i].credit = 1.0;
+        (self.servers[i].credit, self.servers[i].credit_at) = (1.0, self.now);
         Some(i).filter(|&i| self.usable(i, p))
     }
 
@@ -753,18 +756,17 @@
 
     fn advance(&mut self, mut p: Pending, out: &mut Out) {
         self.pace();
-        let class = p.class;
         // Without a budget, attempts given up and made anew are what jams the servers (incident i056f18):
         // once it is spent, an attempt has all the time there is and is the last.
         let again = !p.tried.is_empty();
         let broke = again && self.retries < 1.0;
         let spare = (p.tried.len() as u32 + 1) < self.settings.max_attempts && self.retries >= 2.0;
         // Not so short that a server which is merely slow loses its work, unless it is the last.
-        let share = (class.aim as f32 * self.t.attempt_share) as Micros;
+        let share = (p.class.aim as f32 * self.t.attempt_share) as Micros;
         let until = if spare { p.deadline.min(self.now + share.max(self.settings.tick)) } else { p.deadline };
         // The window counts to the first byte: that comes once the dial is over.
         let begins = self.now + self.settings.tick + self.settings.dial_timeout;
-        let may_repeat = match (p.ran, class.effect) {
+        let may_repeat = match (p.ran, p.class.effect) {
             (None, _) | (_, Effect::Safe) => true,
             (Some((sent, ..)), Effect::Keyed { window, .. }) => begins < sent + window,
             (Some(_), Effect::Unsafe) => false,
@@ -780,9 +782,7 @@
             let earned = if again { -1.0 } else { self.t.retry_share };
             self.retries = (self.retries + earned).min(self.t.retry_saved);
             let s = &mut self.servers[i];
-            s.due = None;
-            s.credit -= 1.0;
-            s.since += 1.0;
+            (s.due, s.credit, s.since) = (None, s.credit - 1.0, s.since + 1.0);
             (p.phase, p.server, p.sent_at) = (Phase::Out, s.id, self.now);
             p.tried.push(s.id);
             out.push(Action::Send { id: p.request.id, server: s.id, until });
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use jaspermoor::api::*;
+use jaspermoor::random::Random;
 use std::collections::BTreeSet;
 
 /// So many balancers of one fleet, each with the same list and a seed of its own.
@@ -117,6 +118,82 @@
     }
 }
 
+/// What a fleet sends to a server that has just started, by the decisions of each relay, in virtual time. Relays hear of
+/// it at different times and see uneven traffic; `quiet` seconds long nobody asks for anything, then everybody does at
+/// once, and goes on. In the middle of that seven in ten start anew with empty memories.
+fn sent_to_a_cold_server(relays: u32, fills: f32, quiet: u64, seed: u64) -> Vec<Micros> {
+    let settings = Settings { overload_factor: 2.5, fall: 3 * SECOND, balancers: relays, ..with_probes() };
+    let mut random = Random::new(seed);
+    let begin = 1_000 * SECOND;
+    let start = |now: Micros, seed: u64| {
+        let mut proxy = Proxy::new(settings.clone(), seed);
+        proxy.now = now;
+        let cold = Member { started: Some(begin), ..ready(3) };
+        proxy.list(ListKind::Full, vec![ready(1), ready(2), cold]);
+        proxy
+    };
+    let mut fleet: Vec<Proxy> =
+        (0..relays).map(|n| start(begin + random.range(0..4 * SECOND), seed << 16 | u64::from(n))).collect();
+    let (mut sends, mut next) = (Vec::new(), 0);
+    // Two requests a second for each that the rule allows, in steps of 20 ms.
+    let again = begin + quiet * SECOND;
+    for step in 0..300u64 {
+        let now = again + step * SECOND / 50;
+        if step == 150 {
+            for n in (0..relays as usize).filter(|n| n % 10 < 7) {
+                fleet[n] = start(now, random.range(0..u64::MAX));
+            }
+        }
+        // At once at first, each relay twice; then some relays far more often than others.
+        let asks = if step == 0 { 2 * relays } else { (fills / 4.0).ceil() as u32 };
+        for ask in 0..asks {
+            let share = random.float();
+            let n = if step == 0 { ask % relays } else { (share * share * relays as f32) as u32 };
+            let proxy = &mut fleet[n as usize];
+            proxy.now = proxy.now.max(now);
+            for (server, active, load) in [(1, 0.95 * fills, 0.95), (2, 0.95 * fills, 0.95), (3, 0.0, 0.0)] {
+                let report = vec![active, load + step as f32 / 1e6];
+                proxy.feed(Event::Probed { server: ServerId(server), outcome: Outcome::Ok, report });
+            }
+            next += 1;
+            let asked = request(next, u64::from(next), 0);
+            let Some(server) = sent(&proxy.request(asked)) else {
+                // It has to wait, and goes away.
+                proxy.feed(Event::Vanished(RequestId(next)));
+                continue;
+            };
+            sends.extend((server == ServerId(3)).then_some(proxy.now));
+            proxy.end(next, server, Outcome::Ok, true);
+        }
+    }
+    sends.sort_unstable();
+    sends
+}
+
+/// Each relay kept what it had earned of a cold server's room until it was asked for something: after some quiet
+/// seconds each of hundreds had a whole call saved up, and all came at once.
+#[test]
+fn the_sum_of_all_relays_stays_within_the_rule_whatever_each_has_saved_up() {
+    for (relays, fills, seeds) in [(3, 12.0, 10), (20, 12.0, 10), (30, 12.0, 10), (300, 100.0, 2)] {
+        for (quiet, seed) in
+            [1, 5, 9, 14].into_iter().flat_map(|quiet| (0..seeds).map(move |seed| (quiet, seed)))
+        {
+            let sends = sent_to_a_cold_server(relays, fills, quiet, seed);
+            for (n, &from) in sends.iter().enumerate() {
+                let count = sends[n..].iter().take_while(|&&at| at < from + 3 * SECOND).count() as f32;
+                // A fifth of its capacity at the start, all of it after 20 s; what the rule allows from here on.
+                let warmth = (0.2 + 0.8 * (from - 1_000 * SECOND) as f32 / (20 * SECOND) as f32).min(1.0);
+                let allowed = 2.5 * warmth * fills;
+                assert!(
+                    warmth >= 1.0 || count <= allowed + 2.0 * allowed.sqrt() + 2.0,
+                    "{relays} relays, {quiet} s, seed {seed}: {count} in 3 s where {allowed} are allowed"
+                );
+            }
+            assert!(!sends.is_empty(), "{relays} relays, {quiet} s, seed {seed}: left idle");
+        }
+    }
+}
+
 /// Calls of all at once overbooked the service for good: most relays never had a list again.
 #[test]
 fn a_hundred_relays_that_start_together_call_for_the_list_in_turn() {
