--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -38,7 +38,7 @@
     use Fault::{Call, Watch};
     let cases: [(&str, Fault); 10] = [
         ("accepted and mute", Call(|_| {})),
-        ("reset", Call(reset)),
+        ("reset", Call(Peer::cut)),
         ("503", Call(|peer| peer.write(b"HTTP/1.1 503 Service Unavailable\r\n\r\n"))),
         ("half a head", Call(|peer| peer.write(b"HTTP/1.1 200 OK\r\nTransfer-"))),
         ("a head that dribbles", Call(|peer| dribble(peer, b"HTTP/1.1 200 OK\r\nX: ", b"y"))),
@@ -47,7 +47,7 @@
             Call(|peer| peer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n\n")),
         ),
         ("a watch that falls silent", Watch(|_| {})),
-        ("a watch that is reset", Watch(|watch| reset(&mut watch.peer))),
+        ("a watch that is reset", Watch(|watch| watch.peer.cut())),
         (
             "an object that dribbles",
             Watch(|watch| dribble(&mut watch.peer, b"fff0\r\n{\"version\":\"", b"2")),
@@ -86,12 +86,6 @@
     });
 }
 
-fn reset(peer: &mut Peer) {
-    socket2::SockRef::from(&peer.stream).set_linger(Some(Duration::ZERO)).unwrap();
-    let (stream, _) = (peer.stream.try_clone().unwrap(), peer.stream.shutdown(std::net::Shutdown::Both));
-    drop(stream);
-}
-
 /// Goes on with single bytes, a few each second, for as long as anybody reads them.
 fn dribble(peer: &mut Peer, begin: &[u8], byte: &'static [u8]) {
     peer.write(begin);
@@ -134,7 +128,7 @@
     assert_eq!(client.line(), "MOVE");
     // What the agent has counts as told, watch or no watch.
     let since = Instant::now();
-    reset(&mut watch.peer);
+    watch.peer.cut();
     drop(watch);
     let mut watch = fleet.discovery.watched("GET /v1/endpoints?watch=1&after=2 HTTP");
     assert!(since.elapsed() < Duration::from_secs(2), "{:?}", since.elapsed());
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -513,6 +513,35 @@
     }
 }
 
+/// The window was counted to the decision: the dial that followed it could end, and the line go out, after it.
+#[test]
+fn a_repeat_begins_within_its_window_although_its_dial_takes_all_its_time() {
+    let effect = Effect::Keyed { group: Group::All, window: SECOND / 2 };
+    let settings = Settings { dial_timeout: SECOND / 5, ..with_effect(effect) };
+    for (spent, repeated) in [(SECOND / 4, true), (SECOND / 2 - SECOND / 5, false)] {
+        let mut proxy = Proxy::with_servers(settings.clone(), 4);
+        let first = sent(&proxy.request(request(1, 5, 0))).unwrap();
+        proxy.now += spent;
+        let next = sent(&proxy.end(1, first, Outcome::Error, false));
+        assert_eq!(next.is_some(), repeated, "after {spent} us");
+    }
+}
+
+/// A process that stops owes its answers sooner: also to a request that waits for room, and to one that is out.
+#[test]
+fn a_request_that_is_hurried_is_answered_by_then_and_no_later_word_changes_that() {
+    let mut proxy = Proxy::with_servers(Settings::default(), 4);
+    proxy.feed(Event::Request(Request { left: 60 * SECOND, ..request(1, 5, 0) }));
+    let by = proxy.now + SECOND;
+    let (at, token) = timers(&proxy.feed(Event::Hurry(RequestId(1), by)))[0];
+    assert!(at < by, "{at}");
+    assert!(proxy.feed(Event::Hurry(RequestId(1), by + SECOND)).is_empty(), "later than it is owed already");
+    proxy.now = at;
+    let actions = proxy.fire(token);
+    assert!(refused(&actions) && actions.contains(&Action::Cancel(RequestId(1), 0)), "{actions:?}");
+    assert!(proxy.feed(Event::Hurry(RequestId(1), by)).is_empty(), "it is answered");
+}
+
 #[test]
 fn a_keyed_request_with_nobody_left_in_its_cell_fails() {
     let members: Vec<_> = (1..=4).map(|n| Member { cell: n as u16, ..ready(n) }).collect();
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -85,6 +85,15 @@
         }
     }
 
+    /// Breaks the connection off by a reset.
+    pub fn cut(&mut self) {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+        // Its last holder closes it: that is the reset.
+        let spare = TcpStream::from(OwnedFd::from(std::fs::File::open("/dev/null").unwrap()));
+        self.reader = BufReader::new(spare.try_clone().unwrap());
+        self.stream = spare;
+    }
+
     pub fn was_reset(&mut self) -> bool {
         self.reader.read(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::ConnectionReset)
     }
