Call idle connections and handovers by their names in code and comments

Guest is Idle, Heir is HandoverListener, Parcel is Handover, as are the constants and variables. No behaviour changed; the wire of the handover is the same.

--- a/src/net/admit.rs
+++ b/src/net/admit.rs
@@ -16,9 +16,9 @@
 /// Memory that a connection may need that is served: two stacks as far as they are used, two buffers.
 const PER_REQUEST: usize = 48 * 1024;
 /// The same for one that has not asked yet: one of each.
-const PER_GUEST: usize = 24 * 1024;
+const PER_IDLE: usize = 24 * 1024;
 /// The fewest connections that may wait to be heard.
-const GUESTS_LEAST: usize = 16;
+const IDLE_LEAST: usize = 16;
 /// One that has just come is not sent away unheard: its first line may be under way.
 pub const GRACE: Duration = Duration::from_millis(100);
 
@@ -39,7 +39,7 @@
 
 /// The room there is, and who has it.
 pub struct Admission {
-    guests_most: usize,
+    idle_most: usize,
     requests_most: usize,
     next: AtomicU64,
     inner: Mutex<Inner>,
@@ -64,12 +64,12 @@
         let (sockets, memory) = (limits.sockets as usize, limits.memory_mb as usize * 1024 * 1024);
         let processes = if held { 2 } else { 1 };
         let reserve = RESERVE + if admin { CALLERS + 1 } else { 0 };
-        let left = sockets.saturating_sub(processes * (reserve + GUESTS_LEAST));
+        let left = sockets.saturating_sub(processes * (reserve + IDLE_LEAST));
         let requests_most = sockets.div_ceil(3).min(left / 2).min(memory / 2 / PER_REQUEST).max(1);
-        let guests = (sockets / processes).saturating_sub(reserve + 2 * requests_most / processes);
-        let guests = guests.min(memory / processes / 4 / PER_GUEST);
+        let idle = (sockets / processes).saturating_sub(reserve + 2 * requests_most / processes);
+        let idle = idle.min(memory / processes / 4 / PER_IDLE);
         Arc::new(Admission {
-            guests_most: guests.max(GUESTS_LEAST),
+            idle_most: idle.max(IDLE_LEAST),
             requests_most,
             next: AtomicU64::new(0),
             inner: Mutex::default(),
@@ -84,7 +84,7 @@
     /// nothing, the ones that have done so for longest first; it takes them a moment to go.
     pub fn room(&self) -> Result<(), Vec<u64>> {
         let mut inner = self.lock();
-        if inner.waiting.len() < self.guests_most {
+        if inner.waiting.len() < self.idle_most {
             return Ok(());
         }
         let now = Instant::now();
@@ -95,7 +95,7 @@
         idle.retain(|(_, w)| now.duration_since(w.since) >= GRACE);
         idle.sort_by_key(|(_, w)| (w.asked, w.since));
         // Several at a time: a crowd must not hold up the clients that come with it.
-        let most = self.guests_most.div_ceil(8);
+        let most = self.idle_most.div_ceil(8);
         let leave = |(number, w): (&u64, &mut Waiting)| {
             w.sent_away = true;
             *number
@@ -104,15 +104,15 @@
     }
 
     /// Takes in a connection.
-    pub fn guest(self: &Arc<Self>, stream: TcpStream) -> Guest {
+    pub fn idle(self: &Arc<Self>, stream: TcpStream) -> Idle {
         let (number, stream) = (self.next.fetch_add(1, Ordering::Relaxed), Arc::new(stream));
         let waiting = Waiting { asked: false, since: Instant::now(), sent_away: false };
         self.lock().waiting.insert(number, waiting);
-        Guest { admission: self.clone(), number, stream }
+        Idle { admission: self.clone(), number, stream }
     }
 
     /// How many connections have not asked yet.
-    pub fn guests(&self) -> usize {
+    pub fn idle_count(&self) -> usize {
         self.lock().waiting.len()
     }
 
@@ -123,19 +123,19 @@
 
     /// The most requests and the most connections without one.
     pub fn most(&self) -> (usize, usize) {
-        (self.requests_most, self.guests_most)
+        (self.requests_most, self.idle_most)
     }
 }
 
 /// A connection that has not asked for anything yet; leaves when it is dropped.
-pub struct Guest {
+pub struct Idle {
     admission: Arc<Admission>,
     number: u64,
     /// Its socket.
     pub stream: Arc<TcpStream>,
 }
 
-impl Guest {
+impl Idle {
     /// The connection's number.
     pub fn number(&self) -> u64 {
         self.number
@@ -164,7 +164,7 @@
     }
 }
 
-impl Drop for Guest {
+impl Drop for Idle {
     fn drop(&mut self) {
         self.admission.lock().waiting.remove(&self.number);
     }
@@ -197,11 +197,11 @@
     #[test]
     fn the_room_follows_the_limits() {
         for (sockets, memory_mb) in [(128, 16), (256, 32), (384, 48), (756, 48), (1024, 192)] {
-            let (requests, guests) = admission(sockets, memory_mb).most();
-            let case = format!("{sockets} sockets, {memory_mb} MB: {requests}, {guests}");
-            assert!(2 * requests + guests + RESERVE <= sockets as usize, "{case}");
-            assert!(requests >= (sockets / 3) as usize && guests >= GUESTS_LEAST, "{case}");
-            let memory = requests * PER_REQUEST + guests * PER_GUEST;
+            let (requests, idle) = admission(sockets, memory_mb).most();
+            let case = format!("{sockets} sockets, {memory_mb} MB: {requests}, {idle}");
+            assert!(2 * requests + idle + RESERVE <= sockets as usize, "{case}");
+            assert!(requests >= (sockets / 3) as usize && idle >= IDLE_LEAST, "{case}");
+            let memory = requests * PER_REQUEST + idle * PER_IDLE;
             assert!(memory <= memory_mb as usize * 1024 * 1024 * 3 / 4, "{case}");
         }
     }
@@ -212,10 +212,10 @@
         for (sockets, memory_mb) in [(256, 32), (384, 48), (1024, 192)] {
             let limits = Limits { cores: 1.0, memory_mb, sockets };
             for (held, processes) in [(false, 1), (true, 2)] {
-                let (requests, guests) = Admission::new(&limits, true, held).most();
-                let all = 2 * requests + processes * (guests + RESERVE + CALLERS + 1);
-                assert!(all <= sockets as usize, "{sockets} sockets, held {held}: {requests}, {guests}");
-                let memory = requests * PER_REQUEST + processes * guests * PER_GUEST;
+                let (requests, idle) = Admission::new(&limits, true, held).most();
+                let all = 2 * requests + processes * (idle + RESERVE + CALLERS + 1);
+                assert!(all <= sockets as usize, "{sockets} sockets, held {held}: {requests}, {idle}");
+                let memory = requests * PER_REQUEST + processes * idle * PER_IDLE;
                 assert!(memory <= memory_mb as usize * 1024 * 1024 * 3 / 4);
                 assert!(requests >= sockets as usize * 3 / 10);
             }
@@ -227,28 +227,28 @@
     fn the_silent_make_room_and_those_that_asked_stay_longer() {
         let admission = admission(128, 16);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let (mut far, mut guests) = (Vec::new(), Vec::new());
+        let (mut far, mut idle) = (Vec::new(), Vec::new());
         for _ in 0..admission.most().1 {
             assert!(admission.room().is_ok());
             far.push(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
-            guests.push(admission.guest(listener.accept().unwrap().0));
+            idle.push(admission.idle(listener.accept().unwrap().0));
         }
-        guests[0].asked();
+        idle[0].asked();
         std::thread::sleep(GRACE);
         // The second has to go, the first and the last stay.
         let gone = admission.room().unwrap_err();
-        assert!(gone.contains(&guests[1].number()) && gone.len() < far.len() / 2, "{gone:?}");
+        assert!(gone.contains(&idle[1].number()) && gone.len() < far.len() / 2, "{gone:?}");
         for n in [0, far.len() - 1] {
-            assert!(!gone.contains(&guests[n].number()));
+            assert!(!gone.contains(&idle[n].number()));
         }
         // No more are sent away before those have gone.
         assert_eq!(admission.room(), Err(Vec::new()));
-        guests.remove(1);
+        idle.remove(1);
         assert!(admission.room().is_ok());
         // A request takes no room from the others that wait.
-        let place = guests[0].request("01").unwrap();
-        assert_eq!(guests[1].request("01").err(), Some(Denied::IdInUse));
+        let place = idle[0].request("01").unwrap();
+        assert_eq!(idle[1].request("01").err(), Some(Denied::IdInUse));
         drop(place);
-        assert!(guests[1].request("01").is_ok());
+        assert!(idle[1].request("01").is_ok());
     }
 }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -4,7 +4,7 @@
 use crate::config::listing::server_id;
 use crate::decide::{Flow, Verdict};
 use crate::front::{Answer, Cause, Order};
-use crate::net::admit::{Denied, Guest};
+use crate::net::admit::{Denied, Idle};
 use crate::net::attempt::{Attempt, Failed, Ground, Up, ADOPT};
 use crate::net::conn::{Backend, Conn, Phase, Placing};
 use crate::net::session::{Account, Session};
@@ -22,14 +22,14 @@
 
 impl Conn {
     /// A client has asked for this.
-    pub fn let_in(&mut self, guest: &Guest, order: Box<dyn Order>) {
+    pub fn let_in(&mut self, idle: &Idle, order: Box<dyn Order>) {
         let core = self.core.clone();
         if let Some(account) = &mut self.account {
             account.name = order.name().to_string();
             account.class = core.terms().rules.classes.name(order.request().class).to_string();
             account.tally = Some(core.metrics.begin(&account.class));
         }
-        let (answer, reason) = match guest.request(order.name()) {
+        let (answer, reason) = match idle.request(order.name()) {
             Ok(place) => {
                 let keys = (order.request().key, order.request().group);
                 let finishes = order.finishes();
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -8,7 +8,7 @@
 use crate::decide::Pick;
 use crate::front::buffer::{Buffer, MAX_LINE};
 use crate::front::{Cause, Greeter, Order, Passage};
-use crate::net::admit::{Guest, GRACE};
+use crate::net::admit::{Idle, GRACE};
 use crate::net::attempt::Attempt;
 use crate::net::core::Core;
 use crate::net::link::Link;
@@ -58,7 +58,7 @@
 
 /// A client that is heard.
 pub(super) struct Hearing {
-    pub guest: Guest,
+    pub idle: Idle,
     pub greeter: Box<dyn Greeter>,
     /// Whether TLS is negotiated, and whether the greeter is to hear of its end.
     pub securing: bool,
@@ -93,7 +93,7 @@
     /// None before the request is let in.
     pub session: Option<Arc<Session>>,
     /// The room of a client that was turned away, until it has gone.
-    pub guest: Option<Guest>,
+    pub idle: Option<Idle>,
     pub account: Option<Account>,
     pub backend: Option<Backend>,
     /// From the client to the backend, and the other way.
@@ -154,7 +154,7 @@
             hearing: None,
             placing: None,
             session: None,
-            guest: None,
+            idle: None,
             account: None,
             backend: None,
             up: Buffer::default(),
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -23,7 +23,7 @@
 use crate::net::poll::{dial, is_local, Events, Interest, Poller, Ready};
 use crate::net::session::{Account, Session};
 use crate::platform::probe::{self, Probe, PROBES};
-use crate::platform::takeover::{Heir, Older, Passed, Rest, Successor};
+use crate::platform::takeover::{HandoverListener, Older, Passed, Rest, Successor};
 use crate::sys::{boottime, timed_out, Wake};
 use crossbeam_channel::Receiver;
 use std::collections::{BTreeMap, BTreeSet};
@@ -56,7 +56,7 @@
 const PROBE: u64 = 2;
 const OTHER: u64 = 3;
 const SIDES: u64 = 3;
-const HEIR: u64 = 0;
+const HANDOVERS: u64 = 0;
 /// From here on doors, and links from older processes.
 const DOORS: u64 = 16;
 const OLDER: u64 = 1024;
@@ -116,7 +116,7 @@
     /// When closed doors are looked at again, and whether the last client could not be taken in: said once.
     paused: Option<Micros>,
     short: bool,
-    heir: Option<Heir>,
+    handovers: Option<HandoverListener>,
     older: BTreeMap<u64, Older>,
     next_older: u64,
     orders: Receiver<ServerId>,
@@ -152,7 +152,7 @@
             doors: Vec::new(),
             paused: None,
             short: false,
-            heir: None,
+            handovers: None,
             older: BTreeMap::new(),
             next_older: OLDER,
             orders,
@@ -188,10 +188,10 @@
 
     /// Takes over what older processes pass on in this directory, and passes on there what stands at the end.
     pub fn share(&mut self, dir: PathBuf) -> io::Result<()> {
-        let heir = Heir::open(&dir)?;
+        let handovers = HandoverListener::open(&dir)?;
         self.shared = Some(dir);
-        self.poller.watch(&heir, other(HEIR), None, Some(READ))?;
-        self.heir = Some(heir);
+        self.poller.watch(&handovers, other(HANDOVERS), None, Some(READ))?;
+        self.handovers = Some(handovers);
         Ok(())
     }
 
@@ -236,7 +236,7 @@
         let number = token >> NUMBER_SHIFT;
         match token & SIDES {
             PROBE => self.probe_ready(number, true),
-            OTHER if number == HEIR => self.older_came(),
+            OTHER if number == HANDOVERS => self.older_came(),
             OTHER if number >= OLDER => self.passed_on(number),
             OTHER => self.knocked((number - DOORS) as usize),
             _ => self.with(number, |conn| conn.ready(ready)),
@@ -353,8 +353,8 @@
     }
 
     fn take_in(&mut self, client: std::net::TcpStream, speaks: Speaks) {
-        let guest = self.core.admission.guest(client);
-        if let Some(conn) = Conn::greet(&self.core, guest, speaks) {
+        let idle = self.core.admission.idle(client);
+        if let Some(conn) = Conn::greet(&self.core, idle, speaks) {
             self.enter(conn);
         }
     }
@@ -456,8 +456,8 @@
     // Other processes of this relay.
 
     fn older_came(&mut self) {
-        let Some(heir) = &self.heir else { return };
-        match heir.next() {
+        let Some(handovers) = &self.handovers else { return };
+        match handovers.next() {
             Ok(older) => {
                 let n = self.next_older;
                 self.next_older += 1;
@@ -481,43 +481,43 @@
     }
 
     /// Takes a connection over that has come up in another process of this relay.
-    fn adopt_standing(&mut self, (parcel, client, backend): Passed) {
+    fn adopt_standing(&mut self, (handover, client, backend): Passed) {
         let core = self.core.clone();
         let set = client.set_nonblocking(true).and_then(|()| backend.set_nonblocking(true));
         if let Err(e) = set {
             return log(&format!("takeover: {e}"));
         }
-        let guest = core.admission.guest(client);
-        let mut conn = Conn::new(&core, guest.number(), guest.stream.clone());
+        let idle = core.admission.idle(client);
+        let mut conn = Conn::new(&core, idle.number(), idle.stream.clone());
         let account = Account {
             front: "line",
-            name: parcel.name.clone(),
-            class: parcel.class.clone(),
-            backend: parcel.backend.clone(),
-            attempts: parcel.attempts,
+            name: handover.name.clone(),
+            class: handover.class.clone(),
+            backend: handover.backend.clone(),
+            attempts: handover.attempts,
             began: Instant::now()
-                .checked_sub(Duration::from_millis(parcel.age_ms))
+                .checked_sub(Duration::from_millis(handover.age_ms))
                 .unwrap_or_else(Instant::now),
-            tally: Some(core.metrics.begin(&parcel.class)),
+            tally: Some(core.metrics.begin(&handover.class)),
         };
-        let Ok(place) = guest.request(&parcel.name) else {
-            let whole = parcel.down.iter().rposition(|&b| b == b'\n').map_or(0, |at| at + 1);
-            conn.last = [&parcel.down[..whole], b"MOVE\r\n"].concat();
-            conn.guest = Some(guest);
+        let Ok(place) = idle.request(&handover.name) else {
+            let whole = handover.down.iter().rposition(|&b| b == b'\n').map_or(0, |at| at + 1);
+            conn.last = [&handover.down[..whole], b"MOVE\r\n"].concat();
+            conn.idle = Some(idle);
             conn.close();
             account.log("no-descriptors");
             return self.enter(conn);
         };
-        let (keys, backend) = ((parcel.key, parcel.group), Arc::new(backend));
+        let (keys, backend) = ((handover.key, handover.group), Arc::new(backend));
         let session = Session::new(&core.woken, keys, place, false, Some(backend.clone()));
-        drop(guest);
+        drop(idle);
         // One that has vanished here goes on under any: the decisions look at nothing but its aims.
-        let class = core.terms().rules.classes.index(&parcel.class).unwrap_or(0);
-        let server = server_id(&parcel.backend);
+        let class = core.terms().rules.classes.index(&handover.class).unwrap_or(0);
+        let server = server_id(&handover.backend);
         let id = core.decisions.adopt(Conn::standing_request(class, keys), server, session.clone());
         // Only lines go from one process to another.
         let backend = Backend { link: Link::plain(backend), id, server, passage: Box::new(Lines) };
-        conn.take_over(account, session, backend, parcel);
+        conn.take_over(account, session, backend, handover);
         self.enter(conn);
     }
 
--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -12,7 +12,7 @@
 use crate::net::conn::{end, Backend, Conn, End, Phase, LINGER};
 use crate::net::poll::hung_up;
 use crate::net::session::{Account, Session};
-use crate::platform::takeover::{self, Parcel, Successor};
+use crate::platform::takeover::{self, Handover, Successor};
 use crate::sys::timed_out;
 use std::io::{self, ErrorKind, Read};
 use std::net::Shutdown;
@@ -56,7 +56,7 @@
             return Ok(());
         }
         let now = self.now();
-        let parcel = Parcel {
+        let handover = Handover {
             name: account.name.clone(),
             class: account.class.clone(),
             backend: account.backend.clone(),
@@ -69,7 +69,7 @@
             up: self.up.rest().to_vec(),
             down: self.down.rest().to_vec(),
         };
-        if let Err(e) = to.send(&parcel, &self.client.socket, &backend) {
+        if let Err(e) = to.send(&handover, &self.client.socket, &backend) {
             session.keep(&backend);
             return Err(e);
         }
@@ -83,12 +83,18 @@
     }
 
     /// Goes on with a connection that stood in another process.
-    pub fn take_over(&mut self, account: Account, session: Arc<Session>, backend: Backend, parcel: Parcel) {
+    pub fn take_over(
+        &mut self,
+        account: Account,
+        session: Arc<Session>,
+        backend: Backend,
+        handover: Handover,
+    ) {
         let now = self.now();
-        self.asked = parcel.asked_ms.map(|ms| now.saturating_sub(ms * 1_000));
+        self.asked = handover.asked_ms.map(|ms| now.saturating_sub(ms * 1_000));
         self.heard = self.asked.unwrap_or(now);
-        self.up = Buffer::holding(parcel.up);
-        (self.down, self.down_passed) = (Buffer::holding(parcel.down), parcel.seen);
+        self.up = Buffer::holding(handover.up);
+        (self.down, self.down_passed) = (Buffer::holding(handover.down), handover.seen);
         (self.session, self.account) = (Some(session), Some(account));
         (self.backend, self.phase) = (Some(backend), Phase::Up);
         self.flush_down();
--- a/src/net/greet.rs
+++ b/src/net/greet.rs
@@ -8,7 +8,7 @@
 use crate::front::xmpp::greeting;
 use crate::front::{Greeter, Next, Short};
 use crate::log::log;
-use crate::net::admit::Guest;
+use crate::net::admit::Idle;
 use crate::net::conn::{Conn, Hearing, Phase, LINGER_SHORT};
 use crate::net::core::Core;
 use crate::net::session::Account;
@@ -64,13 +64,13 @@
 
 impl Conn {
     /// The connection of a client that has just come to this door; none where there is nobody to hear it.
-    pub fn greet(core: &Arc<Core>, guest: Guest, speaks: Speaks) -> Option<Conn> {
+    pub fn greet(core: &Arc<Core>, idle: Idle, speaks: Speaks) -> Option<Conn> {
         let greeter = greeter(core, speaks)?;
-        guest.stream.set_nonblocking(true).and_then(|()| guest.stream.set_nodelay(true)).ok()?;
-        let mut conn = Conn::new(core, guest.number(), guest.stream.clone());
+        idle.stream.set_nonblocking(true).and_then(|()| idle.stream.set_nodelay(true)).ok()?;
+        let mut conn = Conn::new(core, idle.number(), idle.stream.clone());
         conn.account = Some(Account::new(speaks.front()));
         let (out, blocked) = (Vec::new(), None);
-        let mut hearing = Hearing { guest, greeter, securing: false, tells: false, out, blocked };
+        let mut hearing = Hearing { idle, greeter, securing: false, tells: false, out, blocked };
         let secured = speaks != Speaks::XmppTls || conn.secure(&mut hearing, None, false);
         conn.hearing = Some(Box::new(hearing));
         if secured {
@@ -98,7 +98,7 @@
         }
         let Some(mut hearing) = self.hearing.take() else { return };
         let (last, reason) = hearing.greeter.cut_short(&self.up, Short::Dismissed);
-        self.guest = Some(hearing.guest);
+        self.idle = Some(hearing.idle);
         self.linger = LINGER_SHORT;
         // Behind what is still to be said, or in place of it: half a word would garble the answer.
         let whole = hearing.out.is_empty() && !hearing.securing;
@@ -120,7 +120,7 @@
             self.hearing = Some(hearing);
         } else if self.phase != Phase::Done && self.session.is_none() {
             // Its room is its own until it has gone.
-            self.guest = Some(hearing.guest);
+            self.idle = Some(hearing.idle);
         }
     }
 
@@ -168,7 +168,7 @@
             match h.greeter.next(&mut self.up, now, &rules) {
                 Next::Read => {}
                 Next::Say(bytes) => {
-                    h.guest.asked();
+                    h.idle.asked();
                     h.out = bytes;
                     continue;
                 }
@@ -179,7 +179,7 @@
                     continue;
                 }
                 Next::Place(order) => {
-                    self.let_in(&h.guest, order);
+                    self.let_in(&h.idle, order);
                     return false;
                 }
                 Next::End(last, reason) => {
--- a/src/platform/takeover.rs
+++ b/src/platform/takeover.rs
@@ -27,7 +27,7 @@
 
 /// A standing connection as another process needs it.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Parcel {
+pub struct Handover {
     /// The connection's own id.
     pub name: String,
     /// The name of its class.
@@ -52,7 +52,7 @@
     pub down: Vec<u8>,
 }
 
-impl Parcel {
+impl Handover {
     /// The packet: a line of JSON, then the bytes of both ways.
     pub fn encode(&self) -> Vec<u8> {
         let head = simd_json::json!({
@@ -65,7 +65,7 @@
     }
 
     /// Reads a packet; what is wrong with it is one sentence.
-    pub fn decode(packet: &[u8]) -> Result<Parcel, String> {
+    pub fn decode(packet: &[u8]) -> Result<Handover, String> {
         let end = packet.iter().position(|&b| b == b'\n').ok_or("a packet without a head")?;
         let head = simd_json::to_owned_value(&mut packet[..end].to_vec()).map_err(|e| e.to_string())?;
         let number = |key: &str| head.get(key).and_then(|v| v.as_u64()).ok_or(format!("no {key}"));
@@ -76,7 +76,7 @@
         if up > bytes.len() || seen > bytes.len() - up {
             return Err("a packet that is shorter than it says".into());
         }
-        Ok(Parcel {
+        Ok(Handover {
             name: word("name")?,
             class: word("class")?,
             backend: word("backend")?,
@@ -109,33 +109,33 @@
     }
 
     /// Sends a connection whole, or not at all.
-    pub fn send(&self, parcel: &Parcel, client: &TcpStream, backend: &TcpStream) -> io::Result<()> {
+    pub fn send(&self, handover: &Handover, client: &TcpStream, backend: &TcpStream) -> io::Result<()> {
         let fds = [client.as_fd(), backend.as_fd()];
         let mut space = [0; rustix::cmsg_space!(ScmRights(2))];
         let mut control = SendAncillaryBuffer::new(&mut space);
         control.push(SendAncillaryMessage::ScmRights(&fds));
-        let packet = parcel.encode();
+        let packet = handover.encode();
         sendmsg(&self.0, &[IoSlice::new(&packet)], &mut control, SendFlags::NOSIGNAL)?;
         Ok(())
     }
 }
 
 /// A connection that is passed on: what is known of it, the client's socket, the backend's.
-pub type Passed = (Parcel, TcpStream, TcpStream);
+pub type Passed = (Handover, TcpStream, TcpStream);
 
 /// The place where older processes of this relay find this one.
-pub struct Heir(OwnedFd);
+pub struct HandoverListener(OwnedFd);
 
-impl Heir {
+impl HandoverListener {
     /// Listens in this directory, in place of whichever process did before.
-    pub fn open(dir: &Path) -> io::Result<Heir> {
+    pub fn open(dir: &Path) -> io::Result<HandoverListener> {
         let own = dir.join(format!("{NAME}-{}", std::process::id()));
         let _ = fs::remove_file(&own);
         let listener = socket(SocketFlags::NONBLOCK)?;
         bind_unix(&listener, &SocketAddrUnix::new(&own)?)?;
         listen(&listener, 4)?;
         fs::rename(&own, dir.join(NAME))?;
-        Ok(Heir(listener))
+        Ok(HandoverListener(listener))
     }
 
     /// An older process that has come; none where none waits.
@@ -144,7 +144,7 @@
     }
 }
 
-impl AsFd for Heir {
+impl AsFd for HandoverListener {
     fn as_fd(&self) -> BorrowedFd<'_> {
         self.0.as_fd()
     }
@@ -201,10 +201,10 @@
                     fds.extend(rights.map(TcpStream::from));
                 }
             }
-            match (Parcel::decode(&packet[..n]), fds.pop(), fds.pop()) {
-                (Ok(parcel), Some(backend), Some(client)) => {
+            match (Handover::decode(&packet[..n]), fds.pop(), fds.pop()) {
+                (Ok(handover), Some(backend), Some(client)) => {
                     self.count += 1;
-                    take((parcel, client, backend));
+                    take((handover, client, backend));
                 }
                 (Ok(_), ..) => log("takeover: a packet without its sockets: no descriptors are left"),
                 (Err(e), ..) => log(&format!("takeover: {e}")),
@@ -227,10 +227,10 @@
         let (client, backend) = (end(), end());
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
         let (to, link) = socketpair(AddressFamily::UNIX, SocketType::SEQPACKET, flags, None).unwrap();
-        let (to, parcel) = (Successor(to), Parcel { name: "9b".into(), ..Parcel::default() });
+        let (to, handover) = (Successor(to), Handover { name: "9b".into(), ..Handover::default() });
         let mut sent = 0;
         let refused = loop {
-            match to.send(&parcel, &client, &backend) {
+            match to.send(&handover, &client, &backend) {
                 Ok(()) => sent += 1,
                 Err(e) => break e,
             }
@@ -239,7 +239,7 @@
         drop(to);
         let (mut received, mut older) = (0, Older { link, count: 0 });
         let mut take = |(got, its_client, its_backend): Passed| {
-            assert_eq!(got, parcel);
+            assert_eq!(got, handover);
             assert_eq!(its_client.local_addr().unwrap(), client.local_addr().unwrap());
             assert_eq!(its_backend.local_addr().unwrap(), backend.local_addr().unwrap());
             received += 1;
@@ -252,7 +252,7 @@
 
     #[test]
     fn a_parcel_is_read_as_it_was_written_or_refused() {
-        let parcel = Parcel {
+        let handover = Handover {
             name: "9b".into(),
             class: "a \"class\"\n".into(),
             backend: "s-1".into(),
@@ -265,16 +265,16 @@
             up: b"half\xff\n".to_vec(),
             down: b"M\r\n\n".to_vec(),
         };
-        assert_eq!(Parcel::decode(&parcel.encode()), Ok(parcel.clone()));
-        let never_asked = Parcel { asked_ms: None, up: Vec::new(), down: Vec::new(), seen: 0, ..parcel };
+        assert_eq!(Handover::decode(&handover.encode()), Ok(handover.clone()));
+        let never_asked = Handover { asked_ms: None, up: Vec::new(), down: Vec::new(), seen: 0, ..handover };
         let packet = never_asked.encode();
-        assert_eq!(Parcel::decode(&packet), Ok(never_asked));
+        assert_eq!(Handover::decode(&packet), Ok(never_asked));
         let text = String::from_utf8(packet).unwrap();
         for (from, to) in
             [("\"up\":0", "\"up\":9"), ("\"seen\":0", "\"seen\":1"), ("\n", ""), ("\"name\"", "\"n\"")]
         {
             assert!(text.contains(from), "{from}");
-            assert!(Parcel::decode(text.replace(from, to).as_bytes()).is_err(), "{to}");
+            assert!(Handover::decode(text.replace(from, to).as_bytes()).is_err(), "{to}");
         }
     }
 }
