--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -14,7 +14,7 @@
 use jaspermoor::net::core::{Core, Xmpp};
 use jaspermoor::net::engine::{Engine, Speaks};
 use jaspermoor::net::fleet::{Fleet, Ground, Setup};
-use jaspermoor::net::listen::Door;
+use jaspermoor::net::listen::Listener;
 use jaspermoor::ops::admin::{Admin, Staffed};
 use jaspermoor::ops::bans::Bans;
 use jaspermoor::platform::directory::Directory;
@@ -62,14 +62,14 @@
         None => None,
     };
     let cells = operator.as_ref().map(Cells::of).transpose()?.unwrap_or_default();
-    let door = match config.accept_fd {
+    let listener = match config.accept_fd {
         Some(fd) => {
-            Door::inherit(fd).map_err(|e| format!("BALANCER_ACCEPT_FD: cannot listen on {fd}: {e}"))?
+            Listener::inherit(fd).map_err(|e| format!("BALANCER_ACCEPT_FD: cannot listen on {fd}: {e}"))?
         }
-        None => Door::open(config.listen)
+        None => Listener::open(config.listen)
             .map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?,
     };
-    let (address, door) = (door.addr()?, Arc::new(door));
+    let (address, listener) = (listener.addr()?, Arc::new(listener));
     let upkeep = if config.settings.list_on_request { Upkeep::Asked } else { Upkeep::Standing };
     let source = Source::new(config.discovery, upkeep);
     let orders = source.clone();
@@ -109,8 +109,8 @@
         });
     }
     let fleet_handle = fleet.as_ref().map(Fleet::handle);
-    engine.open(door.clone(), Speaks::Line)?;
-    if let (true, Some(dir)) = (door.held, &config.shared) {
+    engine.open(listener.clone(), Speaks::Line)?;
+    if let (true, Some(dir)) = (listener.held, &config.shared) {
         if let Err(e) = engine.share(dir.clone()) {
             log(&format!("takeover: connections of an older process cannot be taken over: {e}"));
         }
@@ -120,11 +120,11 @@
             [("listen", x.listen, Speaks::Xmpp), ("listen_tls", x.listen_tls, Speaks::XmppTls)]
         {
             let Some(addr) = addr else { continue };
-            let door =
-                Door::open_beside(addr).map_err(|e| format!("xmpp.{key}: cannot listen on {addr}: {e}"))?;
+            let listener = Listener::open_beside(addr)
+                .map_err(|e| format!("xmpp.{key}: cannot listen on {addr}: {e}"))?;
             let under = if speaks == Speaks::Xmpp { "STARTTLS" } else { "TLS" };
-            log(&format!("{}: speaks XMPP under {under} on {}", config.name, door.addr()?));
-            engine.open(Arc::new(door), speaks)?;
+            log(&format!("{}: speaks XMPP under {under} on {}", config.name, listener.addr()?));
+            engine.open(Arc::new(listener), speaks)?;
         }
     }
 
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -372,14 +372,14 @@
         let directory = Arc::new(Directory::default());
         directory.update(true, &[(Endpoint { name: "s-1".into(), addr }, member(state))]);
         let core = Core::new(&config, decisions, directory);
-        let door = TcpListener::bind("127.0.0.1:0").unwrap();
-        let idle = core.admission.idle(TcpStream::connect(door.local_addr().unwrap()).unwrap());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let idle = core.admission.idle(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
         let mut inbox = Buffer::holding(format!("OPEN 1 7f c=one,d=60000{at}\r\n").into_bytes());
         let rules = core.terms().rules.clone();
         let Next::Place(order) = Greeting::new(0).next(&mut inbox, 0, &rules) else { panic!() };
         let place = idle.request("1").unwrap();
         let session = Session::new(&core.woken, (0x7f, 0), place, false, None);
-        Setup { core, session, order, _front: door.accept().unwrap().0 }
+        Setup { core, session, order, _front: listener.accept().unwrap().0 }
     }
 
     impl Setup {
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -5,7 +5,7 @@
 //! decisions. So a relay needs no further thread whatever its load: with a thread for each first line, dial and
 //! probe, a machine with hundreds of relays ran out of them, and clients were dropped without a word.
 //!
-//! Guards against: a silent machine that holds up others (nothing here blocks), a crowd at the door that holds up
+//! Guards against: a silent machine that holds up others (nothing here blocks), a crowd at the listener that holds up
 //! those who are served (a turn takes in so many), and an event that is taken for another socket's (see `conn`).
 
 use crate::api::{Micros, Outcome, ServerId};
@@ -19,7 +19,7 @@
 use crate::net::forward::LOOK;
 pub use crate::net::greet::Speaks;
 use crate::net::link::Link;
-use crate::net::listen::Door;
+use crate::net::listen::Listener;
 use crate::net::poll::{dial, is_local, Events, Interest, Poller, Ready};
 use crate::net::session::{Account, Session};
 use crate::platform::probe::{self, Probe, PROBES};
@@ -48,7 +48,7 @@
 const LAST_REQUESTS: Micros = 2 * STILL_COMING;
 /// Clients and passed connections taken in a turn: the others wait in their queues while those here are served.
 const TURN: usize = 32;
-/// Wait of a full relay before it looks at its doors again, in microseconds, and of one without descriptors.
+/// Wait of a full relay before it looks at its listeners again, in microseconds, and of one without descriptors.
 const FULL: Micros = 1_000;
 const SHORT: Micros = 5_000;
 
@@ -57,8 +57,8 @@
 const OTHER: u64 = 3;
 const SIDES: u64 = 3;
 const HANDOVERS: u64 = 0;
-/// From here on doors, and links from older processes.
-const DOORS: u64 = 16;
+/// From here on listeners, and links from older processes.
+const LISTENERS: u64 = 16;
 const OLDER: u64 = 1024;
 
 const READ: Interest = Interest { read: true, write: false, end: false };
@@ -69,7 +69,7 @@
 }
 
 struct Entry {
-    door: Arc<Door>,
+    listener: Arc<Listener>,
     speaks: Speaks,
     /// Whether its clients are waited for just now.
     watched: bool,
@@ -112,8 +112,8 @@
     /// Connections that wait for a list which names their backend, and the list that they know.
     seeking: BTreeSet<u64>,
     list: u64,
-    doors: Vec<Entry>,
-    /// When closed doors are looked at again, and whether the last client could not be taken in: said once.
+    listeners: Vec<Entry>,
+    /// When closed listeners are looked at again, and whether the last client could not be taken in: said once.
     paused: Option<Micros>,
     short: bool,
     handovers: Option<HandoverListener>,
@@ -149,7 +149,7 @@
             due: BTreeSet::new(),
             seeking: BTreeSet::new(),
             list: 0,
-            doors: Vec::new(),
+            listeners: Vec::new(),
             paused: None,
             short: false,
             handovers: None,
@@ -172,11 +172,11 @@
         self.handle.clone()
     }
 
-    /// Takes in clients at this door, which speak so.
-    pub fn open(&mut self, door: Arc<Door>, speaks: Speaks) -> io::Result<()> {
-        let token = other(DOORS + self.doors.len() as u64);
-        self.poller.watch(&door, token, None, Some(READ))?;
-        self.doors.push(Entry { door, speaks, watched: true, closed: false });
+    /// Takes in clients at this listener, which speak so.
+    pub fn open(&mut self, listener: Arc<Listener>, speaks: Speaks) -> io::Result<()> {
+        let token = other(LISTENERS + self.listeners.len() as u64);
+        self.poller.watch(&listener, token, None, Some(READ))?;
+        self.listeners.push(Entry { listener, speaks, watched: true, closed: false });
         Ok(())
     }
 
@@ -238,7 +238,7 @@
             PROBE => self.probe_ready(number, true),
             OTHER if number == HANDOVERS => self.older_came(),
             OTHER if number >= OLDER => self.passed_on(number),
-            OTHER => self.knocked((number - DOORS) as usize),
+            OTHER => self.clients_wait((number - LISTENERS) as usize),
             _ => self.with(number, |conn| conn.ready(ready)),
         }
     }
@@ -317,16 +317,16 @@
 
     // Doors.
 
-    /// Clients wait at a door.
-    fn knocked(&mut self, n: usize) {
+    /// Clients wait at a listener.
+    fn clients_wait(&mut self, n: usize) {
         for _ in 0..TURN {
-            let Some(entry) = self.doors.get(n).filter(|entry| !entry.closed) else { return };
-            let (door, speaks) = (entry.door.clone(), entry.speaks);
+            let Some(entry) = self.listeners.get(n).filter(|entry| !entry.closed) else { return };
+            let (listener, speaks) = (entry.listener.clone(), entry.speaks);
             // What cannot be taken in now waits in the listener's queue.
             if !self.make_room() {
                 return self.pause(FULL);
             }
-            match door.next() {
+            match listener.next() {
                 Ok(client) => {
                     self.short = false;
                     self.take_in(client, speaks);
@@ -359,26 +359,26 @@
         }
     }
 
-    /// Leaves all doors alone for so long.
+    /// Leaves all listeners alone for so long.
     fn pause(&mut self, wait: Micros) {
         self.paused = Some(self.core.decisions.now() + wait);
-        self.watch_doors(false);
+        self.watch_listeners(false);
     }
 
     fn resume(&mut self, now: Micros) {
         if self.paused.is_some_and(|until| now >= until) {
             self.paused = None;
-            self.watch_doors(true);
+            self.watch_listeners(true);
         }
     }
 
-    fn watch_doors(&mut self, on: bool) {
-        for (n, entry) in self.doors.iter_mut().enumerate() {
+    fn watch_listeners(&mut self, on: bool) {
+        for (n, entry) in self.listeners.iter_mut().enumerate() {
             let on = on && !entry.closed;
             let of = |on: bool| on.then_some(READ);
-            match self.poller.watch(&entry.door, other(DOORS + n as u64), of(entry.watched), of(on)) {
+            match self.poller.watch(&entry.listener, other(LISTENERS + n as u64), of(entry.watched), of(on)) {
                 Ok(()) => entry.watched = on,
-                Err(e) => log(&format!("accept: a door is not watched: {e}")),
+                Err(e) => log(&format!("accept: a listener is not watched: {e}")),
             }
         }
     }
@@ -542,10 +542,10 @@
     }
 
     fn begin_drain(&mut self, now: Micros) -> Drain {
-        let held = self.doors.iter().any(|entry| entry.door.held);
-        for n in 0..self.doors.len() {
-            let entry = &mut self.doors[n];
-            if entry.speaks == Speaks::Line && !entry.door.held {
+        let held = self.listeners.iter().any(|entry| entry.listener.held);
+        for n in 0..self.listeners.len() {
+            let entry = &mut self.listeners[n];
+            if entry.speaks == Speaks::Line && !entry.listener.held {
                 continue;
             }
             entry.closed = true;
@@ -555,7 +555,7 @@
                 self.last_clients(n);
             }
         }
-        self.watch_doors(self.paused.is_none());
+        self.watch_listeners(self.paused.is_none());
         let longest = self.core.terms().rules.classes.longest();
         let kill = longest.min(KILL_DEADLINE) + KILL_AFTER;
         let stop_by = now + kill - DRAIN_SPARE - LAST_WORDS;
@@ -574,11 +574,11 @@
         }
     }
 
-    /// This door's socket is the process's own, and goes with it: who waits there would be reset.
+    /// This listener's socket is the process's own, and goes with it: who waits there would be reset.
     fn last_clients(&mut self, n: usize) {
-        let (door, speaks) = (self.doors[n].door.clone(), self.doors[n].speaks);
+        let (listener, speaks) = (self.listeners[n].listener.clone(), self.listeners[n].speaks);
         while self.make_room() {
-            let Ok(client) = door.next() else { return };
+            let Ok(client) = listener.next() else { return };
             self.take_in(client, speaks);
         }
     }
@@ -631,8 +631,8 @@
             return false;
         }
         // The listener's queue goes with this process, where it is its own: who waits there would be reset.
-        for n in 0..self.doors.len() {
-            if !self.doors[n].closed {
+        for n in 0..self.listeners.len() {
+            if !self.listeners[n].closed {
                 self.last_clients(n);
             }
         }
@@ -666,32 +666,32 @@
 
     /// An engine that serves nobody, listening stand-ins for its backends, and where probes are ordered.
     fn probing(backends: usize) -> (Engine, Vec<TcpListener>, Sender<ServerId>) {
-        let doors: Vec<TcpListener> =
+        let listeners: Vec<TcpListener> =
             (0..backends).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-        doors.iter().for_each(|door| door.set_nonblocking(true).unwrap());
+        listeners.iter().for_each(|listener| listener.set_nonblocking(true).unwrap());
         let text = format!(
             r#"{{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"1","settings":{}}}"#,
             include_str!("../../tests/data/settings.json")
         );
         let config = Config::parse(text.into_bytes(), &|_| None).unwrap();
-        let listed = |(n, door): (usize, &TcpListener)| {
+        let listed = |(n, listener): (usize, &TcpListener)| {
             let server = ServerId(n as u64);
-            let endpoint = Endpoint { name: format!("s-{n}"), addr: door.local_addr().unwrap() };
+            let endpoint = Endpoint { name: format!("s-{n}"), addr: listener.local_addr().unwrap() };
             let state = MemberState::Ready;
             (endpoint, Member { server, zone: 0, cell: 0, state, size: 1.0, started: None })
         };
         let directory = Arc::new(Directory::default());
-        directory.update(true, &doors.iter().enumerate().map(listed).collect::<Vec<_>>());
+        directory.update(true, &listeners.iter().enumerate().map(listed).collect::<Vec<_>>());
         let (watch, (probe, _)) = (Box::new(|_| ()), bounded(1));
         let decisions = Decisions::new(config.settings.clone(), 1, Vec::new(), Orders { watch, probe });
         let (order, orders) = bounded(16);
         let names = Names { columns: vec!["x0".into()], ..config.names.clone() };
-        (Engine::new(Core::new(&config, decisions, directory), names, orders).unwrap(), doors, order)
+        (Engine::new(Core::new(&config, decisions, directory), names, orders).unwrap(), listeners, order)
     }
 
     /// The probe that comes to this backend.
-    fn probed(door: &TcpListener) -> TcpStream {
-        let mut asked: TcpStream = until(|| door.accept().ok()).0;
+    fn probed(listener: &TcpListener) -> TcpStream {
+        let mut asked: TcpStream = until(|| listener.accept().ok()).0;
         asked.set_nonblocking(false).unwrap();
         let mut line = [0; 7];
         asked.read_exact(&mut line).unwrap();
@@ -701,7 +701,7 @@
 
     #[test]
     fn what_the_fleets_watch_told_stands_for_a_probe_and_what_it_wants_is_probed() {
-        let (mut engine, doors, order) = probing(3);
+        let (mut engine, listeners, order) = probing(3);
         let book = Arc::new(LoadBook::default());
         // Young for as long as the test may take.
         book.tell([(ServerId(0), boottime() + 3_600_000_000, vec![0.5])]);
@@ -711,11 +711,11 @@
         order.send(ServerId(0)).unwrap();
         order.send(ServerId(1)).unwrap();
         let serving = std::thread::spawn(move || engine.run());
-        drop(probed(&doors[1]));
-        assert_eq!(doors[0].accept().unwrap_err().kind(), ErrorKind::WouldBlock);
+        drop(probed(&listeners[1]));
+        assert_eq!(listeners[0].accept().unwrap_err().kind(), ErrorKind::WouldBlock);
         assert_eq!((book.spared.load(Relaxed), book.made.load(Relaxed)), (1, 1));
         book.want([ServerId(2)]);
-        probed(&doors[2]).write_all(b"PONG x0=0.25\r\n").unwrap();
+        probed(&listeners[2]).write_all(b"PONG x0=0.25\r\n").unwrap();
         let found = until(|| book.take().pop());
         assert_eq!((found.0, found.2), (ServerId(2), Some(vec![0.25])));
         assert_eq!(book.fresh(ServerId(2), found.1), Some(vec![0.25]), "its own relay knows it at once");
@@ -726,7 +726,7 @@
     /// A lost zone once held up the probes of all others, 250 ms for each of its servers.
     #[test]
     fn silent_servers_do_not_hold_up_the_probes_of_the_others() {
-        let (mut engine, doors, order) = probing(7);
+        let (mut engine, listeners, order) = probing(7);
         // So long a limit that a seventh which waited for the six would never be asked.
         engine.probe_limit = 3_600_000_000;
         let handle = engine.handle();
@@ -734,7 +734,7 @@
         let ask = |n: usize| {
             order.send(ServerId(n as u64)).unwrap();
             (handle.wake)();
-            probed(&doors[n])
+            probed(&listeners[n])
         };
         let silent: Vec<TcpStream> = (0..6).map(ask).collect();
         let mut seventh = ask(6);
--- a/src/net/greet.rs
+++ b/src/net/greet.rs
@@ -19,7 +19,7 @@
 /// The longest wait for a client to take its answer, in microseconds.
 const ANSWER: Micros = 1_000_000;
 
-/// What is spoken at a door.
+/// What is spoken at a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Speaks {
     /// The line protocol.
@@ -40,7 +40,7 @@
     }
 }
 
-/// The machine that hears a client of this door; none where the front has gone meanwhile.
+/// The machine that hears a client of this listener; none where the front has gone meanwhile.
 fn greeter(core: &Core, speaks: Speaks) -> Option<Box<dyn Greeter>> {
     let now = core.decisions.now();
     if speaks == Speaks::Line {
@@ -63,7 +63,7 @@
 }
 
 impl Conn {
-    /// The connection of a client that has just come to this door; none where there is nobody to hear it.
+    /// The connection of a client that has just come to this listener; none where there is nobody to hear it.
     pub fn greet(core: &Arc<Core>, idle: Idle, speaks: Speaks) -> Option<Conn> {
         let greeter = greeter(core, speaks)?;
         idle.stream.set_nonblocking(true).and_then(|()| idle.stream.set_nodelay(true)).ok()?;
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -9,56 +9,56 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
 /// A listening socket.
-pub struct Door {
-    listener: TcpListener,
+pub struct Listener {
+    socket: TcpListener,
     /// Whether the platform holds the socket: other processes listen there too, now or later.
     pub held: bool,
 }
 
-impl Door {
+impl Listener {
     /// Opens a socket at this address.
-    pub fn open(addr: SocketAddr) -> io::Result<Door> {
-        Door::new(TcpListener::bind(addr)?, false)
+    pub fn open(addr: SocketAddr) -> io::Result<Listener> {
+        Listener::new(TcpListener::bind(addr)?, false)
     }
 
     /// Opens a socket at an address that several processes of a relay listen at during an upgrade, each with a
     /// socket of its own.
-    pub fn open_beside(addr: SocketAddr) -> io::Result<Door> {
+    pub fn open_beside(addr: SocketAddr) -> io::Result<Listener> {
         let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
         socket.set_reuse_port(true)?;
         socket.bind(&addr.into())?;
         socket.listen(1024)?;
-        Door::new(socket.into(), false)
+        Listener::new(socket.into(), false)
     }
 
     /// Takes the socket that this process has inherited as that descriptor. Call it before any thread is
     /// started: the descriptor's number goes through the environment.
-    pub fn inherit(fd: u16) -> io::Result<Door> {
+    pub fn inherit(fd: u16) -> io::Result<Listener> {
         std::env::set_var("LISTEN_FDS", "1");
         std::env::set_var("LISTEN_FDS_FIRST_FD", fd.to_string());
         std::env::remove_var("LISTEN_PID");
         let listener = ListenFd::from_env().take_tcp_listener(0)?;
-        Door::new(listener.ok_or(io::ErrorKind::NotFound)?, true)
+        Listener::new(listener.ok_or(io::ErrorKind::NotFound)?, true)
     }
 
-    fn new(listener: TcpListener, held: bool) -> io::Result<Door> {
+    fn new(listener: TcpListener, held: bool) -> io::Result<Listener> {
         // The flag is common to all processes that share the socket; none of them waits in `accept`. It is
         // never shut down here: that would end it for the others too.
         listener.set_nonblocking(true)?;
-        Ok(Door { listener, held })
+        Ok(Listener { socket: listener, held })
     }
 
     /// Where it listens.
     pub fn addr(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+        self.socket.local_addr()
     }
 
     /// The next client that waits; an error of the kind "would block" where none does, also where another process
     /// was faster.
     pub fn next(&self) -> io::Result<TcpStream> {
         loop {
-            match self.listener.accept() {
+            match self.socket.accept() {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 accepted => return accepted.map(|(client, _)| client),
             }
@@ -66,8 +66,8 @@
     }
 }
 
-impl AsFd for Door {
+impl AsFd for Listener {
     fn as_fd(&self) -> BorrowedFd<'_> {
-        self.listener.as_fd()
+        self.socket.as_fd()
     }
 }
