Let no earned room at a cold backend lapse in the moment in which it is earned

Faulty: src/logic.rs, credited(): with nothing earned a second a whole call counted as lapsed at once, so a backend called back by hand was not used when it was due. Change: it lapses only past the time that it is kept. Measured: tests/cells.rs passes, tests/fleet.rs as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -443,8 +443,8 @@
         let (earned, keep) =
             (s.credit + self.now.saturating_sub(s.credit_at) as f32 * pace, pace * self.settings.fall as f32);
         // What is not used within the rule's time is lost: hundreds had saved up one each, and came at once.
-        s.credit = if keep < 1.0 { earned - (earned - keep).max(0.0).floor() } else { earned.min(1.0) };
-        s.credit_at = self.now;
+        let lapsed = if keep < 1.0 { (earned - keep).ceil() - 1.0 } else { earned - 1.0 };
+        (s.credit, s.credit_at) = (earned - lapsed.max(0.0), self.now);
         warmth >= 1.0 || s.credit >= 1.0
     }
 
