--- a/src/api.rs
+++ b/src/api.rs
@@ -195,6 +195,8 @@
     Cached,
     /// A call failed or the subscription dropped; the old list stands.
     Failed,
+    /// The same, seen only after a timeout: little is left of the time after which a change counts as told.
+    Silent,
     /// The list is to be had elsewhere from now on; the old list stands.
     Moved,
 }
@@ -295,6 +297,8 @@
     },
     /// The client quit; nothing more is owed.
     Vanished(RequestId),
+    /// The answer is owed by this time already, where it was owed later: the process stops.
+    Hurry(RequestId, Micros),
     /// A timer fired.
     Timer(u64),
     /// What a probe found.
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -5,7 +5,7 @@
 //! decisions. So a relay needs no further thread whatever its load: with a thread for each first line, dial and
 //! probe, a machine with hundreds of relays ran out of them, and clients were dropped without a word.
 //!
-//! Guards against: a silent machine that holds up others (nothing here blocks), a crowd at the door that holds up
+//! Guards against: a silent machine that holds up others (nothing here blocks), a crowd at the listener that holds up
 //! those who are served (a turn takes in so many), and an event that is taken for another socket's (see `conn`).
 
 use crate::api::{Micros, Outcome, ServerId};
@@ -19,11 +19,11 @@
 use crate::net::forward::LOOK;
 pub use crate::net::greet::Speaks;
 use crate::net::link::Link;
-use crate::net::listen::Door;
-use crate::net::poll::{dial, Events, Interest, Poller, Ready};
+use crate::net::listen::Listener;
+use crate::net::poll::{dial, is_local, Events, Interest, Poller, Ready};
 use crate::net::session::{Account, Session};
 use crate::platform::probe::{self, Probe, PROBES};
-use crate::platform::takeover::{Heir, Older, Passed, Rest, Successor};
+use crate::platform::takeover::{HandoverListener, Older, Passed, Rest, Successor};
 use crate::sys::{boottime, timed_out, Wake};
 use crossbeam_channel::Receiver;
 use std::collections::{BTreeMap, BTreeSet};
@@ -41,9 +41,14 @@
 /// How often the relay that stops moves some of what stands, in microseconds, and by when it is done before the kill.
 const DRAIN_STEP: Micros = 25_000;
 const DRAIN_SPARE: Micros = 200_000;
+/// What is owed is answered so long before that, in microseconds: a request whose client would wait for longer is not
+/// left to the kill. Time for the words' way, for what came up last to be moved, and for clients to close.
+const LAST_WORDS: Micros = 300_000;
+/// A client that has come by the end may take so long to ask, in microseconds; one that rests is sent away.
+const LAST_REQUESTS: Micros = 2 * STILL_COMING;
 /// Clients and passed connections taken in a turn: the others wait in their queues while those here are served.
 const TURN: usize = 32;
-/// Wait of a full relay before it looks at its doors again, in microseconds, and of one without descriptors.
+/// Wait of a full relay before it looks at its listeners again, in microseconds, and of one without descriptors.
 const FULL: Micros = 1_000;
 const SHORT: Micros = 5_000;
 
@@ -51,20 +56,20 @@
 const PROBE: u64 = 2;
 const OTHER: u64 = 3;
 const SIDES: u64 = 3;
-const HEIR: u64 = 0;
-/// From here on doors, and links from older processes.
-const DOORS: u64 = 16;
+const HANDOVERS: u64 = 0;
+/// From here on listeners, and links from older processes.
+const LISTENERS: u64 = 16;
 const OLDER: u64 = 1024;
 
-const READ: Interest = Interest { read: true, write: false };
-const WRITE: Interest = Interest { read: false, write: true };
+const READ: Interest = Interest { read: true, write: false, end: false };
+const WRITE: Interest = Interest { read: false, write: true, end: false };
 
 fn other(n: u64) -> u64 {
     n << NUMBER_SHIFT | OTHER
 }
 
 struct Entry {
-    door: Arc<Door>,
+    listener: Arc<Listener>,
     speaks: Speaks,
     /// Whether its clients are waited for just now.
     watched: bool,
@@ -107,10 +112,11 @@
     /// Connections that wait for a list which names their backend, and the list that they know.
     seeking: BTreeSet<u64>,
     list: u64,
-    doors: Vec<Entry>,
-    /// When closed doors are looked at again.
+    listeners: Vec<Entry>,
+    /// When closed listeners are looked at again, and whether the last client could not be taken in: said once.
     paused: Option<Micros>,
-    heir: Option<Heir>,
+    short: bool,
+    handovers: Option<HandoverListener>,
     older: BTreeMap<u64, Older>,
     next_older: u64,
     orders: Receiver<ServerId>,
@@ -143,9 +149,10 @@
             due: BTreeSet::new(),
             seeking: BTreeSet::new(),
             list: 0,
-            doors: Vec::new(),
+            listeners: Vec::new(),
             paused: None,
-            heir: None,
+            short: false,
+            handovers: None,
             older: BTreeMap::new(),
             next_older: OLDER,
             orders,
@@ -165,11 +172,11 @@
         self.handle.clone()
     }
 
-    /// Takes in clients at this door, which speak so.
-    pub fn open(&mut self, door: Arc<Door>, speaks: Speaks) -> io::Result<()> {
-        let token = other(DOORS + self.doors.len() as u64);
-        self.poller.watch(&door, token, None, Some(READ))?;
-        self.doors.push(Entry { door, speaks, watched: true, closed: false });
+    /// Takes in clients at this listener, which speak so.
+    pub fn open(&mut self, listener: Arc<Listener>, speaks: Speaks) -> io::Result<()> {
+        let token = other(LISTENERS + self.listeners.len() as u64);
+        self.poller.watch(&listener, token, None, Some(READ))?;
+        self.listeners.push(Entry { listener, speaks, watched: true, closed: false });
         Ok(())
     }
 
@@ -181,10 +188,10 @@
 
     /// Takes over what older processes pass on in this directory, and passes on there what stands at the end.
     pub fn share(&mut self, dir: PathBuf) -> io::Result<()> {
-        let heir = Heir::open(&dir)?;
+        let handovers = HandoverListener::open(&dir)?;
         self.shared = Some(dir);
-        self.poller.watch(&heir, other(HEIR), None, Some(READ))?;
-        self.heir = Some(heir);
+        self.poller.watch(&handovers, other(HANDOVERS), None, Some(READ))?;
+        self.handovers = Some(handovers);
         Ok(())
     }
 
@@ -224,14 +231,15 @@
         Duration::from_micros(next.saturating_sub(now))
     }
 
-    fn ready(&mut self, Ready { token, read, write }: Ready) {
+    fn ready(&mut self, ready: Ready) {
+        let token = ready.token;
         let number = token >> NUMBER_SHIFT;
         match token & SIDES {
             PROBE => self.probe_ready(number, true),
-            OTHER if number == HEIR => self.older_came(),
+            OTHER if number == HANDOVERS => self.older_came(),
             OTHER if number >= OLDER => self.passed_on(number),
-            OTHER => self.knocked((number - DOORS) as usize),
-            _ => self.with(number, |conn| conn.ready(token, read, write)),
+            OTHER => self.clients_wait((number - LISTENERS) as usize),
+            _ => self.with(number, |conn| conn.ready(ready)),
         }
     }
 
@@ -309,53 +317,68 @@
 
     // Doors.
 
-    /// Clients wait at a door.
-    fn knocked(&mut self, n: usize) {
+    /// Clients wait at a listener.
+    fn clients_wait(&mut self, n: usize) {
         for _ in 0..TURN {
-            let Some(entry) = self.doors.get(n).filter(|entry| !entry.closed) else { return };
-            let (door, speaks) = (entry.door.clone(), entry.speaks);
+            let Some(entry) = self.listeners.get(n).filter(|entry| !entry.closed) else { return };
+            let (listener, speaks) = (entry.listener.clone(), entry.speaks);
             // What cannot be taken in now waits in the listener's queue.
-            if !self.core.admission.room() {
+            if !self.make_room() {
                 return self.pause(FULL);
             }
-            match door.next() {
-                Ok(client) => self.take_in(client, speaks),
+            match listener.next() {
+                Ok(client) => {
+                    self.short = false;
+                    self.take_in(client, speaks);
+                }
                 Err(e) if timed_out(&e) => return,
                 Err(e) => {
-                    log(&format!("accept: {e}"));
+                    if !std::mem::replace(&mut self.short, true) {
+                        log(&format!("accept: {e}"));
+                    }
                     return self.pause(SHORT);
                 }
             }
         }
     }
 
+    /// Whether one more client can be taken in; if not, some that rest are sent away.
+    fn make_room(&mut self) -> bool {
+        let leave = match self.core.admission.room() {
+            Ok(()) => return true,
+            Err(leave) => leave,
+        };
+        leave.into_iter().for_each(|number| self.with(number, Conn::dismiss));
+        false
+    }
+
     fn take_in(&mut self, client: std::net::TcpStream, speaks: Speaks) {
-        let guest = self.core.admission.guest(client);
-        if let Some(conn) = Conn::greet(&self.core, guest, speaks) {
+        let idle = self.core.admission.idle(client);
+        if let Some(conn) = Conn::greet(&self.core, idle, speaks) {
             self.enter(conn);
         }
     }
 
-    /// Leaves all doors alone for so long.
+    /// Leaves all listeners alone for so long.
     fn pause(&mut self, wait: Micros) {
         self.paused = Some(self.core.decisions.now() + wait);
-        self.watch_doors(false);
+        self.watch_listeners(false);
     }
 
     fn resume(&mut self, now: Micros) {
         if self.paused.is_some_and(|until| now >= until) {
             self.paused = None;
-            self.watch_doors(true);
+            self.watch_listeners(true);
         }
     }
 
-    fn watch_doors(&mut self, on: bool) {
-        for (n, entry) in self.doors.iter_mut().enumerate() {
+    fn watch_listeners(&mut self, on: bool) {
+        for (n, entry) in self.listeners.iter_mut().enumerate() {
             let on = on && !entry.closed;
             let of = |on: bool| on.then_some(READ);
-            match self.poller.watch(&entry.door, other(DOORS + n as u64), of(entry.watched), of(on)) {
+            match self.poller.watch(&entry.listener, other(LISTENERS + n as u64), of(entry.watched), of(on)) {
                 Ok(()) => entry.watched = on,
-                Err(e) => log(&format!("accept: a door is not watched: {e}")),
+                Err(e) => log(&format!("accept: a listener is not watched: {e}")),
             }
         }
     }
@@ -398,6 +421,8 @@
                     self.due.insert((probe.by, token));
                     self.probes.insert(n, probe);
                 }
+                // For want of a descriptor or a port: it says nothing of the backend.
+                Err(e) if is_local(&e) => self.probed(server, watch, Outcome::Moot, Vec::new()),
                 Err(_) => self.probed(server, watch, Outcome::ConnectFailed, Vec::new()),
             }
         }
@@ -431,8 +456,8 @@
     // Other processes of this relay.
 
     fn older_came(&mut self) {
-        let Some(heir) = &self.heir else { return };
-        match heir.next() {
+        let Some(handovers) = &self.handovers else { return };
+        match handovers.next() {
             Ok(older) => {
                 let n = self.next_older;
                 self.next_older += 1;
@@ -456,43 +481,43 @@
     }
 
     /// Takes a connection over that has come up in another process of this relay.
-    fn adopt_standing(&mut self, (parcel, client, backend): Passed) {
+    fn adopt_standing(&mut self, (handover, client, backend): Passed) {
         let core = self.core.clone();
         let set = client.set_nonblocking(true).and_then(|()| backend.set_nonblocking(true));
         if let Err(e) = set {
             return log(&format!("takeover: {e}"));
         }
-        let guest = core.admission.guest(client);
-        let mut conn = Conn::new(&core, guest.number(), guest.stream.clone());
+        let idle = core.admission.idle(client);
+        let mut conn = Conn::new(&core, idle.number(), idle.stream.clone());
         let account = Account {
             front: "line",
-            name: parcel.name.clone(),
-            class: parcel.class.clone(),
-            backend: parcel.backend.clone(),
-            attempts: parcel.attempts,
+            name: handover.name.clone(),
+            class: handover.class.clone(),
+            backend: handover.backend.clone(),
+            attempts: handover.attempts,
             began: Instant::now()
-                .checked_sub(Duration::from_millis(parcel.age_ms))
+                .checked_sub(Duration::from_millis(handover.age_ms))
                 .unwrap_or_else(Instant::now),
-            tally: Some(core.metrics.begin(&parcel.class)),
+            tally: Some(core.metrics.begin(&handover.class)),
         };
-        let Ok(place) = guest.request(&parcel.name) else {
-            let whole = parcel.down.iter().rposition(|&b| b == b'\n').map_or(0, |at| at + 1);
-            conn.last = [&parcel.down[..whole], b"MOVE\r\n"].concat();
-            conn.guest = Some(guest);
+        let Ok(place) = idle.request(&handover.name) else {
+            let whole = handover.down.iter().rposition(|&b| b == b'\n').map_or(0, |at| at + 1);
+            conn.last = [&handover.down[..whole], b"MOVE\r\n"].concat();
+            conn.idle = Some(idle);
             conn.close();
             account.log("no-descriptors");
             return self.enter(conn);
         };
-        let (keys, backend) = ((parcel.key, parcel.group), Arc::new(backend));
+        let (keys, backend) = ((handover.key, handover.group), Arc::new(backend));
         let session = Session::new(&core.woken, keys, place, false, Some(backend.clone()));
-        drop(guest);
+        drop(idle);
         // One that has vanished here goes on under any: the decisions look at nothing but its aims.
-        let class = core.terms().rules.classes.index(&parcel.class).unwrap_or(0);
-        let server = server_id(&parcel.backend);
+        let class = core.terms().rules.classes.index(&handover.class).unwrap_or(0);
+        let server = server_id(&handover.backend);
         let id = core.decisions.adopt(Conn::standing_request(class, keys), server, session.clone());
         // Only lines go from one process to another.
         let backend = Backend { link: Link::plain(backend), id, server, passage: Box::new(Lines) };
-        conn.take_over(account, session, backend, parcel);
+        conn.take_over(account, session, backend, handover);
         self.enter(conn);
     }
 
@@ -517,10 +542,10 @@
     }
 
     fn begin_drain(&mut self, now: Micros) -> Drain {
-        let held = self.doors.iter().any(|entry| entry.door.held);
-        for n in 0..self.doors.len() {
-            let entry = &mut self.doors[n];
-            if entry.speaks == Speaks::Line && !entry.door.held {
+        let held = self.listeners.iter().any(|entry| entry.listener.held);
+        for n in 0..self.listeners.len() {
+            let entry = &mut self.listeners[n];
+            if entry.speaks == Speaks::Line && !entry.listener.held {
                 continue;
             }
             entry.closed = true;
@@ -530,9 +555,13 @@
                 self.last_clients(n);
             }
         }
-        self.watch_doors(self.paused.is_none());
+        self.watch_listeners(self.paused.is_none());
         let longest = self.core.terms().rules.classes.longest();
         let kill = longest.min(KILL_DEADLINE) + KILL_AFTER;
+        let stop_by = now + kill - DRAIN_SPARE - LAST_WORDS;
+        self.core.stop_by.store(stop_by, Relaxed);
+        let numbers: Vec<u64> = self.conns.keys().copied().collect();
+        numbers.into_iter().for_each(|number| self.with(number, |conn| conn.hurry(stop_by)));
         let still_coming = if held { 0 } else { STILL_COMING };
         Drain {
             start: now,
@@ -545,11 +574,11 @@
         }
     }
 
-    /// This door's socket is the process's own, and goes with it: who waits there would be reset.
+    /// This listener's socket is the process's own, and goes with it: who waits there would be reset.
     fn last_clients(&mut self, n: usize) {
-        let (door, speaks) = (self.doors[n].door.clone(), self.doors[n].speaks);
-        while self.core.admission.room() {
-            let Ok(client) = door.next() else { return };
+        let (listener, speaks) = (self.listeners[n].listener.clone(), self.listeners[n].speaks);
+        while self.make_room() {
+            let Ok(client) = listener.next() else { return };
             self.take_in(client, speaks);
         }
     }
@@ -557,6 +586,7 @@
     fn step(&mut self, drain: &mut Drain, time: Micros) -> bool {
         let now = time.saturating_sub(drain.start);
         if now + DRAIN_SPARE >= drain.kill {
+            self.conns.values_mut().for_each(|conn| conn.cut_off());
             return true;
         }
         let stands = |conn: &Conn| {
@@ -592,12 +622,21 @@
         standing.extend(fixed);
         let share = (standing.len() as f32 / steps).ceil() as usize;
         standing.iter().take(share).for_each(|(_, session)| crate::decide::Flow::relocate(&**session));
-        // Those that have yet to ask are waited for where nobody else would hear them.
-        let last = match drain.still_coming {
-            0 => self.core.admission.guests() == 0,
-            _ => now > 2 * STILL_COMING,
-        };
-        last && self.core.admission.requests() == 0
+        // Whoever rests is sent away, and whoever has begun to ask has some time: nobody else would hear them.
+        let rests = |conn: &Conn| conn.rests() || (now > LAST_REQUESTS && conn.phase == Phase::Hearing);
+        let resting: Vec<u64> =
+            self.conns.values().filter(|conn| rests(conn)).map(|conn| conn.number).collect();
+        resting.into_iter().for_each(|number| self.with(number, Conn::dismiss));
+        if !self.conns.is_empty() {
+            return false;
+        }
+        // The listener's queue goes with this process, where it is its own: who waits there would be reset.
+        for n in 0..self.listeners.len() {
+            if !self.listeners[n].closed {
+                self.last_clients(n);
+            }
+        }
+        self.conns.is_empty()
     }
 }
 
@@ -627,32 +666,32 @@
 
     /// An engine that serves nobody, listening stand-ins for its backends, and where probes are ordered.
     fn probing(backends: usize) -> (Engine, Vec<TcpListener>, Sender<ServerId>) {
-        let doors: Vec<TcpListener> =
+        let listeners: Vec<TcpListener> =
             (0..backends).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-        doors.iter().for_each(|door| door.set_nonblocking(true).unwrap());
+        listeners.iter().for_each(|listener| listener.set_nonblocking(true).unwrap());
         let text = format!(
             r#"{{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"1","settings":{}}}"#,
             include_str!("../../tests/data/settings.json")
         );
         let config = Config::parse(text.into_bytes(), &|_| None).unwrap();
-        let listed = |(n, door): (usize, &TcpListener)| {
+        let listed = |(n, listener): (usize, &TcpListener)| {
             let server = ServerId(n as u64);
-            let endpoint = Endpoint { name: format!("s-{n}"), addr: door.local_addr().unwrap() };
+            let endpoint = Endpoint { name: format!("s-{n}"), addr: listener.local_addr().unwrap() };
             let state = MemberState::Ready;
             (endpoint, Member { server, zone: 0, cell: 0, state, size: 1.0, started: None })
         };
         let directory = Arc::new(Directory::default());
-        directory.update(true, &doors.iter().enumerate().map(listed).collect::<Vec<_>>());
-        let ((watch, _), (probe, _)) = (bounded(1), bounded(1));
+        directory.update(true, &listeners.iter().enumerate().map(listed).collect::<Vec<_>>());
+        let (watch, (probe, _)) = (Box::new(|_| ()), bounded(1));
         let decisions = Decisions::new(config.settings.clone(), 1, Vec::new(), Orders { watch, probe });
         let (order, orders) = bounded(16);
         let names = Names { columns: vec!["x0".into()], ..config.names.clone() };
-        (Engine::new(Core::new(&config, decisions, directory), names, orders).unwrap(), doors, order)
+        (Engine::new(Core::new(&config, decisions, directory), names, orders).unwrap(), listeners, order)
     }
 
     /// The probe that comes to this backend.
-    fn probed(door: &TcpListener) -> TcpStream {
-        let mut asked: TcpStream = until(|| door.accept().ok()).0;
+    fn probed(listener: &TcpListener) -> TcpStream {
+        let mut asked: TcpStream = until(|| listener.accept().ok()).0;
         asked.set_nonblocking(false).unwrap();
         let mut line = [0; 7];
         asked.read_exact(&mut line).unwrap();
@@ -662,7 +701,7 @@
 
     #[test]
     fn what_the_fleets_watch_told_stands_for_a_probe_and_what_it_wants_is_probed() {
-        let (mut engine, doors, order) = probing(3);
+        let (mut engine, listeners, order) = probing(3);
         let book = Arc::new(LoadBook::default());
         // Young for as long as the test may take.
         book.tell([(ServerId(0), boottime() + 3_600_000_000, vec![0.5])]);
@@ -672,11 +711,11 @@
         order.send(ServerId(0)).unwrap();
         order.send(ServerId(1)).unwrap();
         let serving = std::thread::spawn(move || engine.run());
-        drop(probed(&doors[1]));
-        assert_eq!(doors[0].accept().unwrap_err().kind(), ErrorKind::WouldBlock);
+        drop(probed(&listeners[1]));
+        assert_eq!(listeners[0].accept().unwrap_err().kind(), ErrorKind::WouldBlock);
         assert_eq!((book.spared.load(Relaxed), book.made.load(Relaxed)), (1, 1));
         book.want([ServerId(2)]);
-        probed(&doors[2]).write_all(b"PONG x0=0.25\r\n").unwrap();
+        probed(&listeners[2]).write_all(b"PONG x0=0.25\r\n").unwrap();
         let found = until(|| book.take().pop());
         assert_eq!((found.0, found.2), (ServerId(2), Some(vec![0.25])));
         assert_eq!(book.fresh(ServerId(2), found.1), Some(vec![0.25]), "its own relay knows it at once");
@@ -687,7 +726,7 @@
     /// A lost zone once held up the probes of all others, 250 ms for each of its servers.
     #[test]
     fn silent_servers_do_not_hold_up_the_probes_of_the_others() {
-        let (mut engine, doors, order) = probing(7);
+        let (mut engine, listeners, order) = probing(7);
         // So long a limit that a seventh which waited for the six would never be asked.
         engine.probe_limit = 3_600_000_000;
         let handle = engine.handle();
@@ -695,7 +734,7 @@
         let ask = |n: usize| {
             order.send(ServerId(n as u64)).unwrap();
             (handle.wake)();
-            probed(&doors[n])
+            probed(&listeners[n])
         };
         let silent: Vec<TcpStream> = (0..6).map(ask).collect();
         let mut seventh = ask(6);
--- a/src/net/greet.rs
+++ b/src/net/greet.rs
@@ -8,8 +8,8 @@
 use crate::front::xmpp::greeting;
 use crate::front::{Greeter, Next, Short};
 use crate::log::log;
-use crate::net::admit::Guest;
-use crate::net::conn::{Conn, Hearing, Phase};
+use crate::net::admit::Idle;
+use crate::net::conn::{Conn, Hearing, Phase, LINGER_SHORT};
 use crate::net::core::Core;
 use crate::net::session::Account;
 use crate::sys::timed_out;
@@ -19,7 +19,7 @@
 /// The longest wait for a client to take its answer, in microseconds.
 const ANSWER: Micros = 1_000_000;
 
-/// What is spoken at a door.
+/// What is spoken at a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Speaks {
     /// The line protocol.
@@ -40,7 +40,7 @@
     }
 }
 
-/// The machine that hears a client of this door; none where the front has gone meanwhile.
+/// The machine that hears a client of this listener; none where the front has gone meanwhile.
 fn greeter(core: &Core, speaks: Speaks) -> Option<Box<dyn Greeter>> {
     let now = core.decisions.now();
     if speaks == Speaks::Line {
@@ -63,14 +63,14 @@
 }
 
 impl Conn {
-    /// The connection of a client that has just come to this door; none where there is nobody to hear it.
-    pub fn greet(core: &Arc<Core>, guest: Guest, speaks: Speaks) -> Option<Conn> {
+    /// The connection of a client that has just come to this listener; none where there is nobody to hear it.
+    pub fn greet(core: &Arc<Core>, idle: Idle, speaks: Speaks) -> Option<Conn> {
         let greeter = greeter(core, speaks)?;
-        guest.stream.set_nonblocking(true).and_then(|()| guest.stream.set_nodelay(true)).ok()?;
-        let mut conn = Conn::new(core, guest.number(), guest.stream.clone());
+        idle.stream.set_nonblocking(true).and_then(|()| idle.stream.set_nodelay(true)).ok()?;
+        let mut conn = Conn::new(core, idle.number(), idle.stream.clone());
         conn.account = Some(Account::new(speaks.front()));
         let (out, blocked) = (Vec::new(), None);
-        let mut hearing = Hearing { guest, greeter, securing: false, tells: false, out, blocked };
+        let mut hearing = Hearing { idle, greeter, securing: false, tells: false, out, blocked };
         let secured = speaks != Speaks::XmppTls || conn.secure(&mut hearing, None, false);
         conn.hearing = Some(Box::new(hearing));
         if secured {
@@ -90,6 +90,21 @@
         true
     }
 
+    /// Ends a connection that rests, whose room is needed, or whose process stops: with an answer, since a request may
+    /// be on its way at this moment. One that has come by now is heard as ever.
+    pub fn dismiss(&mut self) {
+        if self.phase == Phase::Hearing {
+            self.hear();
+        }
+        let Some(mut hearing) = self.hearing.take() else { return };
+        let (last, reason) = hearing.greeter.cut_short(&self.up, Short::Dismissed);
+        self.idle = Some(hearing.idle);
+        self.linger = LINGER_SHORT;
+        // Behind what is still to be said, or in place of it: half a word would garble the answer.
+        let whole = hearing.out.is_empty() && !hearing.securing;
+        self.turn_away(if whole { last } else { Vec::new() }, reason);
+    }
+
     /// It is closed with no word more.
     fn unheard(&mut self, reason: &str) {
         if let Some(account) = self.account.take().filter(|_| !reason.is_empty()) {
@@ -105,7 +120,7 @@
             self.hearing = Some(hearing);
         } else if self.phase != Phase::Done && self.session.is_none() {
             // Its room is its own until it has gone.
-            self.guest = Some(hearing.guest);
+            self.idle = Some(hearing.idle);
         }
     }
 
@@ -153,7 +168,7 @@
             match h.greeter.next(&mut self.up, now, &rules) {
                 Next::Read => {}
                 Next::Say(bytes) => {
-                    h.guest.asked();
+                    h.idle.asked();
                     h.out = bytes;
                     continue;
                 }
@@ -164,7 +179,7 @@
                     continue;
                 }
                 Next::Place(order) => {
-                    self.let_in(&h.guest, order);
+                    self.let_in(&h.idle, order);
                     return false;
                 }
                 Next::End(last, reason) => {
@@ -173,12 +188,13 @@
                 }
             }
             if now >= h.greeter.until() {
-                let (last, reason) = h.greeter.cut_short(&self.up, Short::Late);
-                if last.is_empty() {
-                    self.unheard(reason);
-                } else {
-                    self.turn_away(last, reason);
+                let (mut last, mut reason) = h.greeter.cut_short(&self.up, Short::Late);
+                if last.is_empty() && reason.is_empty() {
+                    // It has rested for too long. Its request may be on its way just now.
+                    (last, reason) = h.greeter.cut_short(&self.up, Short::Dismissed);
+                    self.linger = LINGER_SHORT;
                 }
+                self.turn_away(last, reason);
                 return false;
             }
             if std::mem::replace(&mut filled, true) {
@@ -196,9 +212,9 @@
         }
     }
 
-    /// Ends a connection that asked for nothing sensible.
+    /// Ends a connection that asked for nothing sensible, or for nothing.
     fn turn_away(&mut self, last: Vec<u8>, reason: &'static str) {
-        if let Some(account) = self.account.take() {
+        if let Some(account) = self.account.take().filter(|_| !reason.is_empty()) {
             account.log(reason);
         }
         self.last = last;
