--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -97,6 +97,32 @@
     });
 }
 
+/// Refused for long enough that the pauses have grown to their most; then it can be reached.
+#[test]
+fn discovery_that_has_refused_is_called_in_time_once_it_can_be_reached() {
+    let (fleet, down) = (Fleet::new(&["s-1"]), Refusing::new());
+    let relay = Relay::start(&fleet.config(down.addr()), None);
+    until("six refusals", || (relay.times_logged("discovery: the watch failed") >= 6).then_some(()));
+    let since = Instant::now();
+    let discovery = down.answers();
+    discovery.watched("GET").tell(2, true, &[fleet.entry("s-1", "active")]);
+    assert!(since.elapsed() + ANSWER < TOLD, "{:?}", since.elapsed());
+    relay.wait_for_log("discovery: version 2");
+}
+
+/// A reload that moves discovery while a call to the old place waits for its answer: that call is not waited for.
+#[test]
+fn a_reload_in_the_midst_of_a_call_is_followed_at_once() {
+    let (fleet, new) = (Fleet::new(&["s-1"]), Discovery::new());
+    let relay = fleet.relay();
+    let (mut mute, _) = fleet.discovery.called();
+    let since = Instant::now();
+    relay.reload(&fleet.config(new.addr()));
+    new.watched("GET /v1/endpoints?watch=1 HTTP");
+    assert!(since.elapsed() < CALL, "{:?}", since.elapsed());
+    assert!(mute.ended());
+}
+
 /// A process that was stopped finds its time up and a whole list waiting: the watch stands.
 #[test]
 fn a_relay_that_was_stopped_for_long_reads_what_has_come_before_it_judges_the_watch() {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -138,6 +138,13 @@
     pub fn addr(&self) -> SocketAddr {
         self.0.local_addr().unwrap().as_socket().unwrap()
     }
+
+    /// From now on somebody answers there.
+    pub fn answers(self) -> Discovery {
+        self.0.listen(64).unwrap();
+        self.0.set_nonblocking(true).unwrap();
+        Discovery(self.0.into())
+    }
 }
 
 /// A backend whose queue is full: a dial waits until there is room in it, and comes up about a second later.
@@ -470,7 +477,11 @@
     }
 
     pub fn logged(&self, part: &str) -> bool {
-        self.log.lock().unwrap().iter().any(|l| l.contains(part))
+        self.times_logged(part) > 0
+    }
+
+    pub fn times_logged(&self, part: &str) -> usize {
+        self.log.lock().unwrap().iter().filter(|l| l.contains(part)).count()
     }
 
     pub fn signal(&self, name: &str) {
