--- a/crates/control/src/owners.rs
+++ b/crates/control/src/jobs/assignment.rs
@@ -8,7 +8,7 @@
 //! that is alive but cut off (its job is given away once its lease cannot run any more), flapping (a job is moved for
 //! balance only after a pause, and never by a lost message), and a checkpoint of an owner of before (it bears its token).
 
-use crate::relay::{Relay, Skills};
+use crate::wire::relay::{Relay, Skills};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -34,8 +34,9 @@
     /// Who has it.
     pub owner: Option<Relay>,
     /// It is taken back: its owner has it no more once it knows this version of the jobs.
-    pub yields: Option<u64>,
-    /// Staff want nobody to have it.
+    #[serde(rename = "yields")]
+    pub revoked_at: Option<u64>,
+    /// Operators want nobody to have it.
     pub held: bool,
     /// Whoever gave it up last, and why: another gets it where there is one.
     pub gave_up: Option<(String, String)>,
@@ -60,17 +61,20 @@
 
 /// A change of them, as it stands in the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Deal {
+pub enum Assignment {
     /// These jobs exist.
     Open(Vec<String>),
     /// This one exists no more.
     Close(String),
     /// Each goes to that relay.
-    Give(Vec<(String, Relay)>),
+    #[serde(rename = "Give")]
+    Assign(Vec<(String, Relay)>),
     /// Each is taken back from its owner, with why.
-    Yield(Vec<(String, Token, String)>),
+    #[serde(rename = "Yield")]
+    Revoke(Vec<(String, Token, String)>),
     /// No owner acts on these any more.
-    Free(Vec<(String, Token)>),
+    #[serde(rename = "Free")]
+    Release(Vec<(String, Token)>),
     /// The owner is so far.
     Checkpoint(String, Token, u64, Vec<u8>),
     /// Nobody is to have it, or somebody again.
@@ -80,58 +84,58 @@
 impl Jobs {
     /// Takes a change that the log has. What does not fit how things stand is of a leader or owner of before, and changes
     /// nothing.
-    pub fn apply(&mut self, deal: Deal) {
-        match deal {
-            Deal::Open(names) => {
+    pub fn apply(&mut self, assignment: Assignment) {
+        match assignment {
+            Assignment::Open(names) => {
                 for name in names {
                     if may_be_named(&name) && self.of.len() < MOST_JOBS {
                         self.of.entry(name).or_default();
                     }
                 }
             }
-            Deal::Close(name) => {
+            Assignment::Close(name) => {
                 // Its owner first has to know.
                 if self.of.get(&name).is_some_and(|job| job.owner.is_none()) {
                     self.of.remove(&name);
                 }
             }
-            Deal::Give(gifts) => {
-                for (name, relay) in gifts {
+            Assignment::Assign(assignments) => {
+                for (name, relay) in assignments {
                     let Some(job) = self.of.get_mut(&name).filter(|job| job.owner.is_none() && !job.held)
                     else {
                         continue;
                     };
                     self.last += 1;
                     self.version += 1;
-                    (job.token, job.owner, job.yields) = (self.last, Some(relay), None);
+                    (job.token, job.owner, job.revoked_at) = (self.last, Some(relay), None);
                 }
             }
-            Deal::Yield(names) => {
+            Assignment::Revoke(names) => {
                 for (name, token, why) in names {
                     let version = self.version + 1;
-                    if let Some(job) = self.with(&name, token).filter(|job| job.yields.is_none()) {
+                    if let Some(job) = self.with(&name, token).filter(|job| job.revoked_at.is_none()) {
                         job.gave_up = job.owner.as_ref().map(|owner| (owner.name.clone(), why));
-                        job.yields = Some(version);
+                        job.revoked_at = Some(version);
                         self.version = version;
                     }
                 }
             }
-            Deal::Free(names) => {
+            Assignment::Release(names) => {
                 for (name, token) in names {
                     if let Some(job) = self.with(&name, token) {
-                        (job.owner, job.yields) = (None, None);
+                        (job.owner, job.revoked_at) = (None, None);
                         self.version += 1;
                     }
                 }
             }
-            Deal::Checkpoint(name, token, step, bytes) => {
+            Assignment::Checkpoint(name, token, step, bytes) => {
                 if let Some(job) = self.with(&name, token) {
                     if step == job.step + 1 && bytes.len() <= MOST_CHECKPOINT {
                         (job.step, job.checkpoint) = (step, bytes);
                     }
                 }
             }
-            Deal::Hold(name, held) => {
+            Assignment::Hold(name, held) => {
                 if let Some(job) = self.of.get_mut(&name) {
                     job.held = held;
                 }
@@ -145,14 +149,18 @@
 
     /// What a relay's process has, by name and token.
     pub fn of_relay(&self, relay: &Relay) -> Vec<(String, Token)> {
-        let own = |job: &Job| job.owner.as_ref() == Some(relay) && job.yields.is_none();
+        let own = |job: &Job| job.owner.as_ref() == Some(relay) && job.revoked_at.is_none();
         self.of.iter().filter(|(_, job)| own(job)).map(|(name, job)| (name.clone(), job.token)).collect()
     }
 
     /// The next jobs to give, to relays that may have some: each job has its own order of the relays that can do it
     /// (those of its zone first, then rendezvous), and goes to the first that has not its part yet. Whoever gave it up last
     /// comes after all others. Jobs that rest are given to nobody.
-    pub fn gifts(&self, workers: &[(Relay, Skills)], rests: impl Fn(&str) -> bool) -> Vec<(String, Relay)> {
+    pub fn assignments(
+        &self,
+        workers: &[(Relay, Skills)],
+        rests: impl Fn(&str) -> bool,
+    ) -> Vec<(String, Relay)> {
         let part = self.part(workers.len());
         let mut has: BTreeMap<&Relay, usize> = workers.iter().map(|(relay, _)| (relay, 0)).collect();
         for owner in self.of.values().filter_map(|job| job.owner.as_ref()) {
@@ -160,7 +168,7 @@
                 *n += 1;
             }
         }
-        let mut gifts = Vec::new();
+        let mut assignments = Vec::new();
         for (name, job) in self.of.iter().filter(|(_, job)| job.owner.is_none() && !job.held) {
             if rests(name) {
                 continue;
@@ -174,19 +182,19 @@
             if let Some(n) = has.get_mut(relay) {
                 *n += 1;
             }
-            gifts.push((name.clone(), relay.clone()));
-            if gifts.len() == BATCH {
+            assignments.push((name.clone(), relay.clone()));
+            if assignments.len() == BATCH {
                 break;
             }
         }
-        gifts
+        assignments
     }
 
     /// Jobs to take back because their owner has more than its part, those first that it is least the relay for.
     pub fn excess(&self, workers: usize) -> Vec<(String, Token, String)> {
         let part = self.part(workers);
         let mut of: BTreeMap<&Relay, Vec<(u64, &String, Token)>> = BTreeMap::new();
-        for (name, job) in self.of.iter().filter(|(_, job)| job.yields.is_none()) {
+        for (name, job) in self.of.iter().filter(|(_, job)| job.revoked_at.is_none()) {
             let Some(owner) = &job.owner else { continue };
             of.entry(owner).or_default().push((weight(name, owner), name, job.token));
         }
@@ -227,22 +235,22 @@
 
     fn jobs(n: usize) -> Jobs {
         let mut jobs = Jobs::default();
-        jobs.apply(Deal::Open((0..n).map(|n| format!("job-{n}")).collect()));
+        jobs.apply(Assignment::Open((0..n).map(|n| format!("job-{n}")).collect()));
         jobs
     }
 
-    fn gifts(jobs: &Jobs, relays: &[Relay]) -> Vec<(String, Relay)> {
+    fn assignments(jobs: &Jobs, relays: &[Relay]) -> Vec<(String, Relay)> {
         let workers: Vec<_> = relays.iter().map(|relay| (relay.clone(), Skills::default())).collect();
-        jobs.gifts(&workers, |_| false)
+        jobs.assignments(&workers, |_| false)
     }
 
     fn give_all(jobs: &mut Jobs, relays: &[Relay]) {
         loop {
-            let gifts = gifts(jobs, relays);
-            if gifts.is_empty() {
+            let assignments = assignments(jobs, relays);
+            if assignments.is_empty() {
                 break;
             }
-            jobs.apply(Deal::Give(gifts));
+            jobs.apply(Assignment::Assign(assignments));
         }
     }
 
@@ -250,24 +258,24 @@
     fn tokens_only_grow_and_what_an_owner_of_before_says_changes_nothing() {
         let mut jobs = jobs(1);
         let (name, of) = ("job-0".to_string(), |jobs: &Jobs| jobs.of["job-0"].clone());
-        jobs.apply(Deal::Give(vec![(name.clone(), relay(1))]));
-        jobs.apply(Deal::Give(vec![(name.clone(), relay(2))]));
+        jobs.apply(Assignment::Assign(vec![(name.clone(), relay(1))]));
+        jobs.apply(Assignment::Assign(vec![(name.clone(), relay(2))]));
         assert_eq!((of(&jobs).owner, of(&jobs).token), (Some(relay(1)), 1), "one owner at a time");
-        jobs.apply(Deal::Checkpoint(name.clone(), 1, 1, vec![7]));
-        jobs.apply(Deal::Checkpoint(name.clone(), 1, 3, vec![9]));
-        jobs.apply(Deal::Yield(vec![(name.clone(), 1, "staff".into())]));
+        jobs.apply(Assignment::Checkpoint(name.clone(), 1, 1, vec![7]));
+        jobs.apply(Assignment::Checkpoint(name.clone(), 1, 3, vec![9]));
+        jobs.apply(Assignment::Revoke(vec![(name.clone(), 1, "operators".into())]));
         assert_eq!(jobs.of_relay(&relay(1)), []);
-        jobs.apply(Deal::Free(vec![(name.clone(), 1)]));
-        assert_eq!(gifts(&jobs, &[relay(1), relay(2)]), [(name.clone(), relay(2))], "another gets it");
-        jobs.apply(Deal::Give(vec![(name.clone(), relay(2))]));
+        jobs.apply(Assignment::Release(vec![(name.clone(), 1)]));
+        assert_eq!(assignments(&jobs, &[relay(1), relay(2)]), [(name.clone(), relay(2))], "another gets it");
+        jobs.apply(Assignment::Assign(vec![(name.clone(), relay(2))]));
         // Late words of the first.
-        jobs.apply(Deal::Free(vec![(name.clone(), 1)]));
-        jobs.apply(Deal::Checkpoint(name.clone(), 1, 2, vec![8]));
+        jobs.apply(Assignment::Release(vec![(name.clone(), 1)]));
+        jobs.apply(Assignment::Checkpoint(name.clone(), 1, 2, vec![8]));
         let job = of(&jobs);
         assert_eq!((job.owner, job.token, job.step, job.checkpoint), (Some(relay(2)), 2, 1, vec![7]));
-        jobs.apply(Deal::Hold(name.clone(), true));
-        jobs.apply(Deal::Free(vec![(name, 2)]));
-        assert_eq!(gifts(&jobs, &[relay(1)]), []);
+        jobs.apply(Assignment::Hold(name.clone(), true));
+        jobs.apply(Assignment::Release(vec![(name, 2)]));
+        assert_eq!(assignments(&jobs, &[relay(1)]), []);
     }
 
     #[test]
@@ -287,8 +295,8 @@
             }
             moved += excess.len();
             let freed = excess.iter().map(|(name, token, _)| (name.clone(), *token)).collect();
-            jobs.apply(Deal::Yield(excess));
-            jobs.apply(Deal::Free(freed));
+            jobs.apply(Assignment::Revoke(excess));
+            jobs.apply(Assignment::Release(freed));
             give_all(&mut jobs, &relays);
         }
         assert!(moved < 200, "{moved} moved");
@@ -299,7 +307,7 @@
     #[test]
     fn a_job_goes_to_whoever_can_do_it_and_to_its_own_zone_first() {
         let mut jobs = Jobs::default();
-        jobs.apply(Deal::Open(vec!["load/a".into(), "load/b".into(), "moves".into()]));
+        jobs.apply(Assignment::Open(vec!["load/a".into(), "load/b".into(), "moves".into()]));
         let skills = |kinds: &[&str], zone: &str| Skills {
             kinds: kinds.iter().map(|kind| kind.to_string()).collect(),
             opens: Vec::new(),
@@ -307,14 +315,14 @@
         };
         let all: Vec<_> =
             (0..8).map(|n| (relay(n), skills(&["load"], if n < 4 { "a" } else { "b" }))).collect();
-        let gifts = jobs.gifts(&all, |_| false);
-        let near = |name: &str, gifts: &[(String, Relay)]| {
-            let (_, owner) = gifts.iter().find(|(job, _)| job == name).unwrap();
+        let assignments = jobs.assignments(&all, |_| false);
+        let near = |name: &str, assignments: &[(String, Relay)]| {
+            let (_, owner) = assignments.iter().find(|(job, _)| job == name).unwrap();
             all.iter().any(|(relay, skills)| relay == owner && skills.near(name))
         };
-        assert_eq!(gifts.len(), 2, "nobody can do moves");
-        assert!(near("load/a", &gifts) && near("load/b", &gifts));
+        assert_eq!(assignments.len(), 2, "nobody can do moves");
+        assert!(near("load/a", &assignments) && near("load/b", &assignments));
         // Without one of its zone another does it; one that rests waits.
-        assert_eq!(jobs.gifts(&all[..4], |name| name == "load/a").len(), 1);
+        assert_eq!(jobs.assignments(&all[..4], |name| name == "load/a").len(), 1);
     }
 }
--- a/crates/control/src/fence.rs
+++ b/crates/control/src/jobs/fence.rs
@@ -4,8 +4,8 @@
 //! receiver that has started anew without a disk: it obeys nobody before it knows how far the tokens are, and asks about
 //! those that were given before.
 
-use crate::owners::Token;
-use crate::{Plant, Planted};
+use crate::jobs::assignment::Token;
+use crate::{InjectedBug, InjectedBugs};
 use std::collections::BTreeMap;
 
 /// What becomes of an order.
@@ -22,7 +22,7 @@
 /// See the module's text.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fence {
-    planted: Planted,
+    injected: InjectedBugs,
     /// The last token that was given when this receiver started; none before it was told.
     floor: Option<Token>,
     highest: BTreeMap<String, Token>,
@@ -30,9 +30,9 @@
 
 impl Fence {
     /// One with a fault in it: for tests of the checkers.
-    #[cfg(feature = "plants")]
-    pub fn planted(planted: Planted) -> Fence {
-        Fence { planted, ..Fence::default() }
+    #[cfg(feature = "injected-bugs")]
+    pub fn with_injected(injected: InjectedBugs) -> Fence {
+        Fence { injected, ..Fence::default() }
     }
 
     /// The last token that the fleet has given. What counts is the first word since the start: later tokens are seen
@@ -50,8 +50,8 @@
     /// What becomes of an order with this token.
     pub fn take(&mut self, name: &str, token: Token) -> Verdict {
         match (self.highest.get(name), self.floor) {
-            _ if self.planted.is(Plant::NoFence) => Verdict::Obey,
-            (None, _) if self.planted.is(Plant::TrustFirst) => self.obey(name, token),
+            _ if self.injected.is(InjectedBug::NoFence) => Verdict::Obey,
+            (None, _) if self.injected.is(InjectedBug::TrustFirst) => self.obey(name, token),
             (Some(highest), _) if token < *highest => Verdict::Stale(*highest),
             (Some(_), _) => self.obey(name, token),
             // Given since this receiver started: any later one has a higher token, and none before has.
--- a/crates/control/src/watch.rs
+++ b/crates/control/src/jobs/load_watch.rs
@@ -56,7 +56,7 @@
 
 /// See the module's text.
 #[derive(Clone, Debug, Default)]
-pub struct Watch {
+pub struct LoadWatch {
     began: Option<Micros>,
     /// Of this round: who is to be probed, who is out, and who has answered when.
     todo: Vec<u64>,
@@ -67,7 +67,7 @@
     vain: Option<Micros>,
 }
 
-impl Watch {
+impl LoadWatch {
     /// Time has passed: which of the zone's backends are to be probed now. Who is listed is asked once a round.
     pub fn turn<L>(&mut self, now: Micros, listed: impl FnOnce() -> L) -> Vec<u64>
     where
@@ -135,7 +135,7 @@
 
     #[test]
     fn a_round_asks_each_once_few_at_a_time_and_tells_who_answered() {
-        let (mut watch, of) = (Watch::default(), columns(&["x0"]));
+        let (mut watch, of) = (LoadWatch::default(), columns(&["x0"]));
         assert_eq!(watch.turn(0, || 0..6), [0, 1, 2, 3]);
         watch.found(1_000, 0, Some(vec![0.5]));
         watch.found(2_000, 1, None);
@@ -156,7 +156,7 @@
 
     #[test]
     fn who_reaches_nobody_gives_up_after_a_while() {
-        let mut watch = Watch::default();
+        let mut watch = LoadWatch::default();
         for n in 0..7 {
             let now = n * ROUND;
             assert_eq!(watch.useless(now), None, "{n}");
--- a/crates/control/src/moves.rs
+++ b/crates/control/src/jobs/moves.rs
@@ -7,7 +7,7 @@
 //! Guards against: more moves a second than the policy allows for the whole fleet, also over a change of owner (a new one
 //! begins with what relays say to be permitted and without credit), and a relay that has gone (it is given nothing).
 
-use crate::relay::Relay;
+use crate::wire::relay::Relay;
 use crate::{wire, Micros};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/jobs/owner.rs
@@ -4,9 +4,9 @@
 //! (it stops before it says that it knows the list), after a receiver has said that another has the job, and an older
 //! list that comes late (versions only grow).
 
-use crate::message::{OwnJobs, Renew, Reply, Skills};
-use crate::owners::Token;
-use crate::{Micros, Plant, Planted, Times};
+use crate::jobs::assignment::Token;
+use crate::wire::message::{OwnJobs, Renew, Reply, Skills};
+use crate::{InjectedBug, InjectedBugs, Micros, Times};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Why a relay gives its jobs up that is told to stop. It says nothing of the job.
@@ -28,7 +28,7 @@
 /// See the module's text.
 #[derive(Clone, Debug, Default)]
 pub struct Owner {
-    planted: Planted,
+    injected: InjectedBugs,
     version: u64,
     jobs: BTreeMap<String, Own>,
     /// What it acts on no more, whatever an older list says, and why.
@@ -42,9 +42,9 @@
 
 impl Owner {
     /// One with a fault in it: for tests of the checkers.
-    #[cfg(feature = "plants")]
-    pub fn planted(planted: Planted) -> Owner {
-        Owner { planted, ..Owner::default() }
+    #[cfg(feature = "injected-bugs")]
+    pub fn with_injected(injected: InjectedBugs) -> Owner {
+        Owner { injected, ..Owner::default() }
     }
 
     /// What it can do.
@@ -62,7 +62,7 @@
 
     /// The job, where it may be acted on at this moment: to be asked right before each order.
     pub fn may_act(&self, now: Micros, name: &str) -> Option<&Own> {
-        let runs = now < self.lease || (self.planted.is(Plant::OwnForever) && self.lease > 0);
+        let runs = now < self.lease || (self.injected.is(InjectedBug::OwnForever) && self.lease > 0);
         self.jobs.get(name).filter(|_| runs)
     }
 
@@ -122,7 +122,7 @@
         let listed: BTreeSet<(&str, Token)> =
             list.of.iter().map(|(name, token, ..)| (name.as_str(), *token)).collect();
         self.gave_up.retain(|(name, token), _| listed.contains(&(name.as_str(), *token)));
-        if !self.planted.is(Plant::KeepJob) {
+        if !self.injected.is(InjectedBug::KeepJob) {
             self.jobs.retain(|name, own| listed.contains(&(name.as_str(), own.token)));
         }
         for (name, token, step, checkpoint) in &list.of {
--- a/crates/control/src/zones.rs
+++ b/crates/control/src/jobs/zones.rs
@@ -104,7 +104,7 @@
     Out,
     /// It takes a part again, more with each step.
     Returning,
-    /// Staff have said what it takes.
+    /// Operators have said what it takes.
     Held,
 }
 
@@ -174,7 +174,7 @@
         }
     }
 
-    /// Staff hold a zone at a share, or let it go: it returns then, by steps from what it has.
+    /// Operators hold a zone at a share, or let it go: it returns then, by steps from what it has.
     pub fn hold(&mut self, now: Micros, zone: &str, share: Option<u8>) -> Result<(), String> {
         let known: Vec<&str> = self.places.keys().map(String::as_str).collect();
         let names = known.join(", ");
@@ -183,11 +183,11 @@
         };
         match share {
             Some(share) => {
-                place.become_(now, State::Held, share.min(100), "staff hold it".into());
+                place.become_(now, State::Held, share.min(100), "operators hold it".into());
             }
             None if place.state == State::Held => {
                 let share = place.share;
-                place.become_(now, State::Out, share, "staff let it go: it returns by steps".into());
+                place.become_(now, State::Out, share, "operators let it go: it returns by steps".into());
             }
             None => return Err(format!("{zone} is not held")),
         }
--- a/crates/control/src/holder.rs
+++ b/crates/control/src/lease/client.rs
@@ -7,11 +7,11 @@
 //! Guards against: an answer to a question from before it stopped or changed its policy (it counts for nothing), a lease that outlives a restart, and
 //! a proposal that this build does not understand (it is refused, with the reason, and the fleet keeps what it has).
 
-use crate::message::{Relay, Renew, Reply};
-use crate::owner::Owner;
-use crate::seats::Seats;
-use crate::state::{Policy, Proposal, ProposalId};
-use crate::{Micros, Plant, Planted, Times};
+use crate::jobs::owner::Owner;
+use crate::log::membership::Membership;
+use crate::log::state::{Policy, Proposal, ProposalId};
+use crate::wire::message::{Relay, Renew, Reply};
+use crate::{InjectedBug, InjectedBugs, Micros, Times};
 use std::collections::VecDeque;
 
 /// Questions whose answers may still come; what is older has lost its lease anyway.
@@ -30,31 +30,31 @@
 /// What is to be done, in this order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
-    /// Store it as the policy that is prepared; [`Holder::prepared`] says that it is stored.
+    /// Store it as the policy that is prepared; [`LeaseClient::prepared`] says that it is stored.
     Prepare(Proposal),
     /// Store it as the policy to start with, then serve under it.
     Adopt(Policy),
     /// Who votes has changed: store it, and know where to reach them.
-    Seats(Seats),
+    Membership(Membership),
     /// Send this to that voter.
     Send(u64, Box<Renew>),
 }
 
 /// See the module's text.
 #[derive(Clone, Debug)]
-pub struct Holder {
+pub struct LeaseClient {
     relay: Relay,
     times: Times,
     alone: Alone,
-    planted: Planted,
+    injected: InjectedBugs,
     voters: Vec<u64>,
-    /// The version of the seats that it knows; 0 for those of the operator file.
-    seats: u64,
+    /// The version of the membership that it knows; 0 for those of the operator file.
+    membership: u64,
     policy: Policy,
     prepared: Option<Proposal>,
     refused: Option<(ProposalId, String)>,
     /// The proposal that it has stopped for, and when.
-    yielded: Option<(ProposalId, Micros)>,
+    revoked: Option<(ProposalId, Micros)>,
     /// Up to when clients may be admitted.
     lease: Micros,
     number: u64,
@@ -75,22 +75,22 @@
     tokens: Option<u64>,
 }
 
-impl Holder {
+impl LeaseClient {
     /// A relay with the policy that it had stored. Its voters are asked in turn until one leads.
-    pub fn new(relay: Relay, voters: Vec<u64>, kept: Policy, times: Times, alone: Alone) -> Holder {
+    pub fn new(relay: Relay, voters: Vec<u64>, kept: Policy, times: Times, alone: Alone) -> LeaseClient {
         let spread = relay.name.bytes().fold(0, |sum, byte| sum + usize::from(byte));
         let voter = spread % voters.len().max(1);
-        Holder {
+        LeaseClient {
             relay,
             times,
             alone,
-            planted: Planted::default(),
+            injected: InjectedBugs::default(),
             voters,
-            seats: 0,
+            membership: 0,
             policy: kept,
             prepared: None,
             refused: None,
-            yielded: None,
+            revoked: None,
             lease: 0,
             number: 0,
             heard: 0,
@@ -105,26 +105,26 @@
     }
 
     /// The same with a fault in it: for tests of the checkers.
-    #[cfg(feature = "plants")]
-    pub fn planted(mut self, planted: Planted, now: Micros) -> Holder {
-        self.planted = planted;
-        if planted.is(Plant::LeaseSurvivesRestart) && self.policy.epoch > 0 {
+    #[cfg(feature = "injected-bugs")]
+    pub fn with_injected(mut self, injected: InjectedBugs, now: Micros) -> LeaseClient {
+        self.injected = injected;
+        if injected.is(InjectedBug::LeaseSurvivesRestart) && self.policy.epoch > 0 {
             self.lease = now + self.times.lease;
         }
         self
     }
 
     /// Asks these from now on, and not those that it was made with. A relay that votes knows them from its log, too.
-    pub fn seated(&mut self, seats: &Seats) -> bool {
-        if seats.version <= self.seats {
+    pub fn learn_membership(&mut self, membership: &Membership) -> bool {
+        if membership.version <= self.membership {
             return false;
         }
         let asked = self.voters[self.voter % self.voters.len()];
-        let voters: Vec<u64> = seats.voters().collect();
+        let voters: Vec<u64> = membership.voters().collect();
         if voters.is_empty() {
             return false;
         }
-        (self.voters, self.seats) = (voters, seats.version);
+        (self.voters, self.membership) = (voters, membership.version);
         self.voter = self.voters.iter().position(|voter| *voter == asked).unwrap_or(self.voter);
         true
     }
@@ -177,9 +177,9 @@
 
     /// Up to when clients may be admitted, as things stand.
     pub fn until(&self, now: Micros) -> Micros {
-        let forever = self.planted.is(Plant::IgnoreLease) && self.lease > 0;
+        let forever = self.injected.is(InjectedBug::IgnoreLease) && self.lease > 0;
         // One that serves alone still stops when it is asked to, for as long as the fleet may need.
-        let stopped = self.yielded.is_some_and(|(_, at)| now < at + self.times.patience);
+        let stopped = self.revoked.is_some_and(|(_, at)| now < at + self.times.patience);
         if forever || (self.alone == Alone::Serve && !stopped) {
             return Micros::MAX;
         }
@@ -211,8 +211,8 @@
             epoch: self.policy.epoch,
             prepared: self.prepared.as_ref().map(|p| p.id),
             refused: self.refused.clone(),
-            yielded: self.yielded.map(|(id, _)| id),
-            seats: self.seats,
+            revoked: self.revoked.map(|(id, _)| id),
+            membership: self.membership,
             ..Renew::default()
         };
         if let Some(owner) = &self.owner {
@@ -237,9 +237,11 @@
         let Some(&(_, asked)) = asked else { return Vec::new() };
         let last = reply.number == self.number;
         let mut effects = Vec::new();
-        if let Some(seats) = reply.seats.take().filter(|seats| seats.version > self.seats) {
-            self.seated(&seats);
-            effects.push(Effect::Seats(seats));
+        if let Some(membership) =
+            reply.membership.take().filter(|membership| membership.version > self.membership)
+        {
+            self.learn_membership(&membership);
+            effects.push(Effect::Membership(membership));
         }
         if let Some(leader) = reply.elsewhere {
             if !last || !std::mem::take(&mut self.waits) {
@@ -260,20 +262,20 @@
         }
         self.heard = self.heard.max(reply.number);
         self.tokens = reply.last.max(self.tokens);
-        let mut news = false;
+        let mut updates = false;
         if let Some(owner) = &mut self.owner {
             owner.heard(asked, &reply, self.times);
             // Said at once that it has stopped: somebody waits for its jobs.
-            news = reply.jobs.is_some();
+            updates = reply.jobs.is_some();
         }
         if let Some(policy) = reply.policy.filter(|policy| policy.epoch > self.policy.epoch) {
-            (self.prepared, self.refused, self.yielded) = (None, None, None);
+            (self.prepared, self.refused, self.revoked) = (None, None, None);
             (self.lease, self.policy, self.barrier) = (0, policy.clone(), self.number);
             effects.push(Effect::Adopt(policy));
-            news = true;
+            updates = true;
         }
-        if reply.grant.is_some_and(|epoch| epoch == self.policy.epoch) && !news {
-            let from = if self.planted.is(Plant::LeaseFromGrant) { now } else { asked };
+        if reply.grant.is_some_and(|epoch| epoch == self.policy.epoch) && !updates {
+            let from = if self.injected.is(InjectedBug::LeaseFromGrant) { now } else { asked };
             self.lease = self.lease.max(from + self.times.lease);
         }
         if let Some(proposal) = reply.prepare {
@@ -284,23 +286,23 @@
                 Ok(()) => effects.push(Effect::Prepare(proposal)),
                 Err(why) => {
                     self.refused = Some((proposal.id, why));
-                    news = true;
+                    updates = true;
                 }
             }
         }
         if let Some(id) = reply.close {
-            if self.yielded.is_none_or(|(of, _)| of != id) {
+            if self.revoked.is_none_or(|(of, _)| of != id) {
                 // Before it is said: from here on nobody is admitted.
-                if !self.planted.is(Plant::KeepAfterYield) {
+                if !self.injected.is(InjectedBug::KeepAfterYield) {
                     self.lease = 0;
                 }
-                (self.yielded, self.barrier) = (Some((id, now)), self.number);
-                news = true;
+                (self.revoked, self.barrier) = (Some((id, now)), self.number);
+                updates = true;
             }
             // In force within a moment: asked for sooner than usual.
             self.next = self.next.min(now + self.times.renew / 10);
         }
-        if news {
+        if updates {
             effects.push(self.ask(now));
         }
         effects
@@ -324,8 +326,8 @@
 
     const SECOND: Micros = 1_000_000;
 
-    fn holder(start: u64) -> Holder {
-        Holder::new(
+    fn lease_client(start: u64) -> LeaseClient {
+        LeaseClient::new(
             Relay { name: "n1".into(), start },
             vec![1],
             Policy::default(),
@@ -334,8 +336,8 @@
         )
     }
 
-    fn asks(holder: &mut Holder, now: Micros) -> Renew {
-        match holder.tick(now) {
+    fn asks(lease_client: &mut LeaseClient, now: Micros) -> Renew {
+        match lease_client.tick(now) {
             Some(Effect::Send(1, renew)) => *renew,
             other => panic!("{other:?}"),
         }
@@ -351,22 +353,22 @@
 
     #[test]
     fn a_lease_runs_from_when_it_was_asked_for() {
-        let mut holder = holder(1);
-        let renew = asks(&mut holder, SECOND);
-        assert!(!holder.admits(SECOND));
-        holder.heard(2 * SECOND, granted(&renew), any);
-        assert!(holder.admits(3 * SECOND - 1) && !holder.admits(3 * SECOND));
+        let mut lease_client = lease_client(1);
+        let renew = asks(&mut lease_client, SECOND);
+        assert!(!lease_client.admits(SECOND));
+        lease_client.heard(2 * SECOND, granted(&renew), any);
+        assert!(lease_client.admits(3 * SECOND - 1) && !lease_client.admits(3 * SECOND));
         // An answer that comes once the lease would have run out gives none.
-        let renew = asks(&mut holder, 4 * SECOND);
-        holder.heard(7 * SECOND, granted(&renew), any);
-        assert!(!holder.admits(7 * SECOND));
+        let renew = asks(&mut lease_client, 4 * SECOND);
+        lease_client.heard(7 * SECOND, granted(&renew), any);
+        assert!(!lease_client.admits(7 * SECOND));
     }
 
     /// Found by seed 2102 of the virtual fleet: held back for 3 s, an answer to the process before was taken for one's own.
     #[test]
     fn an_answer_to_the_process_before_gives_no_lease() {
-        let old = asks(&mut holder(1), SECOND);
-        let mut new = holder(2);
+        let old = asks(&mut lease_client(1), SECOND);
+        let mut new = lease_client(2);
         assert_eq!(asks(&mut new, 5 * SECOND).number, old.number);
         assert_eq!(new.heard(5 * SECOND, granted(&old), any), []);
         assert!(!new.admits(5 * SECOND));
@@ -374,52 +376,53 @@
 
     #[test]
     fn who_has_said_that_it_stopped_takes_no_lease_that_was_on_its_way() {
-        let mut holder = holder(1);
-        let first = asks(&mut holder, SECOND);
-        let second = asks(&mut holder, SECOND + Times::default().renew);
-        let effects = holder.heard(2 * SECOND, Reply { close: Some(7), ..Reply::to(&second) }, any);
-        assert!(matches!(&effects[..], [Effect::Send(1, renew)] if renew.yielded == Some(7)));
-        holder.heard(2 * SECOND, granted(&first), any);
-        assert!(!holder.admits(2 * SECOND));
+        let mut lease_client = lease_client(1);
+        let first = asks(&mut lease_client, SECOND);
+        let second = asks(&mut lease_client, SECOND + Times::default().renew);
+        let effects = lease_client.heard(2 * SECOND, Reply { close: Some(7), ..Reply::to(&second) }, any);
+        assert!(matches!(&effects[..], [Effect::Send(1, renew)] if renew.revoked == Some(7)));
+        lease_client.heard(2 * SECOND, granted(&first), any);
+        assert!(!lease_client.admits(2 * SECOND));
         // The policy that it stopped for comes with the next answer, and a lease on it with the one after.
-        let renew = asks(&mut holder, 3 * SECOND);
+        let renew = asks(&mut lease_client, 3 * SECOND);
         let policy = Policy { epoch: 1, ..Policy::default() };
         let reply = Reply { policy: Some(policy.clone()), ..Reply::to(&renew) };
-        let effects = holder.heard(3 * SECOND, reply, any);
+        let effects = lease_client.heard(3 * SECOND, reply, any);
         assert_eq!(effects[0], Effect::Adopt(policy));
         let Effect::Send(1, renew) = &effects[1] else { panic!("{effects:?}") };
-        holder.heard(3 * SECOND, granted(renew), any);
-        assert!(holder.admits(3 * SECOND));
+        lease_client.heard(3 * SECOND, granted(renew), any);
+        assert!(lease_client.admits(3 * SECOND));
     }
 
     /// Found by seed 5915 of the virtual fleet: a relay came back when all voters that it knew had been replaced.
     #[test]
     fn whoever_does_not_lead_says_who_votes_now_and_the_leader_is_asked_at_once() {
-        let mut holder = holder(1);
-        let renew = asks(&mut holder, SECOND);
-        let mut seats = Seats::found(&[1]);
-        seats.apply(&crate::seats::Change::Add(2, "host:1".into(), 5));
-        seats.apply(&crate::seats::Change::Promote(2));
-        let reply = Reply { elsewhere: Some(Some(2)), seats: Some(seats.clone()), ..Reply::to(&renew) };
-        let effects = holder.heard(SECOND, reply, any);
-        assert_eq!(effects[0], Effect::Seats(seats.clone()));
-        assert!(matches!(&effects[1], Effect::Send(2, renew) if renew.seats == seats.version));
-        assert!(!holder.seated(&Seats::found(&[1])), "an older word counts for nothing");
+        let mut lease_client = lease_client(1);
+        let renew = asks(&mut lease_client, SECOND);
+        let mut membership = Membership::found(&[1]);
+        membership.apply(&crate::log::membership::Change::Add(2, "host:1".into(), 5));
+        membership.apply(&crate::log::membership::Change::Promote(2));
+        let reply =
+            Reply { elsewhere: Some(Some(2)), membership: Some(membership.clone()), ..Reply::to(&renew) };
+        let effects = lease_client.heard(SECOND, reply, any);
+        assert_eq!(effects[0], Effect::Membership(membership.clone()));
+        assert!(matches!(&effects[1], Effect::Send(2, renew) if renew.membership == membership.version));
+        assert!(!lease_client.learn_membership(&Membership::found(&[1])), "an older word counts for nothing");
     }
 
     #[test]
     fn what_is_not_understood_is_refused_with_its_reason_and_what_is_understood_is_stored_first() {
-        let mut holder = holder(1);
-        let renew = asks(&mut holder, SECOND);
+        let mut lease_client = lease_client(1);
+        let renew = asks(&mut lease_client, SECOND);
         let proposal = Proposal { id: 9, base: 0, text: "x".into(), who: String::new(), why: String::new() };
         let reply = Reply { prepare: Some(proposal.clone()), ..Reply::to(&renew) };
-        let effects = holder.heard(SECOND, reply.clone(), |_| Err("line 1".into()));
+        let effects = lease_client.heard(SECOND, reply.clone(), |_| Err("line 1".into()));
         let Effect::Send(1, renew) = &effects[0] else { panic!("{effects:?}") };
         assert_eq!((renew.refused.clone(), renew.prepared), (Some((9, "line 1".into())), None));
-        let mut holder = self::holder(1);
-        asks(&mut holder, SECOND);
-        assert_eq!(holder.heard(SECOND, reply, any), [Effect::Prepare(proposal.clone())]);
-        let Effect::Send(1, renew) = holder.prepared(SECOND, proposal) else { panic!() };
+        let mut lease_client = self::lease_client(1);
+        asks(&mut lease_client, SECOND);
+        assert_eq!(lease_client.heard(SECOND, reply, any), [Effect::Prepare(proposal.clone())]);
+        let Effect::Send(1, renew) = lease_client.prepared(SECOND, proposal) else { panic!() };
         assert_eq!(renew.prepared, Some(9));
     }
 
@@ -427,10 +430,10 @@
     fn one_that_serves_alone_stops_when_it_is_asked_to_and_not_for_good() {
         let times = Times::default();
         let relay = Relay { name: "n1".into(), start: 1 };
-        let mut holder = Holder::new(relay, vec![1], Policy::default(), times, Alone::Serve);
-        assert!(holder.admits(0));
-        let renew = asks(&mut holder, SECOND);
-        holder.heard(SECOND, Reply { close: Some(7), ..Reply::to(&renew) }, any);
-        assert!(!holder.admits(2 * SECOND) && holder.admits(SECOND + times.patience));
+        let mut lease_client = LeaseClient::new(relay, vec![1], Policy::default(), times, Alone::Serve);
+        assert!(lease_client.admits(0));
+        let renew = asks(&mut lease_client, SECOND);
+        lease_client.heard(SECOND, Reply { close: Some(7), ..Reply::to(&renew) }, any);
+        assert!(!lease_client.admits(2 * SECOND) && lease_client.admits(SECOND + times.patience));
     }
 }
--- /dev/null
+++ b/crates/control/src/lease/mod.rs
@@ -0,0 +1,3 @@
+//! Leases on the policy in force. The leader's side is part of the voter; this is the relay's.
+
+pub mod client;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,24 +5,11 @@
 //! The rule that all of it serves: at no moment do two relays admit clients under different policies, and none admits
 //! under an older policy than one that was in force before. `docs/design/control.md` has the proof.
 
-pub mod fence;
-pub mod follower;
-pub mod holder;
-pub mod hub;
+pub mod broadcast;
+pub mod jobs;
+pub mod lease;
 pub mod log;
-pub mod message;
-pub mod moves;
-pub mod owner;
-pub mod owners;
-pub mod relay;
-pub mod seal;
-pub mod seats;
-pub mod state;
-pub mod voter;
-pub mod watch;
 pub mod wire;
-pub mod worker;
-pub mod zones;
 
 /// A moment or a span of time, in microseconds.
 pub type Micros = u64;
@@ -30,7 +17,7 @@
 /// Times of a fleet. All its relays must have the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Times {
-    /// The beat of the log: an election begins after ten of them, or some more, without a leader.
+    /// The tick of the log: an election begins after ten of them, or some more, without a leader.
     pub tick: Micros,
     /// How long a relay may admit clients after it asked for its lease.
     pub lease: Micros,
@@ -70,9 +57,9 @@
     }
 }
 
-/// A fault that is planted to show that a checker finds it. In a build that serves there is none.
+/// A fault that is injected to show that a checker finds it. In a build that serves there is none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Plant {
+pub enum InjectedBug {
     /// A relay admits clients though its lease has run out.
     IgnoreLease,
     /// A relay counts its lease from when it was granted, not from when it asked.
@@ -83,7 +70,7 @@
     LeaseSurvivesRestart,
     /// A leader puts a policy in force without waiting for leases that may still run.
     SkipWait,
-    /// A leader that is new in office does not wait for leases that its predecessor gave.
+    /// A leader that is new in leadership does not wait for leases that its predecessor gave.
     ForgetPredecessor,
     /// A leader grants leases without asking a majority whether it still leads.
     GrantAlone,
@@ -97,7 +84,7 @@
     OwnForever,
     /// A leader gives a job away while its owner's lease may still run.
     GiveEarly,
-    /// An owner acts on a job that it has said to have yielded.
+    /// An owner acts on a job that it has said to have revoked.
     KeepJob,
     /// Receivers obey any token.
     NoFence,
@@ -105,44 +92,44 @@
     TrustFirst,
 }
 
-impl Plant {
+impl InjectedBug {
     /// All of them, by the names that the command line knows.
-    pub const ALL: [(&'static str, Plant); 15] = [
-        ("ignore-lease", Plant::IgnoreLease),
-        ("lease-from-grant", Plant::LeaseFromGrant),
-        ("keep-after-yield", Plant::KeepAfterYield),
-        ("lease-survives-restart", Plant::LeaseSurvivesRestart),
-        ("skip-wait", Plant::SkipWait),
-        ("forget-predecessor", Plant::ForgetPredecessor),
-        ("grant-alone", Plant::GrantAlone),
-        ("grant-closed", Plant::GrantClosed),
-        ("skip-store", Plant::SkipStore),
-        ("trust-reborn", Plant::TrustReborn),
-        ("own-forever", Plant::OwnForever),
-        ("give-early", Plant::GiveEarly),
-        ("keep-job", Plant::KeepJob),
-        ("no-fence", Plant::NoFence),
-        ("trust-first", Plant::TrustFirst),
+    pub const ALL: [(&'static str, InjectedBug); 15] = [
+        ("ignore-lease", InjectedBug::IgnoreLease),
+        ("lease-from-grant", InjectedBug::LeaseFromGrant),
+        ("keep-after-yield", InjectedBug::KeepAfterYield),
+        ("lease-survives-restart", InjectedBug::LeaseSurvivesRestart),
+        ("skip-wait", InjectedBug::SkipWait),
+        ("forget-predecessor", InjectedBug::ForgetPredecessor),
+        ("grant-alone", InjectedBug::GrantAlone),
+        ("grant-closed", InjectedBug::GrantClosed),
+        ("skip-store", InjectedBug::SkipStore),
+        ("trust-reborn", InjectedBug::TrustReborn),
+        ("own-forever", InjectedBug::OwnForever),
+        ("give-early", InjectedBug::GiveEarly),
+        ("keep-job", InjectedBug::KeepJob),
+        ("no-fence", InjectedBug::NoFence),
+        ("trust-first", InjectedBug::TrustFirst),
     ];
 
     /// The fault of that name.
-    pub fn named(name: &str) -> Option<Plant> {
-        Plant::ALL.iter().find(|(n, _)| *n == name).map(|(_, plant)| *plant)
+    pub fn named(name: &str) -> Option<InjectedBug> {
+        InjectedBug::ALL.iter().find(|(n, _)| *n == name).map(|(_, bug)| *bug)
     }
 }
 
-/// Which fault is planted here. Always none without the feature `plants`.
+/// Which fault is injected here. Always none without the feature `plants`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Planted(#[cfg(feature = "plants")] pub Option<Plant>);
+pub struct InjectedBugs(#[cfg(feature = "injected-bugs")] pub Option<InjectedBug>);
 
-impl Planted {
+impl InjectedBugs {
     /// Whether it is this one.
-    pub fn is(self, plant: Plant) -> bool {
-        #[cfg(feature = "plants")]
-        return self.0 == Some(plant);
-        #[cfg(not(feature = "plants"))]
+    pub fn is(self, bug: InjectedBug) -> bool {
+        #[cfg(feature = "injected-bugs")]
+        return self.0 == Some(bug);
+        #[cfg(not(feature = "injected-bugs"))]
         {
-            let _ = plant;
+            let _ = bug;
             false
         }
     }
--- a/crates/control/src/seats.rs
+++ b/crates/control/src/log/membership.rs
@@ -1,4 +1,4 @@
-//! Who votes: seats by number. They change one at a time, by entries of the log, so that any two majorities in a row
+//! Who votes: membership by number. They change one at a time, by entries of the log, so that any two majorities in a row
 //! have a voter in common. A newcomer first learns the log without a vote, and has one once it has caught up.
 //!
 //! Guards against: a voter whose disk was lost and that comes back under its number without what it had answered for
@@ -17,7 +17,7 @@
 /// A place among the voters.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
-pub struct Seat {
+pub struct Member {
     /// Where it can be reached; empty for a founder, which every operator file names.
     pub address: String,
     /// The incarnation of its disk; 0 for a founder that the others have not met yet.
@@ -29,13 +29,13 @@
 /// All of them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
-pub struct Seats {
+pub struct Membership {
     /// Grows with each change.
     pub version: u64,
     /// The highest number that was ever given.
     pub highest: Number,
     /// By number.
-    pub of: BTreeMap<Number, Seat>,
+    pub of: BTreeMap<Number, Member>,
 }
 
 /// One change of them.
@@ -62,12 +62,12 @@
     Refused(String),
 }
 
-impl Seats {
+impl Membership {
     /// Those of a new fleet.
-    pub fn found(numbers: &[Number]) -> Seats {
-        let seat = |number: &Number| (*number, Seat { votes: true, ..Seat::default() });
+    pub fn found(numbers: &[Number]) -> Membership {
+        let member = |number: &Number| (*number, Member { votes: true, ..Member::default() });
         let highest = numbers.iter().copied().max().unwrap_or(0);
-        Seats { version: 1, highest, of: numbers.iter().map(seat).collect() }
+        Membership { version: 1, highest, of: numbers.iter().map(member).collect() }
     }
 
     /// Takes a change that the log has.
@@ -76,12 +76,12 @@
         match change {
             Change::Add(number, address, incarnation) => {
                 self.highest = self.highest.max(*number);
-                let seat = Seat { address: address.clone(), incarnation: *incarnation, votes: false };
-                self.of.insert(*number, seat);
+                let member = Member { address: address.clone(), incarnation: *incarnation, votes: false };
+                self.of.insert(*number, member);
             }
             Change::Promote(number) => {
-                if let Some(seat) = self.of.get_mut(number) {
-                    seat.votes = true;
+                if let Some(member) = self.of.get_mut(number) {
+                    member.votes = true;
                 }
             }
             Change::Remove(number) => drop(self.of.remove(number)),
@@ -90,20 +90,20 @@
 
     /// The founders have met: from here on each is known by its disk.
     pub fn met(&mut self, incarnations: &BTreeMap<Number, u64>) {
-        for (number, seat) in &mut self.of {
-            seat.incarnation = incarnations.get(number).copied().unwrap_or_default();
+        for (number, member) in &mut self.of {
+            member.incarnation = incarnations.get(number).copied().unwrap_or_default();
         }
     }
 
     /// Whether founders have yet to meet.
     pub fn founding(&self) -> bool {
-        self.of.values().any(|seat| seat.incarnation == 0)
+        self.of.values().any(|member| member.incarnation == 0)
     }
 
     /// Whether whoever says to be this voter, with a disk of that incarnation, is none (any more).
     pub fn gone(&self, number: Number, incarnation: u64) -> bool {
         match self.of.get(&number) {
-            Some(seat) => seat.incarnation != incarnation,
+            Some(member) => member.incarnation != incarnation,
             // One with a higher number may have been added by entries that have not come here yet.
             None => number <= self.highest,
         }
@@ -111,7 +111,7 @@
 
     /// Those that vote.
     pub fn voters(&self) -> impl Iterator<Item = Number> + '_ {
-        self.of.iter().filter(|(_, seat)| seat.votes).map(|(number, _)| *number)
+        self.of.iter().filter(|(_, member)| member.votes).map(|(number, _)| *number)
     }
 
     /// What a change that is asked for comes to; `active` are the voters that the leader has heard of lately.
@@ -121,10 +121,10 @@
                 Verdict::Refused("a vote is given by the leader, once its voter has caught up".into())
             }
             Change::Add(number, address, incarnation) => match self.of.get(number) {
-                Some(seat) if seat.incarnation != *incarnation => Verdict::Refused(format!(
+                Some(member) if member.incarnation != *incarnation => Verdict::Refused(format!(
                     "voter {number} has another disk: a lost one's place is taken under a new number"
                 )),
-                Some(seat) if seat.votes => Verdict::Done,
+                Some(member) if member.votes => Verdict::Done,
                 Some(_) => Verdict::UnderWay(format!("voter {number} learns the log")),
                 None if *number <= self.highest => Verdict::Refused(format!(
                     "the number {number} was given before; the next is {}",
@@ -135,9 +135,9 @@
                     address.len()
                 )),
                 None if self.of.len() >= 8 => {
-                    Verdict::Refused("there are 8 seats already; remove one first".into())
+                    Verdict::Refused("there are 8 membership already; remove one first".into())
                 }
-                None => match self.of.iter().find(|(_, seat)| !seat.votes) {
+                None => match self.of.iter().find(|(_, member)| !member.votes) {
                     Some((other, _)) => Verdict::Refused(format!(
                         "voter {other} is learning the log: one change at a time, or remove {other}"
                     )),
@@ -145,10 +145,10 @@
                 },
             },
             Change::Remove(number) => {
-                let Some(seat) = self.of.get(number) else { return Verdict::Done };
+                let Some(member) = self.of.get(number) else { return Verdict::Done };
                 let left: Vec<Number> = self.voters().filter(|other| other != number).collect();
                 let up = left.iter().filter(|other| active.contains(other)).count();
-                if !seat.votes || up > left.len() / 2 {
+                if !member.votes || up > left.len() / 2 {
                     return Verdict::Make;
                 }
                 Verdict::Refused(format!(
@@ -166,39 +166,39 @@
 
     #[test]
     fn a_number_is_given_once_and_a_lost_disk_does_not_come_back_under_it() {
-        let mut seats = Seats::found(&[1, 2, 3]);
+        let mut membership = Membership::found(&[1, 2, 3]);
         let add = |number, incarnation| Change::Add(number, "host:1".into(), incarnation);
-        assert!(seats.founding());
-        seats.met(&BTreeMap::from([(1, 10), (2, 20), (3, 30)]));
-        assert!(!seats.founding());
-        assert!(!seats.gone(3, 30) && seats.gone(3, 31));
-        assert!(!seats.gone(9, 1), "it may have been added by entries that are on their way");
-        assert_eq!(seats.judge(&add(4, 40), &[1, 2]), Verdict::Make);
-        seats.apply(&add(4, 40));
-        assert!(matches!(seats.judge(&add(4, 40), &[1, 2]), Verdict::UnderWay(_)));
-        assert!(matches!(seats.judge(&add(5, 50), &[1, 2]), Verdict::Refused(_)), "one at a time");
-        seats.apply(&Change::Promote(4));
-        assert_eq!(seats.judge(&add(4, 40), &[1, 2]), Verdict::Done);
-        assert!(matches!(seats.judge(&add(4, 41), &[1, 2]), Verdict::Refused(_)));
-        assert_eq!(seats.judge(&Change::Remove(3), &[1, 2]), Verdict::Make);
-        seats.apply(&Change::Remove(3));
-        assert!(seats.gone(3, 30));
-        assert_eq!(seats.judge(&Change::Remove(3), &[1, 2]), Verdict::Done);
+        assert!(membership.founding());
+        membership.met(&BTreeMap::from([(1, 10), (2, 20), (3, 30)]));
+        assert!(!membership.founding());
+        assert!(!membership.gone(3, 30) && membership.gone(3, 31));
+        assert!(!membership.gone(9, 1), "it may have been added by entries that are on their way");
+        assert_eq!(membership.judge(&add(4, 40), &[1, 2]), Verdict::Make);
+        membership.apply(&add(4, 40));
+        assert!(matches!(membership.judge(&add(4, 40), &[1, 2]), Verdict::UnderWay(_)));
+        assert!(matches!(membership.judge(&add(5, 50), &[1, 2]), Verdict::Refused(_)), "one at a time");
+        membership.apply(&Change::Promote(4));
+        assert_eq!(membership.judge(&add(4, 40), &[1, 2]), Verdict::Done);
+        assert!(matches!(membership.judge(&add(4, 41), &[1, 2]), Verdict::Refused(_)));
+        assert_eq!(membership.judge(&Change::Remove(3), &[1, 2]), Verdict::Make);
+        membership.apply(&Change::Remove(3));
+        assert!(membership.gone(3, 30));
+        assert_eq!(membership.judge(&Change::Remove(3), &[1, 2]), Verdict::Done);
         assert!(
-            matches!(seats.judge(&add(3, 32), &[1, 2]), Verdict::Refused(why) if why.ends_with("the next is 5"))
+            matches!(membership.judge(&add(3, 32), &[1, 2]), Verdict::Refused(why) if why.ends_with("the next is 5"))
         );
     }
 
     #[test]
     fn no_voter_is_removed_whose_loss_would_leave_no_majority() {
-        let mut seats = Seats::found(&[1, 2, 3]);
+        let mut membership = Membership::found(&[1, 2, 3]);
         assert!(
-            matches!(seats.judge(&Change::Remove(1), &[1, 2]), Verdict::Refused(_)),
+            matches!(membership.judge(&Change::Remove(1), &[1, 2]), Verdict::Refused(_)),
             "2 alone of 2 and 3"
         );
-        assert_eq!(seats.judge(&Change::Remove(3), &[1, 2]), Verdict::Make);
+        assert_eq!(membership.judge(&Change::Remove(3), &[1, 2]), Verdict::Make);
         // A newcomer that never caught up can go at any time: it has no vote.
-        seats.apply(&Change::Add(4, "host:1".into(), 4));
-        assert_eq!(seats.judge(&Change::Remove(4), &[1]), Verdict::Make);
+        membership.apply(&Change::Add(4, "host:1".into(), 4));
+        assert_eq!(membership.judge(&Change::Remove(4), &[1]), Verdict::Make);
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/log/state.rs
@@ -2,11 +2,11 @@
 //! Every voter comes to the same state from the same entries.
 //!
 //! Guards against: two proposals at once (the second is refused), one that was made for another policy than the one in
-//! force, one that is proposed twice (the same outcome), and an entry of a leader that has lost its office meanwhile
+//! force, one that is proposed twice (the same outcome), and an entry of a leader that has lost its leadership meanwhile
 //! (each step names its proposal, and holds in one phase only).
 
-use crate::owners::{Deal, Jobs};
-use crate::seats::Seats;
+use crate::jobs::assignment::{Assignment, Jobs};
+use crate::log::membership::Membership;
 use crate::wire;
 use serde::{Deserialize, Serialize};
 
@@ -59,7 +59,8 @@
     /// Each relay checks and stores it; all serve under the old one.
     Preparing(Proposal),
     /// No lease is granted any more; once no relay can hold one, it is in force. There is no way back.
-    Closing(Proposal),
+    #[serde(rename = "Closing")]
+    Sealed(Proposal),
 }
 
 /// What became of a proposal.
@@ -83,11 +84,13 @@
     /// Relays have not answered.
     GiveUp(ProposalId, Vec<String>),
     /// All have it: grant no lease on the old policy any more.
-    Close(ProposalId),
+    #[serde(rename = "Close")]
+    Seal(ProposalId),
     /// No lease on the old policy runs any more.
     Commit(ProposalId),
     /// Who does what for the fleet.
-    Deal(Deal),
+    #[serde(rename = "Deal")]
+    Assignment(Assignment),
 }
 
 /// See the module's text.
@@ -103,7 +106,8 @@
     /// Policies that were in force, the newest last, without the present one.
     pub history: Vec<Policy>,
     /// Who votes.
-    pub seats: Seats,
+    #[serde(rename = "seats")]
+    pub membership: Membership,
     /// Who does what for the fleet.
     pub jobs: Jobs,
     /// The least that a build must know to keep this state: 0, or 1 once there has been a job. One that knows less would
@@ -133,17 +137,17 @@
             (Command::GiveUp(id, missing), Phase::Preparing(p)) if p.id == id => {
                 self.remember(id, Outcome::GivenUp(missing));
             }
-            (Command::Close(id), Phase::Preparing(p)) if p.id == id => self.phase = Phase::Closing(p),
-            (Command::Commit(id), Phase::Closing(p)) if p.id == id => {
+            (Command::Seal(id), Phase::Preparing(p)) if p.id == id => self.phase = Phase::Sealed(p),
+            (Command::Commit(id), Phase::Sealed(p)) if p.id == id => {
                 let epoch = self.policy.epoch + 1;
                 let new = Policy { epoch, text: p.text, who: p.who, why: p.why, proposal: id };
                 self.history.push(std::mem::replace(&mut self.policy, new));
                 self.remember(id, Outcome::InForce(epoch));
             }
-            (Command::Deal(deal), phase) => {
+            (Command::Assignment(assignment), phase) => {
                 self.phase = phase;
                 self.needs = self.needs.max(1);
-                self.jobs.apply(deal);
+                self.jobs.apply(assignment);
             }
             // Of a leader that did not know how things stood.
             (_, phase) => self.phase = phase,
@@ -183,7 +187,7 @@
     pub fn under_way(&self) -> Option<&Proposal> {
         match &self.phase {
             Phase::Rest => None,
-            Phase::Preparing(p) | Phase::Closing(p) => Some(p),
+            Phase::Preparing(p) | Phase::Sealed(p) => Some(p),
         }
     }
 
@@ -198,7 +202,7 @@
     use super::*;
 
     fn proposal(id: ProposalId, base: u64) -> Proposal {
-        Proposal { id, base, text: format!("# {id}"), who: "staff".into(), why: "a test".into() }
+        Proposal { id, base, text: format!("# {id}"), who: "operators".into(), why: "a test".into() }
     }
 
     fn after(commands: &[Command]) -> State {
@@ -210,18 +214,18 @@
     #[test]
     fn each_proposal_has_one_outcome_whatever_comes_twice_or_late() {
         let (one, two) = (Command::Propose(proposal(1, 0)), Command::Propose(proposal(2, 0)));
-        let whole = [one.clone(), Command::Close(1), Command::Commit(1)];
+        let whole = [one.clone(), Command::Seal(1), Command::Commit(1)];
         assert_eq!(after(&whole).outcome(1), Some(&Outcome::InForce(1)));
         // The same again changes nothing.
         assert_eq!(after(&[&whole[..], &whole[..]].concat()), after(&whole));
         // The second of two at once is refused; the first goes on.
-        let both = after(&[one.clone(), two.clone(), Command::Close(1), Command::Commit(1)]);
+        let both = after(&[one.clone(), two.clone(), Command::Seal(1), Command::Commit(1)]);
         assert!(matches!(both.outcome(2), Some(Outcome::Refused(..))));
         assert_eq!(both.policy.epoch, 1);
         // Once closed there is no way back, and before that no way past a refusal.
-        let late = [one.clone(), Command::Close(1), Command::Refuse(1, "n1".into(), "no".into())];
-        assert!(matches!(after(&late).phase, Phase::Closing(_)));
-        let refused = [one.clone(), Command::Refuse(1, "n1".into(), "no".into()), Command::Close(1)];
+        let late = [one.clone(), Command::Seal(1), Command::Refuse(1, "n1".into(), "no".into())];
+        assert!(matches!(after(&late).phase, Phase::Sealed(_)));
+        let refused = [one.clone(), Command::Refuse(1, "n1".into(), "no".into()), Command::Seal(1)];
         assert_eq!(after(&refused).phase, Phase::Rest);
         assert_eq!(after(&[one.clone(), Command::Commit(1)]).policy.epoch, 0, "not before it is closed");
         // Made for another epoch.
@@ -233,7 +237,7 @@
     fn what_is_remembered_is_bounded() {
         let mut state = State::default();
         for id in 1..200 {
-            for command in [Command::Propose(proposal(id, 0)), Command::Close(id), Command::Commit(id)] {
+            for command in [Command::Propose(proposal(id, 0)), Command::Seal(id), Command::Commit(id)] {
                 state.apply(command);
             }
         }
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log/storage.rs
@@ -2,8 +2,8 @@
 //! in memory for the consensus library to read; every change goes out as [`Stored`] for the disk, and comes back as a
 //! [`Kept`] at the next start.
 
-use crate::seats::Seats;
-use crate::state::State;
+use crate::log::membership::Membership;
+use crate::log::state::State;
 use crate::wire;
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::{Error, GetEntriesContext, RaftState, Storage, StorageError};
@@ -67,7 +67,7 @@
         // The library takes an index of 0 for a voter that knows nothing yet.
         (meta.index, meta.term) = (1, 1);
         meta.set_conf_state(ConfState::from((voters.to_vec(), Vec::new())));
-        let state = State { seats: Seats::found(voters), ..State::default() };
+        let state = State { membership: Membership::found(voters), ..State::default() };
         log.snapshot.data = wire::encode(&state).into();
         (log.vote.term, log.vote.commit) = (1, 1);
         log
--- a/crates/control/src/voter.rs
+++ b/crates/control/src/log/voter.rs
@@ -1,7 +1,7 @@
 //! A voter: it keeps the log with the others, and while it leads it grants leases and carries proposals through.
 //!
 //! A lease is granted only once a majority has confirmed, after the relay asked, that this voter still leads. It runs
-//! from when the relay asked. So when another leader takes office, no lease that its predecessor gave can run for longer
+//! from when the relay asked. So when another leader takes leadership, no lease that its predecessor gave can run for longer
 //! than one lease from then on, and the new one need know nothing of them but that.
 //!
 //! Guards against: a leader that was stopped and grants on when it wakes (the majority does not confirm), a relay that
@@ -10,20 +10,20 @@
 mod jobs;
 mod members;
 
-use crate::hub::Hub;
-use crate::log::{bytes, Damaged, Kept, Log, Stored};
-pub use crate::message::From;
-use crate::message::{Answer, Ask, Message, Relay, Renew, Reply, Skills, Status};
-use crate::state::{Command, Phase, ProposalId, State};
+use crate::broadcast::broadcaster::Broadcaster;
+use crate::log::state::{Command, Phase, ProposalId, State};
+use crate::log::storage::{bytes, Damaged, Kept, Log, Stored};
 use crate::wire;
-use crate::{Micros, Plant, Planted, Times};
+pub use crate::wire::message::From;
+use crate::wire::message::{Answer, Ask, Message, Relay, Renew, Reply, Skills, Status};
+use crate::{InjectedBug, InjectedBugs, Micros, Times};
 use members::Founding;
 use protobuf::Message as _;
 use raft::eraftpb::{Entry, EntryType, MessageType};
 use raft::{Config, RawNode, StateRole};
 use std::collections::BTreeMap;
 
-/// Beats between two signs of life of a leader, and beats without one before an election; each voter waits for some
+/// Beats between two signs of life of a leader, and ticks without one before an election; each voter waits for some
 /// more than the one before it, so that they seldom stand at once, and the same each time.
 const HEARTBEAT: usize = 2;
 const ELECTION: usize = 10;
@@ -66,7 +66,7 @@
     granted: Option<Micros>,
     epoch: u64,
     prepared: Option<ProposalId>,
-    yielded: Option<ProposalId>,
+    revoked: Option<ProposalId>,
     /// The version of the jobs that it knows, where it does any, and when its lease on its jobs was last granted.
     jobs: Option<u64>,
     leased: Option<Micros>,
@@ -76,9 +76,9 @@
     seen: Micros,
 }
 
-/// The time in office of a leader.
+/// The time in leadership of a leader.
 #[derive(Debug, Default)]
-struct Office {
+struct Leadership {
     term: u64,
     since: Micros,
     relays: BTreeMap<Relay, Known>,
@@ -86,13 +86,13 @@
     step: Option<(ProposalId, bool, Micros)>,
     /// When its next step was last handed to the log.
     asked: Option<Micros>,
-    /// When a change of the seats was.
-    seated: Option<Micros>,
+    /// When a change of the membership was.
+    learn_membership: Option<Micros>,
     /// When who has which job was last looked at, at which version, and when jobs were last taken back for balance.
-    dealt: Option<(u64, Micros)>,
+    assigned: Option<(u64, Micros)>,
     balanced: Micros,
     /// Jobs that owners have given up lately.
-    tired: BTreeMap<String, jobs::Tired>,
+    resting: BTreeMap<String, jobs::Resting>,
 }
 
 enum Waiting {
@@ -106,10 +106,10 @@
     /// Of its disk.
     incarnation: u64,
     times: Times,
-    planted: Planted,
+    injected: InjectedBugs,
     state: State,
-    office: Option<Office>,
-    beat: Micros,
+    leadership: Option<Leadership>,
+    tick: Micros,
     reads: u64,
     /// When a confirmation was last asked for.
     read_at: Micros,
@@ -117,8 +117,8 @@
     next: Vec<Waiting>,
     under_way: BTreeMap<u64, Vec<Waiting>>,
     answers: Vec<(From, Message)>,
-    /// The seats have changed, and a snapshot has to say so: a newcomer takes none that does not know it.
-    reseated: bool,
+    /// The membership have changed, and a snapshot has to say so: a newcomer takes none that does not know it.
+    membership_changed: bool,
     /// When each voter that a snapshot is on its way to was sent it.
     snapshots: BTreeMap<u64, Micros>,
     /// Founders meet before they vote; what they know then is stored first.
@@ -127,7 +127,7 @@
     /// The log has what this build cannot read: it must neither vote nor let its state stand for the log.
     fault: Option<Damaged>,
     /// What owners of jobs tell all relays.
-    hub: Hub,
+    broadcaster: Broadcaster,
     now: Micros,
 }
 
@@ -157,38 +157,38 @@
         let quiet = slog::Logger::root(slog::Discard, slog::o!());
         let raw =
             RawNode::new(&config, log, &quiet).map_err(|_| Damaged("the log does not fit its voters"))?;
-        let founding = state.seats.founding();
+        let founding = state.membership.founding();
         let founding = founding.then(|| Founding::new(id, incarnation, now));
-        let (beat, planted) = (now, Planted::default());
+        let (tick, injected) = (now, InjectedBugs::default());
         let (next, under_way, answers) = (Vec::new(), BTreeMap::new(), Vec::new());
         Ok(Voter {
             raw,
             incarnation,
             times,
-            planted,
+            injected,
             state,
-            office: None,
-            beat,
+            leadership: None,
+            tick,
             reads: 0,
             read_at: 0,
             next,
             under_way,
             answers,
-            reseated: false,
+            membership_changed: false,
             snapshots: BTreeMap::new(),
             founding,
             met: None,
             fault: None,
-            hub: Hub::default(),
+            broadcaster: Broadcaster::default(),
             now,
         })
     }
 
     /// The same with a fault in it: for tests of the checkers.
-    #[cfg(feature = "plants")]
-    pub fn planted(mut self, planted: Planted) -> Voter {
-        self.planted = planted;
-        self.hub = Hub::planted(planted);
+    #[cfg(feature = "injected-bugs")]
+    pub fn with_injected(mut self, injected: InjectedBugs) -> Voter {
+        self.injected = injected;
+        self.broadcaster = Broadcaster::with_injected(injected);
         self
     }
 
@@ -209,7 +209,7 @@
 
     /// Why it must not vote any more, where the log says so: to be asked before anything that it has to do is done.
     pub fn ended(&self) -> Option<Damaged> {
-        let gone = self.founding.is_none() && self.state.seats.gone(self.id(), self.incarnation);
+        let gone = self.founding.is_none() && self.state.membership.gone(self.id(), self.incarnation);
         self.fault.clone().or(gone.then_some(Damaged("this voter was removed")))
     }
 
@@ -222,14 +222,14 @@
     pub fn tick(&mut self, now: Micros) {
         self.now = now;
         if self.founding.is_some() {
-            self.beat = now;
+            self.tick = now;
             return self.meet();
         }
-        // One that was stopped for long makes up for a few beats only: its leader may have been heard of meanwhile,
+        // One that was stopped for long makes up for a few ticks only: its leader may have been heard of meanwhile,
         // and the messages that say so wait to be read.
-        self.beat = self.beat.max(now.saturating_sub(3 * self.times.tick));
-        while now >= self.beat + self.times.tick {
-            self.beat += self.times.tick;
+        self.tick = self.tick.max(now.saturating_sub(3 * self.times.tick));
+        while now >= self.tick + self.times.tick {
+            self.tick += self.times.tick;
             self.raw.tick();
         }
         self.resend();
@@ -245,7 +245,9 @@
         if self.founding.is_some() {
             return Ok(());
         }
-        if self.state.seats.gone(message.from, incarnation) && !self.planted.is(Plant::TrustReborn) {
+        if self.state.membership.gone(message.from, incarnation)
+            && !self.injected.is(InjectedBug::TrustReborn)
+        {
             self.answers.push((from, Message::Gone(message.from, incarnation)));
             return Ok(());
         }
@@ -268,7 +270,7 @@
         self.wait(Waiting::Renew(from, Box::new(renew)));
     }
 
-    /// Staff ask.
+    /// Operators ask.
     pub fn ask(&mut self, now: Micros, from: From, number: u64, ask: Ask) {
         self.now = now;
         if ask == Ask::Who {
@@ -294,17 +296,17 @@
         self.answers.push(match waiting {
             Waiting::Renew(from, renew) => {
                 // With who votes: the leader may be one that the relay's operator file does not name.
-                let newer = renew.seats < self.state.seats.version;
-                let seats = newer.then(|| self.state.seats.clone());
-                let reply = Reply { elsewhere: Some(elsewhere), seats, ..Reply::to(&renew) };
+                let newer = renew.membership < self.state.membership.version;
+                let membership = newer.then(|| self.state.membership.clone());
+                let reply = Reply { elsewhere: Some(elsewhere), membership, ..Reply::to(&renew) };
                 (from, Message::Reply(reply))
             }
             Waiting::Ask(from, number, _) => {
-                let seat = |number: u64| {
-                    let address = self.state.seats.of.get(&number).map(|seat| seat.address.clone());
+                let member = |number: u64| {
+                    let address = self.state.membership.of.get(&number).map(|member| member.address.clone());
                     (number, address.unwrap_or_default())
                 };
-                (from, Message::Answer(number, Answer::Elsewhere(elsewhere.map(seat))))
+                (from, Message::Answer(number, Answer::Elsewhere(elsewhere.map(member))))
             }
         });
     }
@@ -328,7 +330,7 @@
         }
         (self.reads, self.read_at) = (self.reads + 1, self.now);
         let waiting = std::mem::take(&mut self.next);
-        if self.planted.is(Plant::GrantAlone) {
+        if self.injected.is(InjectedBug::GrantAlone) {
             return waiting.into_iter().for_each(|waiting| self.answer(waiting));
         }
         self.under_way.insert(self.reads, waiting);
@@ -356,17 +358,17 @@
     fn grant(&mut self, renew: Renew) -> Reply {
         let (now, term) = (self.now, self.raw.raft.term);
         let mut reply = Reply::to(&renew);
-        let Some(office) = self.office.as_mut().filter(|office| office.term == term) else {
+        let Some(leadership) = self.leadership.as_mut().filter(|leadership| leadership.term == term) else {
             reply.elsewhere = Some(None);
             return reply;
         };
-        if !office.relays.contains_key(&renew.relay) && office.relays.len() >= WAITING {
+        if !leadership.relays.contains_key(&renew.relay) && leadership.relays.len() >= WAITING {
             reply.elsewhere = Some(None);
             return reply;
         }
-        let known = office.relays.entry(renew.relay.clone()).or_default();
+        let known = leadership.relays.entry(renew.relay.clone()).or_default();
         (known.epoch, known.seen) = (renew.epoch, now);
-        (known.prepared, known.yielded) = (renew.prepared, renew.yielded);
+        (known.prepared, known.revoked) = (renew.prepared, renew.revoked);
         // One that is not reached by answers holds no lease, however often it asks: it once kept its jobs for as long as
         // it was deaf, and a change waited for it. From here on it is granted nothing until it has heard that.
         known.unheard = known.unheard.filter(|(number, _)| *number > renew.heard);
@@ -376,20 +378,22 @@
         if !current {
             reply.policy = Some(self.state.policy.clone());
         }
-        let deals = match deaf {
+        let assignments = match deaf {
             true => Vec::new(),
             false => jobs::renewed(&self.state.jobs, known, &renew, &mut reply, now),
         };
-        self.tire(&deals);
-        let Some(known) = self.office.as_mut().and_then(|office| office.relays.get_mut(&renew.relay)) else {
+        self.tire(&assignments);
+        let Some(known) =
+            self.leadership.as_mut().and_then(|leadership| leadership.relays.get_mut(&renew.relay))
+        else {
             return reply;
         };
-        if renew.seats < self.state.seats.version {
-            reply.seats = Some(self.state.seats.clone());
+        if renew.membership < self.state.membership.version {
+            reply.membership = Some(self.state.membership.clone());
         }
         let mut refusal = None;
         match &self.state.phase {
-            Phase::Closing(p) if !self.planted.is(Plant::GrantClosed) => reply.close = Some(p.id),
+            Phase::Sealed(p) if !self.injected.is(InjectedBug::GrantClosed) => reply.close = Some(p.id),
             Phase::Preparing(p) if renew.refused.as_ref().is_some_and(|(id, _)| *id == p.id) => {
                 let why = renew.refused.map_or(String::new(), |(_, why)| why);
                 refusal = Some(Command::Refuse(p.id, renew.relay.name, why));
@@ -406,8 +410,8 @@
         if reply.grant.is_some() {
             known.granted = Some(now);
         }
-        let deals = deals.into_iter().map(Command::Deal);
-        refusal.into_iter().chain(deals).for_each(|command| self.propose(&command));
+        let assignments = assignments.into_iter().map(Command::Assignment);
+        refusal.into_iter().chain(assignments).for_each(|command| self.propose(&command));
         reply
     }
 
@@ -417,18 +421,18 @@
                 let (leader, term, state) = (self.id(), self.raw.raft.term, self.state.clone());
                 let runs =
                     |known: &Known| known.granted.is_some_and(|at| self.now < self.times.lapsed_by(at));
-                let relays = self.office.iter().flat_map(|office| &office.relays);
+                let relays = self.leadership.iter().flat_map(|leadership| &leadership.relays);
                 let relays = relays.map(|(relay, known)| (relay.clone(), runs(known), known.epoch)).collect();
-                let (seats, idle) = (self.seats(), self.idle());
-                return Answer::Status(Box::new(Status { leader, term, state, relays, seats, idle }));
+                let (membership, idle) = (self.membership(), self.idle());
+                return Answer::Status(Box::new(Status { leader, term, state, relays, membership, idle }));
             }
             Ask::Token(name) => {
                 let token = self.state.jobs.of.get(&name).map_or(0, |job| job.token);
                 return Answer::Token(name, token);
             }
-            Ask::Job(deal) => return self.deal_asked(deal),
+            Ask::Job(assignment) => return self.assignment_asked(assignment),
             Ask::Who => return Answer::Who(self.id(), self.incarnation),
-            Ask::Seat(change) => return self.reseat(&change),
+            Ask::Member(change) => return self.reseat(&change),
             Ask::Outcome(id) => id,
             Ask::Propose(proposal) => {
                 let id = proposal.id;
@@ -448,7 +452,7 @@
             Phase::Preparing(p) if p.id == id => {
                 Answer::UnderWay("each relay checks and stores it".into(), self.waited_for())
             }
-            Phase::Closing(p) if p.id == id => {
+            Phase::Sealed(p) if p.id == id => {
                 Answer::UnderWay("waits until no lease runs".into(), self.waited_for())
             }
             _ => Answer::Unknown,
@@ -479,23 +483,23 @@
         let _ = self.raw.propose(Vec::new(), wire::encode(command));
     }
 
-    /// Whether all that ran before this leader came into office has run out.
-    fn settled(&self, office: &Office) -> bool {
-        self.planted.is(Plant::ForgetPredecessor) || self.now >= self.times.lapsed_by(office.since)
+    /// Whether all that ran before this leader came into leadership has run out.
+    fn settled(&self, leadership: &Leadership) -> bool {
+        self.injected.is(InjectedBug::ForgetPredecessor) || self.now >= self.times.lapsed_by(leadership.since)
     }
 
     /// Relays that may still hold a lease and have not done what the proposal wants of them.
     fn waited_for(&self) -> Vec<String> {
-        let Some(office) = &self.office else { return Vec::new() };
+        let Some(leadership) = &self.leadership else { return Vec::new() };
         let runs = |known: &Known| known.granted.is_some_and(|at| self.now < self.times.lapsed_by(at));
         let done = |known: &Known| match &self.state.phase {
             Phase::Rest => true,
             Phase::Preparing(p) => known.prepared == Some(p.id),
-            Phase::Closing(p) => known.yielded == Some(p.id),
+            Phase::Sealed(p) => known.revoked == Some(p.id),
         };
-        let late = office.relays.iter().filter(|(_, known)| runs(known) && !done(known));
+        let late = leadership.relays.iter().filter(|(_, known)| runs(known) && !done(known));
         let mut names: Vec<String> = late.map(|(relay, _)| relay.name.clone()).collect();
-        if !self.settled(office) {
+        if !self.settled(leadership) {
             names.push("leases that the leader before may have given".into());
         }
         names
@@ -504,49 +508,49 @@
     /// Carries the proposal under way a step further, where it leads and nothing is waited for.
     fn govern(&mut self) {
         let Some(term) = self.leads().filter(|_| self.raw.raft.commit_to_current_term()) else {
-            self.office = None;
+            self.leadership = None;
             return;
         };
         let now = self.now;
-        if self.office.as_ref().is_none_or(|office| office.term != term) {
+        if self.leadership.as_ref().is_none_or(|leadership| leadership.term != term) {
             // Not since it was elected but since it knows that it was: later, and so on the safe side.
-            self.office = Some(Office { term, since: now, ..Office::default() });
+            self.leadership = Some(Leadership { term, since: now, ..Leadership::default() });
         }
         self.promote();
-        self.deal();
+        self.assignment();
         let at = match &self.state.phase {
             Phase::Rest => None,
             Phase::Preparing(p) => Some((p.id, false)),
-            Phase::Closing(p) => Some((p.id, true)),
+            Phase::Sealed(p) => Some((p.id, true)),
         };
         let waited_for = self.waited_for();
-        let (times, skip) = (self.times, self.planted.is(Plant::SkipWait));
-        let Some(office) = &mut self.office else { return };
+        let (times, skip) = (self.times, self.injected.is(InjectedBug::SkipWait));
+        let Some(leadership) = &mut self.leadership else { return };
         // Relays that are long gone are forgotten: their leases have run out.
         let patience = times.patience + times.lapsed_by(0);
-        office.relays.retain(|_, known| now < known.seen + patience);
+        leadership.relays.retain(|_, known| now < known.seen + patience);
         let Some((id, closing)) = at else {
-            (office.step, office.asked) = (None, None);
+            (leadership.step, leadership.asked) = (None, None);
             return;
         };
-        if office.step.is_none_or(|(of, closed, _)| (of, closed) != (id, closing)) {
-            (office.step, office.asked) = (Some((id, closing, now)), None);
+        if leadership.step.is_none_or(|(of, closed, _)| (of, closed) != (id, closing)) {
+            (leadership.step, leadership.asked) = (Some((id, closing, now)), None);
         }
-        let since = office.step.map_or(now, |(_, _, since)| since);
+        let since = leadership.step.map_or(now, |(_, _, since)| since);
         let command = if closing {
             // Whoever holds a lease got it before it was closed, whatever this leader knows of that.
             let lapsed = now >= times.lapsed_by(since);
             (waited_for.is_empty() || lapsed || skip).then_some(Command::Commit(id))
         } else if waited_for.is_empty() {
-            Some(Command::Close(id))
+            Some(Command::Seal(id))
         } else if now >= since + times.patience {
             Some(Command::GiveUp(id, waited_for))
         } else {
             None
         };
-        let due = office.asked.is_none_or(|at| now >= at + AGAIN);
+        let due = leadership.asked.is_none_or(|at| now >= at + AGAIN);
         if let Some(command) = command.filter(|_| due) {
-            office.asked = Some(now);
+            leadership.asked = Some(now);
             self.propose(&command);
         }
     }
@@ -619,7 +623,7 @@
         }
         if self.fault.is_none()
             && work.store.snapshot.is_none()
-            && (self.reseated || self.raw.store().len() > COMPACT)
+            && (self.membership_changed || self.raw.store().len() > COMPACT)
         {
             self.compact(work);
         }
@@ -649,6 +653,6 @@
         let conf = self.raw.raft.prs().conf().to_conf_state();
         let stored = self.raw.mut_store().compact(applied, &conf, wire::encode(&self.state));
         (work.store.snapshot, work.store.compact) = (stored.snapshot, stored.compact);
-        self.reseated = false;
+        self.membership_changed = false;
     }
 }
--- a/crates/control/src/voter/jobs.rs
+++ b/crates/control/src/log/voter/jobs.rs
@@ -1,11 +1,13 @@
 //! Who has which job, as the leader decides it.
 
-use super::{From, Known, Office, Voter};
-use crate::message::{kind_of, Answer, Follow, Message, OwnJobs, Publish, Relay, Renew, Reply, Skills};
-use crate::owner::STOPS;
-use crate::owners::{may_be_named, Deal, Jobs, BATCH, MOST_JOBS};
-use crate::state::Command;
-use crate::{Micros, Plant};
+use super::{From, Known, Leadership, Voter};
+use crate::jobs::assignment::{may_be_named, Assignment, Jobs, BATCH, MOST_JOBS};
+use crate::jobs::owner::STOPS;
+use crate::log::state::Command;
+use crate::wire::message::{
+    kind_of, Answer, Message, OwnJobs, Publish, Relay, Renew, Reply, Skills, Subscribe,
+};
+use crate::{InjectedBug, Micros};
 
 /// Who has which job is looked at so often where nothing has changed: a lease that has run out is seen no later. What is
 /// handed to the log twice by that changes nothing.
@@ -20,12 +22,12 @@
 
 /// How often a job was given up lately, and when last.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Tired {
+pub(super) struct Resting {
     times: u32,
     last: Micros,
 }
 
-impl Tired {
+impl Resting {
     fn again(&mut self, now: Micros) {
         self.times = if now < self.last + WITHIN { self.times + 1 } else { 1 };
         self.last = now;
@@ -43,10 +45,10 @@
     renew: &Renew,
     reply: &mut Reply,
     now: Micros,
-) -> Vec<Deal> {
+) -> Vec<Assignment> {
     reply.last = Some(jobs.last);
     known.jobs = renew.jobs;
-    let mut deals = Vec::new();
+    let mut assignments = Vec::new();
     if let Some(version) = renew.jobs {
         known.leased = Some(now);
         if version < jobs.version {
@@ -58,84 +60,84 @@
             reply.jobs = Some(OwnJobs { version: jobs.version, of });
         }
         let new = |(name, token, _): &(String, u64, String)| {
-            jobs.of.get(name).is_some_and(|job| job.token == *token && job.yields.is_none())
+            jobs.of.get(name).is_some_and(|job| job.token == *token && job.revoked_at.is_none())
         };
         let gives_up: Vec<_> = renew.gives_up.iter().filter(|gone| new(gone)).cloned().collect();
         if !gives_up.is_empty() {
-            deals.push(Deal::Yield(gives_up));
+            assignments.push(Assignment::Revoke(gives_up));
         }
         let opens = &renew.skills.opens;
         // One that can never be opened would be handed to the log with each question.
         let new = opens.iter().filter(|name| may_be_named(name) && !jobs.of.contains_key(*name));
         let new: Vec<String> = new.cloned().collect();
         if !new.is_empty() && jobs.of.len() + new.len() <= MOST_JOBS {
-            deals.push(Deal::Open(new));
+            assignments.push(Assignment::Open(new));
         }
         known.skills = renew.skills.clone();
         for (name, token, step, bytes) in &renew.checkpoints {
             let at = jobs.of.get(name).map_or(0, |job| job.step);
             if at + 1 == *step {
-                deals.push(Deal::Checkpoint(name.clone(), *token, *step, bytes.clone()));
+                assignments.push(Assignment::Checkpoint(name.clone(), *token, *step, bytes.clone()));
             }
             reply.steps.push((name.clone(), at));
         }
     }
-    deals
+    assignments
 }
 
 /// Relays that do jobs and may act on them now.
-fn workers(office: &Office, may_act: impl Fn(&Relay) -> bool) -> Vec<(Relay, Skills)> {
+fn workers(leadership: &Leadership, may_act: impl Fn(&Relay) -> bool) -> Vec<(Relay, Skills)> {
     let works = |(relay, known): &(&Relay, &Known)| known.jobs.is_some() && may_act(relay);
-    let relays = office.relays.iter().filter(works);
+    let relays = leadership.relays.iter().filter(works);
     relays.map(|(relay, known)| (relay.clone(), known.skills.clone())).collect()
 }
 
 impl Voter {
-    /// A relay follows this voter's news.
-    pub fn follow(&mut self, now: Micros, from: From, follow: Follow) {
+    /// A relay follows this voter's updates.
+    pub fn subscribe(&mut self, now: Micros, from: From, follow: Subscribe) {
         self.now = now;
-        let news = self.hub.follow(now, from, follow, &self.state.jobs);
-        self.answers.extend(news.map(|news| (from, news)));
+        let updates = self.broadcaster.subscribe(now, from, follow, &self.state.jobs);
+        self.answers.extend(updates.map(|updates| (from, updates)));
     }
 
     /// An owner has a word for all relays.
     pub fn publish(&mut self, now: Micros, from: From, publish: Publish) {
         self.now = now;
-        let told: Vec<(From, Message)> = self.hub.publish(now, from, publish, &self.state.jobs);
+        let told: Vec<(From, Message)> = self.broadcaster.publish(now, from, publish, &self.state.jobs);
         self.answers.extend(told);
     }
 
     /// A link has ended.
     pub fn gone(&mut self, from: From) {
-        self.hub.gone(from);
+        self.broadcaster.gone(from);
     }
 
     /// Owners have given these up by their own measure.
-    pub(super) fn tire(&mut self, deals: &[Deal]) {
-        let (now, Some(office)) = (self.now, &mut self.office) else { return };
-        for deal in deals {
-            let Deal::Yield(names) = deal else { continue };
+    pub(super) fn tire(&mut self, assignments: &[Assignment]) {
+        let (now, Some(leadership)) = (self.now, &mut self.leadership) else { return };
+        for assignment in assignments {
+            let Assignment::Revoke(names) = assignment else { continue };
             for (name, _, _) in names.iter().filter(|(.., why)| why != STOPS) {
-                office.tired.entry(name.clone()).or_default().again(now);
+                leadership.resting.entry(name.clone()).or_default().again(now);
             }
         }
     }
 
     /// Jobs that nobody may act on just now, and why.
     pub(super) fn idle(&self) -> Vec<(String, String)> {
-        let (now, Some(office)) = (self.now, &self.office) else { return Vec::new() };
-        let settled = self.settled(office);
+        let (now, Some(leadership)) = (self.now, &self.leadership) else { return Vec::new() };
+        let settled = self.settled(leadership);
         let leased = |relay: &Relay| {
-            let leased = office.relays.get(relay).and_then(|known| known.leased);
+            let leased = leadership.relays.get(relay).and_then(|known| known.leased);
             leased.is_some_and(|at| now < self.times.lapsed_by(at))
         };
-        let workers = workers(office, leased);
+        let workers = workers(leadership, leased);
         let mut idle = Vec::new();
         for (name, job) in &self.state.jobs.of {
             let gave_up = || job.gave_up.as_ref().map_or(String::new(), |(by, why)| format!("; {by}: {why}"));
             let why = match &job.owner {
-                Some(owner) if leased(owner) && job.yields.is_none() => continue,
-                Some(owner) if job.yields.is_some() => {
+                Some(owner) if leased(owner) && job.revoked_at.is_none() => continue,
+                Some(owner) if job.revoked_at.is_some() => {
                     format!("it is taken back from {}, whose lease may still run{}", owner.name, gave_up())
                 }
                 Some(owner) => format!("nothing is heard of {}, whose lease may still run", owner.name),
@@ -144,7 +146,7 @@
                 None if !workers.iter().any(|(_, skills)| skills.can(name)) => {
                     format!("no relay that answers does jobs of kind '{}'", kind_of(name))
                 }
-                None if office.tired.get(name).is_some_and(|tired| tired.rests(now)) => {
+                None if leadership.resting.get(name).is_some_and(|resting| resting.rests(now)) => {
                     format!("it rests, since it was given up again and again{}", gave_up())
                 }
                 None => format!("it is about to be given{}", gave_up()),
@@ -154,42 +156,42 @@
         idle
     }
 
-    /// What staff want of the jobs. What is so already is done, so the same may be asked again.
-    pub(super) fn deal_asked(&mut self, deal: Deal) -> Answer {
+    /// What operators want of the jobs. What is so already is done, so the same may be asked again.
+    pub(super) fn assignment_asked(&mut self, assignment: Assignment) -> Answer {
         let of = &self.state.jobs.of;
-        let done = match &deal {
-            Deal::Open(names) => names.iter().all(|name| of.contains_key(name)),
-            Deal::Close(name) => !of.contains_key(name),
-            Deal::Hold(name, held) => match of.get(name) {
+        let done = match &assignment {
+            Assignment::Open(names) => names.iter().all(|name| of.contains_key(name)),
+            Assignment::Close(name) => !of.contains_key(name),
+            Assignment::Hold(name, held) => match of.get(name) {
                 Some(job) => job.held == *held,
                 None => return Answer::Job(Err(format!("there is no job '{name}'"))),
             },
-            Deal::Yield(names) => names.iter().all(|(name, token, _)| {
+            Assignment::Revoke(names) => names.iter().all(|(name, token, _)| {
                 of.get(name)
-                    .is_none_or(|job| job.token != *token || job.yields.is_some() || job.owner.is_none())
+                    .is_none_or(|job| job.token != *token || job.revoked_at.is_some() || job.owner.is_none())
             }),
             _ => return Answer::Job(Err("a leader decides that, or an owner".into())),
         };
         if done {
             return Answer::Job(Ok(()));
         }
-        self.propose(&Command::Deal(deal));
+        self.propose(&Command::Assignment(assignment));
         Answer::UnderWay("handed to the log".into(), Vec::new())
     }
 
     /// Frees jobs whose owners cannot act on them any more, gives those that nobody has, and takes some back where a relay
     /// has more than its part.
-    pub(super) fn deal(&mut self) {
+    pub(super) fn assignment(&mut self) {
         let (now, times, jobs) = (self.now, self.times, &self.state.jobs);
-        let early = self.planted.is(Plant::GiveEarly);
-        let Some(office) = &self.office else { return };
-        let due = office.dealt.is_none_or(|(version, at)| version != jobs.version || now >= at + DEAL);
+        let early = self.injected.is(InjectedBug::GiveEarly);
+        let Some(leadership) = &self.leadership else { return };
+        let due = leadership.assigned.is_none_or(|(version, at)| version != jobs.version || now >= at + DEAL);
         if jobs.of.is_empty() || !due {
             return;
         }
-        let settled = self.settled(office);
+        let settled = self.settled(leadership);
         let may_act = |relay: &Relay| {
-            let leased = office.relays.get(relay).and_then(|known| known.leased);
+            let leased = leadership.relays.get(relay).and_then(|known| known.leased);
             !settled || leased.is_some_and(|at| now < times.lapsed_by(at))
         };
         // Taken back first, freed after: from the entry that takes it back on, whoever renews its lease is told in the same
@@ -198,16 +200,16 @@
         let (mut free, mut back) = (Vec::new(), Vec::new());
         for (name, job) in &jobs.of {
             let Some(owner) = &job.owner else { continue };
-            let known = office.relays.get(owner);
+            let known = leadership.relays.get(owner);
             // Whoever has heard of that version has said so after it stopped.
             let stopped = job
-                .yields
+                .revoked_at
                 .is_some_and(|at| known.and_then(|known| known.jobs).is_some_and(|version| version >= at));
             let silent = early && known.is_none_or(|known| now >= known.seen + times.renew);
             let lapsed = silent || !may_act(owner);
-            if job.yields.is_some() && (stopped || lapsed) {
+            if job.revoked_at.is_some() && (stopped || lapsed) {
                 free.push((name.clone(), job.token));
-            } else if job.yields.is_none() && (lapsed || job.held) {
+            } else if job.revoked_at.is_none() && (lapsed || job.held) {
                 let why = if lapsed { "nothing is heard of it" } else { "it is held" };
                 back.push((name.clone(), job.token, why.to_string()));
             }
@@ -215,28 +217,33 @@
                 break;
             }
         }
-        let workers = workers(office, may_act);
-        let balance = settled && now >= office.balanced + BALANCE;
+        let workers = workers(leadership, may_act);
+        let balance = settled && now >= leadership.balanced + BALANCE;
         if back.is_empty() && balance {
             back = jobs.excess(workers.len());
         }
         // All relays that serve have been heard of by then: the first to ask does not get everything.
         let give = if settled {
-            jobs.gifts(&workers, |name| office.tired.get(name).is_some_and(|tired| tired.rests(now)))
+            jobs.assignments(&workers, |name| {
+                leadership.resting.get(name).is_some_and(|resting| resting.rests(now))
+            })
         } else {
             Vec::new()
         };
         let (version, taken) = (jobs.version, !back.is_empty());
-        let deals = [
-            (!free.is_empty()).then_some(Deal::Free(free)),
-            (!give.is_empty()).then_some(Deal::Give(give)),
-            taken.then_some(Deal::Yield(back)),
+        let assignments = [
+            (!free.is_empty()).then_some(Assignment::Release(free)),
+            (!give.is_empty()).then_some(Assignment::Assign(give)),
+            taken.then_some(Assignment::Revoke(back)),
         ];
-        deals.into_iter().flatten().for_each(|deal| self.propose(&Command::Deal(deal)));
-        if let Some(office) = &mut self.office {
-            office.dealt = Some((version, now));
+        assignments
+            .into_iter()
+            .flatten()
+            .for_each(|assignment| self.propose(&Command::Assignment(assignment)));
+        if let Some(leadership) = &mut self.leadership {
+            leadership.assigned = Some((version, now));
             if taken {
-                office.balanced = now;
+                leadership.balanced = now;
             }
         }
     }
--- a/crates/control/src/voter/members.rs
+++ b/crates/control/src/log/voter/members.rs
@@ -1,10 +1,10 @@
-//! Who votes, as its leader and each voter see it: founders that meet, newcomers that learn, and seats that change.
+//! Who votes, as its leader and each voter see it: founders that meet, newcomers that learn, and membership that change.
 
 use super::{From, Voter, LATER};
-use crate::message::{Answer, Message};
-use crate::seats::{Change, Verdict};
+use crate::log::membership::{Change, Verdict};
 use crate::wire;
-use crate::{Micros, Plant};
+use crate::wire::message::{Answer, Message};
+use crate::{InjectedBug, Micros};
 use protobuf::Message as _;
 use raft::eraftpb::{ConfChange, ConfChangeType, Entry};
 use std::collections::BTreeMap;
@@ -30,16 +30,16 @@
     /// A founder has said which disk it has. Whoever is past the founding tells it the same, or that it is none.
     pub fn founder(&mut self, now: Micros, from: From, number: u64, incarnation: u64) {
         self.now = now;
-        let trusts = self.planted.is(Plant::TrustReborn);
+        let trusts = self.injected.is(InjectedBug::TrustReborn);
         let Some(founding) = &mut self.founding else {
-            let answer = if self.state.seats.gone(number, incarnation) && !trusts {
+            let answer = if self.state.membership.gone(number, incarnation) && !trusts {
                 Message::Gone(number, incarnation)
             } else {
                 Message::Founding(self.id(), self.incarnation)
             };
             return self.answers.push((from, answer));
         };
-        if self.state.seats.of.contains_key(&number) {
+        if self.state.membership.of.contains_key(&number) {
             founding.heard.insert(number, incarnation);
         }
         self.meet();
@@ -48,10 +48,10 @@
     /// Once all founders have been heard, what each knows of the others is the same, and it votes.
     pub(super) fn meet(&mut self) {
         let Some(founding) = &self.founding else { return };
-        if self.state.seats.of.keys().any(|number| !founding.heard.contains_key(number)) {
+        if self.state.membership.of.keys().any(|number| !founding.heard.contains_key(number)) {
             return;
         }
-        self.state.seats.met(&founding.heard);
+        self.state.membership.met(&founding.heard);
         self.founding = None;
         self.met = Some(self.raw.mut_store().met(wire::encode(&self.state)));
     }
@@ -59,7 +59,7 @@
     /// Founders that have not been heard yet.
     pub fn missing(&self) -> Vec<u64> {
         let Some(founding) = &self.founding else { return Vec::new() };
-        let missing = self.state.seats.of.keys().filter(|number| !founding.heard.contains_key(number));
+        let missing = self.state.membership.of.keys().filter(|number| !founding.heard.contains_key(number));
         missing.copied().collect()
     }
 
@@ -70,54 +70,58 @@
             return Vec::new();
         };
         founding.next = now + INTRODUCE;
-        let others = self.state.seats.of.keys().filter(|number| **number != self.raw.raft.id);
+        let others = self.state.membership.of.keys().filter(|number| **number != self.raw.raft.id);
         others.map(|number| (*number, own.clone())).collect()
     }
 
-    /// Whether a change of the seats may be handed to the log now: by a leader that has an entry of its own term, as the
-    /// change of one seat at a time wants, and not too often.
+    /// Whether a change of the membership may be handed to the log now: by a leader that has an entry of its own term, as the
+    /// change of one member at a time wants, and not too often.
     pub(super) fn may_reseat(&mut self) -> bool {
         let (now, term) = (self.now, self.raw.raft.term);
         if !self.raw.raft.commit_to_current_term() {
             return false;
         }
-        let Some(office) = self.office.as_mut().filter(|office| office.term == term) else { return false };
-        let due = office.seated.is_none_or(|at| now >= at + self.times.tick);
+        let Some(leadership) = self.leadership.as_mut().filter(|leadership| leadership.term == term) else {
+            return false;
+        };
+        let due = leadership.learn_membership.is_none_or(|at| now >= at + self.times.tick);
         if due {
-            office.seated = Some(now);
+            leadership.learn_membership = Some(now);
         }
         due
     }
 
-    /// Each seat's number, whether it was heard of lately, and how many entries it is behind.
-    pub(super) fn seats(&self) -> Vec<(u64, bool, u64)> {
+    /// Each member's number, whether it was heard of lately, and how many entries it is behind.
+    pub(super) fn membership(&self) -> Vec<(u64, bool, u64)> {
         let end = self.raw.raft.raft_log.last_index();
-        let seat = |(number, progress): (&u64, &raft::Progress)| {
+        let member = |(number, progress): (&u64, &raft::Progress)| {
             let own = *number == self.id();
             (*number, own || progress.recent_active, end.saturating_sub(progress.matched))
         };
-        self.raw.raft.prs().iter().map(seat).collect()
+        self.raw.raft.prs().iter().map(member).collect()
     }
 
     /// Changes who votes, where that can be.
     pub(super) fn reseat(&mut self, change: &Change) -> Answer {
         let active: Vec<u64> =
-            self.seats().iter().filter(|(_, active, _)| *active).map(|(number, ..)| *number).collect();
-        match self.state.seats.judge(change, &active) {
-            Verdict::Done => Answer::Seat(Ok(())),
-            Verdict::Refused(why) => Answer::Seat(Err(why)),
+            self.membership().iter().filter(|(_, active, _)| *active).map(|(number, ..)| *number).collect();
+        match self.state.membership.judge(change, &active) {
+            Verdict::Done => Answer::Member(Ok(())),
+            Verdict::Refused(why) => Answer::Member(Err(why)),
             Verdict::UnderWay(what) => Answer::UnderWay(what, Vec::new()),
             Verdict::Make if *change == Change::Remove(self.id()) => {
                 // Its successor removes it: a leader that removes itself would lead voters it is none of.
-                let seats = self.seats();
-                let others = seats.iter().filter(|(number, active, _)| {
-                    *active && *number != self.id() && self.state.seats.voters().any(|voter| voter == *number)
+                let membership = self.membership();
+                let others = membership.iter().filter(|(number, active, _)| {
+                    *active
+                        && *number != self.id()
+                        && self.state.membership.voters().any(|voter| voter == *number)
                 });
                 if let Some((next, ..)) = others.min_by_key(|(_, _, behind)| *behind) {
                     self.raw.transfer_leader(*next);
                 }
                 Answer::UnderWay(
-                    "the voter to be removed leads, and hands its office over".into(),
+                    "the voter to be removed leads, and hands its leadership over".into(),
                     Vec::new(),
                 )
             }
@@ -130,7 +134,7 @@
         }
     }
 
-    /// Hands a change of the seats to the log. While one is under way the library takes no other.
+    /// Hands a change of the membership to the log. While one is under way the library takes no other.
     pub(super) fn hand_in(&mut self, change: &Change) {
         let (kind, number) = match change {
             Change::Add(number, ..) => (ConfChangeType::AddLearnerNode, *number),
@@ -144,7 +148,8 @@
 
     /// A newcomer that has caught up gets its vote.
     pub(super) fn promote(&mut self) {
-        let learner = self.state.seats.of.iter().find(|(_, seat)| !seat.votes).map(|(number, _)| *number);
+        let learner =
+            self.state.membership.of.iter().find(|(_, member)| !member.votes).map(|(number, _)| *number);
         let Some(number) = learner else { return };
         let caught_up = self.raw.raft.prs().get(number).is_some_and(|progress| {
             progress.recent_active && progress.matched + BEHIND >= self.raw.raft.raft_log.committed
@@ -161,8 +166,8 @@
             return;
         };
         if self.raw.apply_conf_change(&conf).is_ok() {
-            self.state.seats.apply(&change);
-            self.reseated = true;
+            self.state.membership.apply(&change);
+            self.membership_changed = true;
         }
     }
 }
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire/encoding.rs
@@ -21,11 +21,11 @@
 }
 
 /// Whether this process writes messages as a later build would: for tests of fleets of two builds.
-#[cfg(feature = "plants")]
+#[cfg(feature = "injected-bugs")]
 pub static LATER: std::sync::atomic::AtomicBool = std::sync::atomic::AtomicBool::new(false);
 
 /// The same with a part that no build knows.
-#[cfg(feature = "plants")]
+#[cfg(feature = "injected-bugs")]
 pub fn encode_later(value: &impl Serialize) -> Vec<u8> {
     use ciborium::Value;
     let mut value = Value::serialized(value).unwrap_or_else(|e| unreachable!("{e}"));
@@ -40,15 +40,15 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::message::{Message, Renew};
-    use crate::owners::Deal;
-    use crate::state::{Command, State, NEEDS};
+    use crate::jobs::assignment::Assignment;
+    use crate::log::state::{Command, State, NEEDS};
+    use crate::wire::message::{Message, Renew};
     use serde::Deserialize;
 
     /// A question as an older and as a later build write it.
     #[derive(Serialize, Deserialize, Debug, PartialEq)]
     struct Older {
-        relay: crate::message::Relay,
+        relay: crate::wire::message::Relay,
         number: u64,
         epoch: u64,
     }
@@ -85,7 +85,7 @@
     fn a_state_that_needs_a_later_build_says_so() {
         let mut state = State::default();
         assert_eq!(state.needs, 0, "a fleet without jobs can go back to a build that knows none");
-        state.apply(Command::Deal(Deal::Open(vec!["a".into()])));
+        state.apply(Command::Assignment(Assignment::Open(vec!["a".into()])));
         assert_eq!(State::read(&encode(&state)), Some(state.clone()));
         state.needs = NEEDS + 1;
         assert_eq!(State::read(&encode(&state)), None);
--- a/crates/control/src/message.rs
+++ b/crates/control/src/wire/message.rs
@@ -1,9 +1,9 @@
 //! What relays say to each other.
 
-use crate::owners::{Deal, Token};
-pub use crate::relay::{kind_of, Relay, Skills};
-use crate::seats::{Change, Number, Seats};
-use crate::state::{Outcome, Policy, Proposal, ProposalId, State};
+use crate::jobs::assignment::{Assignment, Token};
+use crate::log::membership::{Change, Membership, Number};
+use crate::log::state::{Outcome, Policy, Proposal, ProposalId, State};
+pub use crate::wire::relay::{kind_of, Relay, Skills};
 use crate::{wire, Micros};
 use serde::{Deserialize, Serialize};
 
@@ -27,9 +27,11 @@
     /// The proposal that it refuses, and why.
     pub refused: Option<(ProposalId, String)>,
     /// The proposal for which it has stopped admitting under the old policy.
-    pub yielded: Option<ProposalId>,
-    /// The version of the seats that it knows.
-    pub seats: u64,
+    #[serde(rename = "yielded")]
+    pub revoked: Option<ProposalId>,
+    /// The version of the membership that it knows.
+    #[serde(rename = "seats")]
+    pub membership: u64,
     /// The version of its jobs that it knows, and acts by; none where it does no jobs.
     pub jobs: Option<u64>,
     /// Jobs that it gives up, and why: it does not act on them any more.
@@ -40,10 +42,10 @@
     pub skills: Skills,
 }
 
-/// A relay follows a voter's news, and says what owners of jobs have to know of it.
+/// A relay follows a voter's updates, and says what owners of jobs have to know of it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
-pub struct Follow {
+pub struct Subscribe {
     /// Who follows.
     pub relay: Relay,
     /// Grows with each.
@@ -51,13 +53,14 @@
     /// The newest that it has of each job: token and number.
     pub knows: Vec<(String, Token, u64)>,
     /// What owners of jobs of a kind have to know of it.
-    pub facts: Vec<Fact>,
+    #[serde(rename = "facts")]
+    pub reports: Vec<Report>,
 }
 
 /// What a relay says to the owners of jobs of a kind.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
-pub struct Fact {
+pub struct Report {
     /// The kind.
     pub kind: String,
     /// What it says, as that kind of job reads it.
@@ -68,7 +71,7 @@
 /// What an owner says to all relays.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
-pub struct Item {
+pub struct Update {
     /// The job, and the token under which it is said.
     pub job: String,
     /// See `job`.
@@ -87,7 +90,8 @@
 #[serde(default)]
 pub struct Publish {
     /// What it says.
-    pub item: Item,
+    #[serde(rename = "item")]
+    pub update: Update,
     /// The last moment of the voter's clock that the voter has told this owner, and how long ago that was here.
     pub stamp: Micros,
     /// See `stamp`.
@@ -97,7 +101,7 @@
 /// What a voter tells a relay that follows it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
-pub struct News {
+pub struct Updates {
     /// The start of the process that it is for: numbers begin anew with each.
     pub start: u64,
     /// The last question that it heard of the relay, and how long ago.
@@ -107,9 +111,11 @@
     /// The voter's clock.
     pub stamp: Micros,
     /// What owners say.
-    pub items: Vec<Item>,
+    #[serde(rename = "items")]
+    pub updates: Vec<Update>,
     /// For owners: what relays say to their kinds of jobs, and how old that is at most.
-    pub facts: Vec<(Relay, Micros, Vec<Fact>)>,
+    #[serde(rename = "facts")]
+    pub reports: Vec<(Relay, Micros, Vec<Report>)>,
 }
 
 /// What a voter says to that.
@@ -131,7 +137,8 @@
     /// Stop admitting clients under the policy that you have, for this proposal's sake.
     pub close: Option<ProposalId>,
     /// Who votes, where the relay knows an older version.
-    pub seats: Option<Seats>,
+    #[serde(rename = "seats")]
+    pub membership: Option<Membership>,
     /// The relay's jobs, where it knows another version of them.
     pub jobs: Option<OwnJobs>,
     /// The number of the last checkpoint that the log has of each job that the question bears one of.
@@ -157,7 +164,7 @@
     }
 }
 
-/// What staff ask.
+/// What operators ask.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ask {
     /// Begin with this proposal, unless it is known already.
@@ -167,9 +174,10 @@
     /// How things stand.
     Status,
     /// Change who votes.
-    Seat(Change),
+    #[serde(rename = "Seat")]
+    Member(Change),
     /// Change the jobs; what only a leader decides is refused.
-    Job(Deal),
+    Job(Assignment),
     /// The token that a job has now.
     Token(String),
     /// Which voter this is, and the incarnation of its disk. Answered by any.
@@ -190,7 +198,8 @@
     /// How things stand.
     Status(Box<Status>),
     /// Who votes is as it was asked for, or why it cannot be.
-    Seat(Result<(), String>),
+    #[serde(rename = "Seat")]
+    Member(Result<(), String>),
     /// See [`Ask::Who`].
     Who(Number, u64),
     /// The job's name and the token that it has now; 0 for one that was never given.
@@ -211,8 +220,9 @@
     pub state: State,
     /// Relays that have asked for a lease of this leader: whether it still runs, their epoch, and what they refuse.
     pub relays: Vec<(Relay, bool, u64)>,
-    /// Each seat's number, whether it was heard of lately, and how many entries it is behind.
-    pub seats: Vec<(Number, bool, u64)>,
+    /// Each member's number, whether it was heard of lately, and how many entries it is behind.
+    #[serde(rename = "seats")]
+    pub membership: Vec<(Number, bool, u64)>,
     /// Jobs that nobody may act on just now, and why.
     pub idle: Vec<(String, String)>,
 }
@@ -234,10 +244,12 @@
     Ask(u64, Ask),
     /// See [`Answer`].
     Answer(u64, Answer),
-    /// See [`Follow`].
-    Follow(Follow),
-    /// See [`News`].
-    News(News),
+    /// See [`Subscribe`].
+    #[serde(rename = "Follow")]
+    Subscribe(Subscribe),
+    /// See [`Updates`].
+    #[serde(rename = "News")]
+    Updates(Updates),
     /// See [`Publish`].
     Publish(Publish),
     /// That job has a newer token: whoever published under an older one must stop.
@@ -247,7 +259,7 @@
 impl Message {
     /// As bytes.
     pub fn encode(&self) -> Vec<u8> {
-        #[cfg(feature = "plants")]
+        #[cfg(feature = "injected-bugs")]
         if wire::LATER.load(std::sync::atomic::Ordering::Relaxed) {
             return wire::encode_later(self);
         }
@@ -266,8 +278,8 @@
             Message::Log(..)
                 | Message::Renew(_)
                 | Message::Reply(_)
-                | Message::Follow(_)
-                | Message::News(_)
+                | Message::Subscribe(_)
+                | Message::Updates(_)
                 | Message::Publish(_)
         )
     }
--- a/crates/control/tests/deaf.rs
+++ b/crates/control/tests/deaf.rs
@@ -1,8 +1,8 @@
 //! A relay whose questions arrive and that no answer reaches: it holds nothing, and nobody waits for it.
 
-use jaspermoor_control::log::{Kept, Log};
-use jaspermoor_control::message::{Message, Relay, Renew, Reply, Skills};
-use jaspermoor_control::voter::Voter;
+use jaspermoor_control::log::storage::{Kept, Log};
+use jaspermoor_control::log::voter::Voter;
+use jaspermoor_control::wire::message::{Message, Relay, Renew, Reply, Skills};
 use jaspermoor_control::Times;
 
 /// A fleet of one voter, which leads once it has met itself, and the time there.
@@ -26,9 +26,9 @@
     let skills = Skills { opens: vec!["load/a".into()], ..Skills::default() };
     voter.renew(now, 5, Renew { relay, number, heard, jobs: Some(0), skills, ..Renew::default() });
     let mut answers = Vec::new();
-    for beat in 0..4 {
-        voter.tick(now + beat);
-        answers.extend(voter.work(now + beat).answers);
+    for tick in 0..4 {
+        voter.tick(now + tick);
+        answers.extend(voter.work(now + tick).answers);
     }
     let reply = answers.into_iter().find_map(|(to, message)| match message {
         Message::Reply(reply) if to == 5 => Some(reply),
--- a/crates/control/tests/model.rs
+++ b/crates/control/tests/model.rs
@@ -15,7 +15,7 @@
 enum Phase {
     Rest,
     Preparing,
-    Closing,
+    Sealed,
 }
 
 /// A question on its way, or the answer to it.
@@ -27,7 +27,7 @@
         age: u8,
         epoch: u8,
         prepared: bool,
-        yielded: bool,
+        revoked: bool,
     },
     Answer {
         age: u8,
@@ -44,7 +44,7 @@
     /// Steps for which it may still admit.
     lease: u8,
     prepared: bool,
-    yielded: bool,
+    revoked: bool,
     mail: Mail,
     /// What the leader knows: steps for which the relay may still have a lease, whether it has prepared and stopped.
     granted: u8,
@@ -116,7 +116,7 @@
             epoch: 0,
             lease: 0,
             prepared: false,
-            yielded: false,
+            revoked: false,
             mail: Mail::None,
             granted: 0,
             has_prepared: false,
@@ -131,7 +131,7 @@
         match fleet.phase {
             Phase::Rest if fleet.proposals < 2 => steps.push(Step::Propose),
             Phase::Preparing if !Self::may_run(fleet, |r| r.has_prepared) => steps.push(Step::Close),
-            Phase::Closing
+            Phase::Sealed
                 if self.0 == Without::Wait
                     || fleet.closed >= WAIT
                     || !Self::may_run(fleet, |r| r.has_yielded) =>
@@ -160,7 +160,7 @@
         let mut next = fleet.clone();
         match step {
             Step::Propose => (next.phase, next.proposals) = (Phase::Preparing, fleet.proposals + 1),
-            Step::Close => (next.phase, next.closed) = (Phase::Closing, 0),
+            Step::Close => (next.phase, next.closed) = (Phase::Sealed, 0),
             Step::Commit => {
                 (next.phase, next.epoch) = (Phase::Rest, fleet.epoch + 1);
                 for relay in &mut next.relays {
@@ -178,7 +178,7 @@
             }
             Step::Time => {
                 next.unsettled = fleet.unsettled.saturating_sub(1);
-                if fleet.phase == Phase::Closing {
+                if fleet.phase == Phase::Sealed {
                     next.closed = (fleet.closed + 1).min(WAIT);
                 }
                 for relay in &mut next.relays {
@@ -191,21 +191,21 @@
                 }
             }
             Step::Ask(n) => {
-                let Relay { epoch, prepared, yielded, .. } = fleet.relays[n];
-                next.relays[n].mail = Mail::Question { age: 0, epoch, prepared, yielded };
+                let Relay { epoch, prepared, revoked, .. } = fleet.relays[n];
+                next.relays[n].mail = Mail::Question { age: 0, epoch, prepared, revoked };
             }
             Step::Answer(n) => {
-                let Mail::Question { age, epoch, prepared, yielded } = fleet.relays[n].mail else {
+                let Mail::Question { age, epoch, prepared, revoked } = fleet.relays[n].mail else {
                     return None;
                 };
                 let current = epoch == fleet.epoch;
-                let close = fleet.phase == Phase::Closing && self.0 != Without::ClosedGrants;
+                let close = fleet.phase == Phase::Sealed && self.0 != Without::ClosedGrants;
                 let prepare = fleet.phase == Phase::Preparing && current;
                 let grant = current && !close;
                 let relay = &mut next.relays[n];
                 // What it says of a change that is over counts for none that came later.
                 relay.has_prepared = prepared && current;
-                relay.has_yielded = yielded && current;
+                relay.has_yielded = revoked && current;
                 if grant {
                     relay.granted = WAIT;
                 }
@@ -218,7 +218,7 @@
                 let relay = &mut next.relays[n];
                 relay.mail = Mail::None;
                 if epoch > relay.epoch {
-                    (relay.epoch, relay.lease, relay.prepared, relay.yielded) = (epoch, 0, false, false);
+                    (relay.epoch, relay.lease, relay.prepared, relay.revoked) = (epoch, 0, false, false);
                 } else if grant && epoch == relay.epoch {
                     let age = if self.0 == Without::LeaseFromQuestion { 0 } else { age };
                     relay.lease = relay.lease.max(LEASE - age.min(LEASE));
@@ -231,7 +231,7 @@
                     relay.prepared = true;
                 }
                 if close && epoch == relay.epoch {
-                    relay.yielded = true;
+                    relay.revoked = true;
                     if self.0 != Without::Stop {
                         relay.lease = 0;
                     }
@@ -245,7 +245,7 @@
                 } else {
                     relay.lease = LEASE;
                 }
-                (relay.prepared, relay.yielded, relay.mail) = (false, false, Mail::None);
+                (relay.prepared, relay.revoked, relay.mail) = (false, false, Mail::None);
             }
         }
         // Relays are alike: states that differ in their order only are one.
--- /dev/null
+++ b/crates/control/tests/wire_names.rs
@@ -0,0 +1,60 @@
+//! Names on the wire and in stored files that differ from the code's: builds from before the code was renamed have to go on
+//! understanding them, and the ledgers that they wrote have to stay readable.
+
+use ciborium::Value;
+use jaspermoor_control::jobs::assignment::{Assignment, Job, Jobs};
+use jaspermoor_control::log::membership::{Change, Membership};
+use jaspermoor_control::log::state::{Command, Phase, Proposal, State};
+use jaspermoor_control::wire::message::{
+    Answer, Ask, Message, Publish, Renew, Reply, Status, Subscribe, Updates,
+};
+use serde::Serialize;
+
+/// All keys of maps and all texts in a value as it is written.
+fn names(value: &impl Serialize) -> Vec<String> {
+    fn collect(value: &Value, names: &mut Vec<String>) {
+        match value {
+            Value::Text(text) => names.push(text.clone()),
+            Value::Array(values) => values.iter().for_each(|value| collect(value, names)),
+            Value::Map(pairs) => pairs.iter().for_each(|(key, value)| {
+                collect(key, names);
+                collect(value, names);
+            }),
+            _ => {}
+        }
+    }
+    let mut names = Vec::new();
+    collect(&Value::serialized(value).unwrap(), &mut names);
+    names
+}
+
+#[test]
+fn names_of_builds_before_the_renaming_stay_on_the_wire_and_in_stored_files() {
+    let cases = [
+        (names(&Renew::default()), vec!["yielded", "seats"]),
+        (names(&Reply::default()), vec!["close", "seats"]),
+        (names(&Publish::default()), vec!["item"]),
+        (names(&Updates::default()), vec!["items", "facts"]),
+        (names(&Subscribe::default()), vec!["facts"]),
+        (names(&Status::default()), vec!["seats"]),
+        (names(&State::default()), vec!["seats"]),
+        (names(&Job::default()), vec!["yields"]),
+        (names(&Jobs::default()), vec!["of"]),
+        (names(&Membership::default()), vec!["highest", "of"]),
+        (names(&Message::Subscribe(Subscribe::default())), vec!["Follow"]),
+        (names(&Message::Updates(Updates::default())), vec!["News"]),
+        (names(&Ask::Member(Change::Promote(1))), vec!["Seat"]),
+        (names(&Answer::Member(Ok(()))), vec!["Seat"]),
+        (names(&Assignment::Assign(Vec::new())), vec!["Give"]),
+        (names(&Assignment::Revoke(Vec::new())), vec!["Yield"]),
+        (names(&Assignment::Release(Vec::new())), vec!["Free"]),
+        (names(&Command::Assignment(Assignment::Open(Vec::new()))), vec!["Deal", "Open"]),
+        (names(&Command::Seal(1)), vec!["Close"]),
+        (names(&Phase::Sealed(Proposal::default())), vec!["Closing"]),
+    ];
+    for (written, expected) in cases {
+        for name in expected {
+            assert!(written.iter().any(|found| found == name), "no '{name}' in {written:?}");
+        }
+    }
+}
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -81,7 +81,7 @@
         replace: Vec::new(),
         listen: None,
         held: None,
-        plant: None,
+        bug: None,
         build: None,
         fail_points: None,
         core: None,
--- a/crates/lab/src/faults/harness.rs
+++ b/crates/lab/src/faults/harness.rs
@@ -1,12 +1,12 @@
 //! A fleet of real processes: relays with links between them that can be spoilt, backends that tell by whom a client is
-//! served which policy it was admitted under, clients that knock all the time, and the book of it all.
+//! served which policy it was admitted under, clients that request all the time, and the history of it all.
 //!
 //! Each policy pins the one site to a cell of its own, and each cell has one backend: so what a relay did, not what it
 //! says, shows its policy.
 
-use super::books::{check, obeyed, Broken, Fact, Line, Moment};
+use super::history::{check, obeyed, Broken, Fact, Line, Moment};
 use super::proxy::{Proxy, Way};
-use super::scenario::{Deed, Disk, Harm, Scenario, Step};
+use super::scenario::{Action, Disk, Harm, Scenario, Step};
 use crate::discovery::{lock, Discovery, Entry};
 use crate::line::Backend;
 use crate::relay::{Relay, Setup};
@@ -43,8 +43,8 @@
     pub program: PathBuf,
     /// A directory for the files of this play.
     pub dir: PathBuf,
-    /// The fault that is planted in every relay, by its name.
-    pub plant: Option<String>,
+    /// The fault that is injected in every relay, by its name.
+    pub bug: Option<String>,
 }
 
 /// What a play has shown.
@@ -53,7 +53,7 @@
     /// Rules that did not hold.
     pub broken: Vec<Broken>,
     /// Everything, in the order of time.
-    pub book: Vec<Line>,
+    pub history: Vec<Line>,
     /// Proposals in force, and how long each took from propose to its outcome.
     pub took: Vec<Duration>,
     /// What each relay's processes have logged, the earlier first.
@@ -117,7 +117,7 @@
     at: Moment,
 }
 
-/// A job as staff see it.
+/// A job as operators see it.
 struct Job {
     name: String,
     /// Its owner's place.
@@ -147,7 +147,7 @@
     relays: Vec<Option<Relay>>,
     /// The sockets that the platform holds for them.
     held: Vec<Arc<TcpListener>>,
-    /// The links by which staff reach each voter, which no fault is done to.
+    /// The links by which operators reach each voter, which no fault is done to.
     staff_ways: Vec<Proxy>,
     /// Where each relay's clients come; none while it is away.
     doors: Arc<Mutex<Vec<Option<SocketAddr>>>>,
@@ -158,7 +158,7 @@
     stays: Arc<Mutex<Vec<Stay>>>,
     harmed: Vec<Harmed>,
     spoilt: Spoilt,
-    book: Vec<Line>,
+    history: Vec<Line>,
     proposed: usize,
     changes: Vec<Change>,
     requests: Arc<Mutex<Vec<Request>>>,
@@ -167,11 +167,11 @@
     armed: BTreeMap<usize, String>,
     /// Relays that have become voters, each with the one link by which all others reach it.
     joined: BTreeMap<usize, Proxy>,
-    /// Replacements of voters that staff wait for.
+    /// Replacements of voters that operators wait for.
     replacements: Vec<JoinHandle<Result<(), String>>>,
 }
 
-/// Plays it, and looks at its book.
+/// Plays it, and looks at its history.
 pub fn play(ground: &Ground, scenario: &Scenario) -> io::Result<Played> {
     let mut rig = Rig::build(ground, scenario)?;
     let stop = Arc::new(AtomicBool::new(false));
@@ -180,7 +180,7 @@
         .map(|relay| {
             let (doors, stop, requests, begin) =
                 (rig.doors.clone(), stop.clone(), requests.clone(), rig.begin);
-            thread::spawn(move || knock(relay, &doors, &stop, &requests, begin))
+            thread::spawn(move || request(relay, &doors, &stop, &requests, begin))
         })
         .collect();
     let stayers: Vec<JoinHandle<()>> = (0..scenario.standing)
@@ -192,21 +192,21 @@
     let looks: Arc<Mutex<Vec<Line>>> = Arc::default();
     let looker = {
         let (stop, looks, begin, program) = (stop.clone(), looks.clone(), rig.begin, ground.program.clone());
-        let file = rig.staff()?;
+        let file = rig.operators()?;
         thread::spawn(move || look(&program, &file, &stop, &looks, begin))
     };
     let played = rig.all_stand().and_then(|()| rig.run());
     let together = played.and_then(|()| rig.come_together(&requests));
     stop.store(true, Relaxed);
     clients.into_iter().chain(stayers).chain([looker]).for_each(|thread| drop(thread.join()));
-    rig.book.append(&mut lock(&looks));
+    rig.history.append(&mut lock(&looks));
     let together = together?;
     let requests = std::mem::take(&mut *lock(&requests));
     Ok(rig.end(requests, together))
 }
 
 /// A client that asks again and again, one request after the other.
-fn knock(
+fn request(
     relay: usize,
     doors: &Mutex<Vec<Option<SocketAddr>>>,
     stop: &AtomicBool,
@@ -295,7 +295,7 @@
     }
 }
 
-/// Staff who look again and again which epoch is in force.
+/// Operators who look again and again which epoch is in force.
 fn look(program: &Path, file: &Path, stop: &AtomicBool, looks: &Mutex<Vec<Line>>, begin: Instant) {
     let now = || begin.elapsed().as_micros() as Moment;
     while !stop.load(Relaxed) {
@@ -365,7 +365,7 @@
             stays: Arc::default(),
             harmed: Vec::new(),
             spoilt: Spoilt::default(),
-            book: Vec::new(),
+            history: Vec::new(),
             proposed: 0,
             changes: Vec::new(),
             requests: Arc::default(),
@@ -412,7 +412,7 @@
     }
 
     fn write(&mut self, fact: Fact) {
-        self.book.push(Line { at: self.now(), fact });
+        self.history.push(Line { at: self.now(), fact });
     }
 
     fn all_logs(&self) -> String {
@@ -459,7 +459,7 @@
             listen: None,
             core: None,
             held: Some(self.held[relay].clone()),
-            plant: self.ground.plant.clone(),
+            bug: self.ground.bug.clone(),
             build: match relay {
                 of if self.scenario.older.contains(&of) => Some("older".into()),
                 of if self.scenario.later.contains(&of) => Some("later".into()),
@@ -521,21 +521,21 @@
         }
     }
 
-    /// Calls the program as staff do; what it cannot do ends the play.
+    /// Calls the program as operators do; what it cannot do ends the play.
     fn call(&self, words: &[&str]) -> io::Result<()> {
         let output = Command::new(&self.ground.program).args(words).stdin(Stdio::null()).output()?;
         let said = || io::Error::other(String::from_utf8_lossy(&output.stderr).to_string());
         output.status.success().then_some(()).ok_or_else(said)
     }
 
-    /// The operator file of staff, who reach the voters by a way of their own, which no fault is done to.
-    fn staff(&self) -> io::Result<PathBuf> {
+    /// The operator file of operators, who reach the voters by a way of their own, which no fault is done to.
+    fn operators(&self) -> io::Result<PathBuf> {
         let numbers = (0..self.scenario.voters).chain(self.joined.keys().copied());
-        let staff = "[fleet]\nid = \"lab\"\ndirectory = \"none\"\nkeys = \"fleet.key\"\n";
-        let file = self.ground.dir.join("staff.toml");
+        let operators = "[fleet]\nid = \"lab\"\ndirectory = \"none\"\nkeys = \"fleet.key\"\n";
+        let file = self.ground.dir.join("operators.toml");
         // As a whole: calls that are under way read it.
         let new = file.with_extension("new");
-        std::fs::write(&new, staff.to_string() + &voters(numbers.map(|n| (n, self.staff_ways[n].addr))))?;
+        std::fs::write(&new, operators.to_string() + &voters(numbers.map(|n| (n, self.staff_ways[n].addr))))?;
         std::fs::rename(new, &file)?;
         Ok(file)
     }
@@ -563,7 +563,7 @@
         std::fs::write(&file, self.operator(new))?;
         self.call(&["fleet", "--operator", &file.display().to_string(), "join"])?;
         self.start(new)?;
-        let operator = self.staff()?;
+        let operator = self.operators()?;
         let (goes, comes) = ((old + 1).to_string(), (new + 1).to_string());
         let mut command = Command::new(&self.ground.program);
         command.args(["fleet", "--wait", "40", "--operator"]).arg(operator);
@@ -576,12 +576,12 @@
         Ok(())
     }
 
-    /// Proposes a policy as staff do, and waits for its outcome in a thread.
+    /// Proposes a policy as operators do, and waits for its outcome in a thread.
     fn change(&mut self, text: String, wait: Duration) -> io::Result<JoinHandle<Told>> {
         self.proposed += 1;
         let file = self.ground.dir.join(format!("policy-{}.toml", self.proposed));
         std::fs::write(&file, &text)?;
-        let operator = self.staff()?;
+        let operator = self.operators()?;
         let mut command = Command::new(&self.ground.program);
         command.arg("policy").arg("--operator").arg(operator).arg("--json");
         command.args(["--wait", &wait.as_secs().to_string(), "propose"]).arg(file).args(["--why", "a play"]);
@@ -636,41 +636,41 @@
         self.write(Fact::Fault { text: format!("n{relay} until {:.3} s", until as f64 / 1e6) });
         let known = self.spoilt.until.entry(relay).or_default();
         *known = until.max(*known);
-        self.book.push(Line { at: now, fact: Fact::Spoilt { relay: format!("n{relay}"), until } });
+        self.history.push(Line { at: now, fact: Fact::Spoilt { relay: format!("n{relay}"), until } });
     }
 
     fn step(&mut self, step: &Step) -> io::Result<()> {
-        self.write(Fact::Fault { text: format!("{:?}", step.deed) });
-        match step.deed {
-            Deed::Propose => self.propose(None)?,
-            Deed::ProposeBad => self.propose(Some("[of_a_later_build]\n".into()))?,
-            Deed::ProposeLater => {
+        self.write(Fact::Fault { text: format!("{:?}", step.action) });
+        match step.action {
+            Action::Propose => self.propose(None)?,
+            Action::ProposeBad => self.propose(Some("[of_a_later_build]\n".into()))?,
+            Action::ProposeLater => {
                 let text = policy(self.proposed, self.scenario.moves_per_second) + LATER;
                 self.propose(Some(text))?;
             }
-            Deed::Rebuild { relay } => {
+            Action::Rebuild { relay } => {
                 self.scenario.older.retain(|of| *of != relay);
                 self.scenario.later.retain(|of| *of != relay);
                 self.mark(relay, self.now() + 1_500_000);
                 self.kill(relay);
                 self.start(relay)?;
             }
-            Deed::ProposeTwo => {
+            Action::ProposeTwo => {
                 self.propose(None)?;
                 self.propose(None)?;
             }
-            Deed::Kill { relay, for_ms } => {
+            Action::Kill { relay, for_ms } => {
                 self.spoil(relay, for_ms, Undo::Start(relay));
                 self.kill(relay);
             }
-            Deed::KillAll { for_ms } => {
+            Action::KillAll { for_ms } => {
                 for relay in 0..self.relays.len() {
                     self.spoil(relay, for_ms, Undo::Start(relay));
                     self.kill(relay);
                 }
             }
-            Deed::Stop { relay, for_ms } => self.stop(relay, for_ms)?,
-            Deed::StopLeader { for_ms } => {
+            Action::Stop { relay, for_ms } => self.stop(relay, for_ms)?,
+            Action::StopLeader { for_ms } => {
                 let leads = |relay: &Option<Relay>| {
                     let lines = relay.as_ref().map(Relay::lines).unwrap_or_default();
                     let last = lines.into_iter().rev().find(|line| line.contains("fleet: leads"));
@@ -679,24 +679,24 @@
                 let leader = self.relays.iter().position(leads).unwrap_or(0);
                 self.stop(leader, for_ms)?;
             }
-            Deed::Cut { relay, out, back, held, for_ms } => self.cut(relay, [out, back], held, for_ms),
-            Deed::Slow { by_ms, for_ms } => {
+            Action::Cut { relay, out, back, held, for_ms } => self.cut(relay, [out, back], held, for_ms),
+            Action::Slow { by_ms, for_ms } => {
                 let late = Way::Late(Duration::from_millis(by_ms));
                 self.links.values().for_each(|link| link.set([late, late]));
                 let until = self.now() + for_ms * 1_000;
                 self.spoilt.undo.push((until, Undo::MendAll));
             }
-            Deed::Narrow { bytes_per_s, for_ms } => {
+            Action::Narrow { bytes_per_s, for_ms } => {
                 let narrow = Way::Narrow(bytes_per_s);
                 self.links.values().for_each(|link| link.set([narrow, narrow]));
                 self.spoilt.undo.push((self.now() + for_ms * 1_000, Undo::MendAll));
             }
-            Deed::Lossy { permille, by_ms, for_ms } => {
+            Action::Lossy { permille, by_ms, for_ms } => {
                 let lossy = Way::Lossy(permille, Duration::from_millis(by_ms));
                 self.links.values().for_each(|link| link.set([lossy, lossy]));
                 self.spoilt.undo.push((self.now() + for_ms * 1_000, Undo::MendAll));
             }
-            Deed::Arm { relay, ref points, for_ms } => {
+            Action::Arm { relay, ref points, for_ms } => {
                 self.spoil(relay, for_ms, Undo::Restart(relay));
                 self.kill(relay);
                 self.armed.insert(relay, points.clone());
@@ -706,14 +706,14 @@
                 }
                 self.armed.remove(&relay);
             }
-            Deed::Reach { relay, ref points, ref says } => self.reach(relay, points, says)?,
-            Deed::Restart { relay } => {
+            Action::Reach { relay, ref points, ref says } => self.reach(relay, points, says)?,
+            Action::Restart { relay } => {
                 self.mark(relay, self.now() + 1_500_000);
                 self.kill(relay);
                 self.start(relay)?;
             }
-            Deed::Said { relay, ref says } => self.wait(says, |rig| rig.has_said(relay, says))?,
-            Deed::Tear { relay, bytes, for_ms } => {
+            Action::Said { relay, ref says } => self.wait(says, |rig| rig.has_said(relay, says))?,
+            Action::Tear { relay, bytes, for_ms } => {
                 self.spoil(relay, for_ms, Undo::Start(relay));
                 self.kill(relay);
                 let file = std::fs::OpenOptions::new()
@@ -721,16 +721,16 @@
                     .open(self.ground.dir.join(format!("ledger-{relay}/ledger.redb")))?;
                 file.set_len(file.metadata()?.len().saturating_sub(bytes))?;
             }
-            Deed::Replace { relay, by, disk } => self.replace(relay, by, disk)?,
-            Deed::Upgrade { relay } => self.upgrade(relay)?,
-            Deed::Keys { ref keys } => {
+            Action::Replace { relay, by, disk } => self.replace(relay, by, disk)?,
+            Action::Upgrade { relay } => self.upgrade(relay)?,
+            Action::Keys { ref keys } => {
                 std::fs::write(self.ground.dir.join("fleet.key"), keys.join("\n") + "\n")?
             }
-            Deed::Owner { ref job, harm, for_ms } => self.harm(job, harm, for_ms)?,
-            Deed::Taken { ref job } => self.taken(job)?,
-            Deed::Reset => self.links.values().for_each(Proxy::reset),
-            Deed::Await => self.settle(|_| true)?,
-            Deed::Admitted => self.settle(|word| word == "UP")?,
+            Action::Owner { ref job, harm, for_ms } => self.harm(job, harm, for_ms)?,
+            Action::Taken { ref job } => self.taken(job)?,
+            Action::Reset => self.links.values().for_each(Proxy::reset),
+            Action::Await => self.settle(|_| true)?,
+            Action::Admitted => self.settle(|word| word == "UP")?,
         }
         Ok(())
     }
@@ -748,11 +748,11 @@
         self.spoil(relay, for_ms, Undo::Mend(relay));
     }
 
-    /// The fleet's jobs as staff see them; none where nobody answers just now.
+    /// The fleet's jobs as operators see them; none where nobody answers just now.
     fn jobs(&mut self) -> Option<Vec<Job>> {
-        let staff = self.ground.dir.join("staff.toml");
+        let operators = self.ground.dir.join("operators.toml");
         let mut command = Command::new(&self.ground.program);
-        command.args(["fleet", "--json", "--wait", "1", "--operator"]).arg(staff).arg("jobs");
+        command.args(["fleet", "--json", "--wait", "1", "--operator"]).arg(operators).arg("jobs");
         command.stdin(Stdio::null()).stderr(Stdio::null()).stdout(Stdio::piped());
         let mut call = command.spawn().ok()?;
         // It says a few lines, which fit into the pipe; and it waits for voters that may be stopped: what is due to be
@@ -800,7 +800,7 @@
             Harm::Upgrade => self.upgrade(relay)?,
             Harm::HandOver => {
                 let mut command = Command::new(&self.ground.program);
-                command.args(["fleet", "--wait", "20", "--operator"]).arg(self.staff()?);
+                command.args(["fleet", "--wait", "20", "--operator"]).arg(self.operators()?);
                 command.args(["hand-over", job]).stdin(Stdio::null());
                 // A leader that changes meanwhile may make it fail; then the job stays where it is.
                 self.replacements
@@ -1051,7 +1051,7 @@
             if let Some(epoch) = told.epoch {
                 took.push(told.took);
                 let fact = Fact::Epoch { epoch, change: true, asked: change.asked };
-                self.book.push(Line { at: change.asked + told.took.as_micros() as Moment, fact });
+                self.history.push(Line { at: change.asked + told.took.as_micros() as Moment, fact });
             }
             let first = change.text.lines().next().unwrap_or_default().to_string();
             let text = format!("{first}: {} after {} ms", told.word, told.took.as_millis());
@@ -1073,7 +1073,7 @@
             logs.iter().flat_map(|(relay, lines)| lines.iter().map(move |line| (*relay, line)))
         {
             let at = said.saturating_duration_since(self.begin).as_micros() as Moment;
-            let mut write = |fact| self.book.push(Line { at, fact });
+            let mut write = |fact| self.history.push(Line { at, fact });
             second[relay] += usize::from(line == SECOND_PROCESS);
             if let Some((epoch, digest)) = adopted(line) {
                 write(Fact::Holds { relay: format!("n{relay}"), epoch, text: digest.clone() });
@@ -1100,7 +1100,7 @@
                 Fact::Obeyed { job, token, .. } => *job == harmed.job && *token > harmed.token,
                 _ => false,
             };
-            let at = self.book.iter().filter(first).map(|line| line.at).min()?;
+            let at = self.history.iter().filter(first).map(|line| line.at).min()?;
             Some((harmed.harm, Duration::from_micros(at.saturating_sub(harmed.at))))
         });
         let taken = taken.collect();
@@ -1108,7 +1108,7 @@
         for stay in std::mem::take(&mut *lock(&self.stays)) {
             if let (true, Some(cell)) = (stay.moved, cells.get(&stay.id)) {
                 let fact = Fact::Moved { client: stay.client, from: *cell, rate };
-                self.book.push(Line { at: stay.at, fact });
+                self.history.push(Line { at: stay.at, fact });
             }
         }
         let probes = self.backends.iter().map(|backend| backend.book(|book| book.probes)).sum();
@@ -1127,11 +1127,11 @@
                     continue;
                 }
             };
-            self.book.push(Line { at: request.at, fact });
+            self.history.push(Line { at: request.at, fact });
         }
         // Whoever was killed, stopped or restarted meanwhile owes no answer.
         let spoilt: Vec<(String, Moment, Moment)> = self
-            .book
+            .history
             .iter()
             .filter_map(|line| match &line.fact {
                 Fact::Spoilt { relay, until } => Some((relay.clone(), line.at, *until)),
@@ -1139,18 +1139,18 @@
             })
             .collect();
         let waits = ANSWER.as_micros() as Moment;
-        self.book.retain(|line| match &line.fact {
+        self.history.retain(|line| match &line.fact {
             Fact::Unanswered { relay, .. } => !spoilt
                 .iter()
                 .any(|(of, from, until)| of == relay && line.at + 1 >= *from && line.at <= until + waits),
             _ => true,
         });
-        self.book.sort_by_key(|line| line.at);
-        broken.extend(check(&self.book));
+        self.history.sort_by_key(|line| line.at);
+        broken.extend(check(&self.history));
         let logs =
             logs.into_iter().map(|(relay, said)| (relay, said.into_iter().map(|(_, line)| line).collect()));
-        let (book, logs) = (std::mem::take(&mut self.book), logs.collect());
-        Played { broken, book, took, logs, taken, probes, admitted, refused }
+        let (history, logs) = (std::mem::take(&mut self.history), logs.collect());
+        Played { broken, history, took, logs, taken, probes, admitted, refused }
     }
 }
 
@@ -1160,11 +1160,11 @@
     Some((epoch.parse().ok()?, rest.split_once(") in force")?.0.to_string()))
 }
 
-/// Writes a book as lines of JSON, its scenario in front.
-pub fn write_book(path: &Path, scenario: &Scenario, book: &[Line]) -> io::Result<()> {
+/// Writes a history as lines of JSON, its scenario in front.
+pub fn write_history(path: &Path, scenario: &Scenario, history: &[Line]) -> io::Result<()> {
     let mut file = io::BufWriter::new(std::fs::File::create(path)?);
     writeln!(file, "{}", serde_json::to_string(scenario)?)?;
-    for line in book {
+    for line in history {
         writeln!(file, "{}", serde_json::to_string(line)?)?;
     }
     file.flush()
--- a/crates/lab/src/faults/books.rs
+++ b/crates/lab/src/faults/history.rs
@@ -1,4 +1,4 @@
-//! Books of a play, and what must hold in them. A checker sees the books only: it asks no relay whether it is well, and
+//! Books of a play, and what must hold in them. A checker sees the history only: it asks no relay whether it is well, and
 //! knows neither harness nor network.
 
 use std::collections::BTreeMap;
@@ -51,7 +51,7 @@
         /// The outcome in words.
         outcome: String,
     },
-    /// Staff read the epoch in force, or were told that a change brought it into force; they asked at that time, and had
+    /// Operators read the epoch in force, or were told that a change brought it into force; they asked at that time, and had
     /// the answer when the line was written.
     Epoch {
         /// See there.
@@ -129,33 +129,33 @@
     }
 }
 
-/// The job and token that a relay says in its log to obey: its book as a receiver.
+/// The job and token that a relay says in its log to obey: its history as a receiver.
 pub fn obeyed(line: &str) -> Option<(String, u64)> {
     let (job, token) = line.split_once("fleet: obeys ")?.1.split_once(" under token ")?;
     Some((job.into(), token.trim().parse().ok()?))
 }
 
 /// All that must hold, in the order in which it is looked at.
-pub fn check(book: &[Line]) -> Vec<Broken> {
+pub fn check(history: &[Line]) -> Vec<Broken> {
     let all = [
-        one_policy(book),
-        one_text(book),
-        one_leader(book),
-        one_outcome(book),
-        one_answer(book),
-        one_log(book),
-        one_owner(book),
-        fenced(book),
-        moved_once(book),
-        paced(book),
+        one_policy(history),
+        one_text(history),
+        one_leader(history),
+        one_outcome(history),
+        one_answer(history),
+        one_log(history),
+        one_owner(history),
+        fenced(history),
+        moved_once(history),
+        paced(history),
     ];
     all.into_iter().flatten().collect()
 }
 
 /// No client that asks once another has been admitted under a policy is admitted under an older one. Two that wait at
 /// the same time say nothing of each other, so no clock of ours decides.
-pub fn one_policy(book: &[Line]) -> Option<Broken> {
-    let admitted = book.iter().filter_map(|line| match &line.fact {
+pub fn one_policy(history: &[Line]) -> Option<Broken> {
+    let admitted = history.iter().filter_map(|line| match &line.fact {
         Fact::Admitted { relay, epoch, asked } => Some((*asked, line.at, *epoch, relay.as_str())),
         _ => None,
     });
@@ -185,9 +185,9 @@
 
 /// Changes and looks at the log are linearizable. Its epochs only grow, so that is the case where no answer is older than one
 /// that was there before it was asked for, and no epoch is seen before the change that made it was asked for.
-pub fn one_log(book: &[Line]) -> Option<Broken> {
+pub fn one_log(history: &[Line]) -> Option<Broken> {
     let mut seen: Vec<(Moment, Moment, u64, bool)> = Vec::new();
-    for line in book {
+    for line in history {
         let Fact::Epoch { epoch, change, asked } = line.fact else { continue };
         let broken = |text: String| Some(Broken { rule: "one log", at: line.at, text });
         if let Some((_, at, newer, _)) = seen.iter().find(|(_, at, newer, _)| *at < asked && *newer > epoch) {
@@ -205,9 +205,9 @@
 }
 
 /// A job has one owner at a time: nobody acts on it once another has acted with a later token.
-pub fn one_owner(book: &[Line]) -> Option<Broken> {
+pub fn one_owner(history: &[Line]) -> Option<Broken> {
     let mut newest: BTreeMap<&str, (u64, &str)> = BTreeMap::new();
-    for Line { at, fact } in book {
+    for Line { at, fact } in history {
         let Fact::Acted { relay, job, token } = fact else { continue };
         let (highest, by) = newest.entry(job).or_insert((*token, relay));
         if token < highest {
@@ -220,9 +220,9 @@
 }
 
 /// No receiver obeys an older token of a job after a newer one.
-pub fn fenced(book: &[Line]) -> Option<Broken> {
+pub fn fenced(history: &[Line]) -> Option<Broken> {
     let mut newest: BTreeMap<(&str, &str), u64> = BTreeMap::new();
-    for Line { at, fact } in book {
+    for Line { at, fact } in history {
         let Fact::Obeyed { receiver, job, token } = fact else { continue };
         let highest = newest.entry((receiver, job)).or_insert(*token);
         if token < highest {
@@ -235,9 +235,9 @@
 }
 
 /// A client is moved away from a cell once.
-pub fn moved_once(book: &[Line]) -> Option<Broken> {
+pub fn moved_once(history: &[Line]) -> Option<Broken> {
     let mut before: BTreeMap<(usize, usize), Moment> = BTreeMap::new();
-    book.iter().find_map(|line| {
+    history.iter().find_map(|line| {
         let Fact::Moved { client, from, .. } = line.fact else { return None };
         let first = before.insert((client, from), line.at)?;
         let text =
@@ -248,9 +248,9 @@
 
 /// All relays together move no more clients than the policy allows: never more since any moment that a move was seen than
 /// the rate for the time since, two seconds' worth of credit besides. A client that hears late only lowers the count.
-pub fn paced(book: &[Line]) -> Option<Broken> {
+pub fn paced(history: &[Line]) -> Option<Broken> {
     let mut moves: Vec<(Moment, u64)> = Vec::new();
-    for line in book {
+    for line in history {
         if let Fact::Moved { rate, .. } = line.fact {
             moves.push((line.at, rate));
         }
@@ -265,17 +265,17 @@
 }
 
 /// Each client that a sound relay has taken has its answer.
-pub fn one_answer(book: &[Line]) -> Option<Broken> {
-    book.iter().find_map(|line| {
+pub fn one_answer(history: &[Line]) -> Option<Broken> {
+    history.iter().find_map(|line| {
         let Fact::Unanswered { relay, id } = &line.fact else { return None };
         Some(Broken { rule: "one answer", at: line.at, text: format!("{relay} left {id} without an answer") })
     })
 }
 
 /// An epoch means one text, for all and for good.
-pub fn one_text(book: &[Line]) -> Option<Broken> {
+pub fn one_text(history: &[Line]) -> Option<Broken> {
     let mut texts: BTreeMap<u64, (&str, &str)> = BTreeMap::new();
-    for Line { at, fact } in book {
+    for Line { at, fact } in history {
         let Fact::Holds { relay, epoch, text } = fact else { continue };
         let (first, other) = *texts.entry(*epoch).or_insert((text, relay));
         if first != text {
@@ -287,9 +287,9 @@
 }
 
 /// A term has one leader.
-pub fn one_leader(book: &[Line]) -> Option<Broken> {
+pub fn one_leader(history: &[Line]) -> Option<Broken> {
     let mut leaders: BTreeMap<u64, u64> = BTreeMap::new();
-    for Line { at, fact } in book {
+    for Line { at, fact } in history {
         let Fact::Leads { voter, term } = fact else { continue };
         let first = *leaders.entry(*term).or_insert(*voter);
         if first != *voter {
@@ -301,9 +301,9 @@
 }
 
 /// A proposal has one outcome, whoever asks and however often.
-pub fn one_outcome(book: &[Line]) -> Option<Broken> {
+pub fn one_outcome(history: &[Line]) -> Option<Broken> {
     let mut outcomes: BTreeMap<&str, &str> = BTreeMap::new();
-    for Line { at, fact } in book {
+    for Line { at, fact } in history {
         let Fact::Told { proposal, outcome } = fact else { continue };
         let first = *outcomes.entry(proposal).or_insert(outcome);
         if first != outcome {
@@ -318,7 +318,7 @@
 mod tests {
     use super::*;
 
-    fn book(facts: Vec<Fact>) -> Vec<Line> {
+    fn history(facts: Vec<Fact>) -> Vec<Line> {
         let line = |(n, fact): (usize, Fact)| {
             let at = 10 * n as u64 + 10;
             let fact = match fact {
@@ -331,7 +331,7 @@
     }
 
     fn admitted(relay: &str, epoch: u64) -> Fact {
-        // Asked right before; `book` writes a line each microsecond.
+        // Asked right before; `history` writes a line each microsecond.
         Fact::Admitted { relay: relay.into(), epoch, asked: 0 }
     }
 
@@ -353,11 +353,11 @@
             admitted("b", 2),
             admitted("a", 2),
         ];
-        assert_eq!(check(&book(sound)), []);
-        let rule = |facts| check(&book(facts)).first().map(|broken| broken.rule);
+        assert_eq!(check(&history(sound)), []);
+        let rule = |facts| check(&history(facts)).first().map(|broken| broken.rule);
         assert_eq!(rule(vec![admitted("a", 2), admitted("b", 1)]), Some("one policy"));
         // Two that wait at the same time.
-        let mut both = book(vec![admitted("a", 2), admitted("b", 1)]);
+        let mut both = history(vec![admitted("a", 2), admitted("b", 1)]);
         both[1].fact = Fact::Admitted { relay: "b".into(), epoch: 1, asked: 5 };
         assert_eq!(check(&both), []);
         // A look after a look, or after a change, that shows less; one that shows what nobody had asked for yet.
@@ -377,11 +377,11 @@
         assert_eq!(rule(vec![leads(1), leads(2)]), Some("one leader"));
         let acted = |relay: &str, token| Fact::Acted { relay: relay.into(), job: "j".into(), token };
         let obeyed = |token| Fact::Obeyed { receiver: "r".into(), job: "j".into(), token };
-        assert_eq!(check(&book(vec![acted("a", 1), obeyed(1), acted("b", 2), obeyed(1), obeyed(2)])), []);
+        assert_eq!(check(&history(vec![acted("a", 1), obeyed(1), acted("b", 2), obeyed(1), obeyed(2)])), []);
         assert_eq!(rule(vec![acted("a", 1), acted("b", 2), acted("a", 1)]), Some("one owner"));
         assert_eq!(rule(vec![obeyed(2), obeyed(1)]), Some("fenced"));
         let moved = |client, from| Fact::Moved { client, from, rate: 2 };
-        assert_eq!(check(&book(vec![moved(1, 0), moved(2, 0), moved(1, 1)])), []);
+        assert_eq!(check(&history(vec![moved(1, 0), moved(2, 0), moved(1, 1)])), []);
         assert_eq!(rule(vec![moved(1, 0), moved(1, 1), moved(1, 0)]), Some("moved once"));
         // All within a moment: two seconds' worth and one.
         assert_eq!(rule((0..5).map(|client| moved(client, 0)).collect()), None);
--- a/crates/lab/src/faults/mod.rs
+++ b/crates/lab/src/faults/mod.rs
@@ -1,7 +1,7 @@
-//! The fault laboratory: many relays, faults between them, books of what each did, and checkers of the books.
+//! The fault laboratory: many relays, faults between them, history of what each did, and checkers of the history.
 
-pub mod books;
 pub mod harness;
+pub mod history;
 pub mod plot;
 pub mod proxy;
 pub mod scenario;
--- a/crates/lab/src/faults/plot.rs
+++ b/crates/lab/src/faults/plot.rs
@@ -1,6 +1,6 @@
 //! A play as a picture: a row for each relay, epochs as colours where its clients were admitted, faults as bars above.
 
-use super::books::{Fact, Line};
+use super::history::{Fact, Line};
 use plotters::prelude::*;
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -12,14 +12,14 @@
 const LEAST: f64 = 0.004;
 
 /// Draws it.
-pub fn draw(path: &Path, title: &str, book: &[Line]) -> Result<(), String> {
-    draw_all(path, title, book).map_err(|e| format!("{}: cannot be drawn: {e}", path.display()))
+pub fn draw(path: &Path, title: &str, history: &[Line]) -> Result<(), String> {
+    draw_all(path, title, history).map_err(|e| format!("{}: cannot be drawn: {e}", path.display()))
 }
 
-fn draw_all(path: &Path, title: &str, book: &[Line]) -> Result<(), Box<dyn std::error::Error>> {
+fn draw_all(path: &Path, title: &str, history: &[Line]) -> Result<(), Box<dyn std::error::Error>> {
     let seconds = |at: u64| at as f64 / 1e6;
     let mut rows: BTreeMap<&str, usize> = BTreeMap::new();
-    for line in book {
+    for line in history {
         if let Fact::Admitted { relay, .. } | Fact::Spoilt { relay, .. } = &line.fact {
             rows.insert(relay, 0);
         }
@@ -28,7 +28,7 @@
         *row = n;
     }
     let last = |line: &Line| matches!(line.fact, Fact::Admitted { .. }).then_some(line.at);
-    let end = seconds(book.iter().filter_map(last).max().unwrap_or(1_000_000));
+    let end = seconds(history.iter().filter_map(last).max().unwrap_or(1_000_000));
     let area = SVGBackend::new(path, (WIDTH, 90 + ROW * rows.len().max(1) as u32)).into_drawing_area();
     area.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(&area)
@@ -46,7 +46,7 @@
         .y_label_formatter(&|y| names.get(*y as usize).map_or(String::new(), |name| (*name).to_string()))
         .draw()?;
     let mut bars = Vec::new();
-    for line in book {
+    for line in history {
         if let Fact::Spoilt { relay, until } = &line.fact {
             let y = rows[relay.as_str()] as f64;
             let style = RGBColor(205, 205, 205).filled();
@@ -56,7 +56,7 @@
             ));
         }
     }
-    for line in book {
+    for line in history {
         if let Fact::Admitted { relay, epoch, asked } = &line.fact {
             let y = rows[relay.as_str()] as f64;
             let style = Palette99::pick(*epoch as usize).filled();
--- a/crates/lab/src/faults/scenario.rs
+++ b/crates/lab/src/faults/scenario.rs
@@ -7,7 +7,7 @@
 /// What happens at one moment.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "do", deny_unknown_fields)]
-pub enum Deed {
+pub enum Action {
     /// A policy is proposed, which pins the site to the next cell. Nobody waits for it.
     Propose,
     /// A policy is proposed that no relay of this build understands.
@@ -178,7 +178,7 @@
     Deaf,
     /// Both, and what was said is lost.
     Cut,
-    /// Staff give its job to another.
+    /// Operators give its job to another.
     HandOver,
     /// It is upgraded: a second process takes over.
     Upgrade,
@@ -202,14 +202,14 @@
     Remade,
 }
 
-/// A deed and when it is done.
+/// A action and when it is done.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
     /// Milliseconds from the begin.
     pub at_ms: u64,
     /// What.
     #[serde(flatten)]
-    pub deed: Deed,
+    pub action: Action,
 }
 
 /// A whole play.
@@ -304,7 +304,7 @@
     ("disk-full", include_str!("../../faults/disk-full.toml")),
     ("torn-tail", include_str!("../../faults/torn-tail.toml")),
     ("between-steps", include_str!("../../faults/between-steps.toml")),
-    ("bad-weather", include_str!("../../faults/bad-weather.toml")),
+    ("bad-network", include_str!("../../faults/bad-network.toml")),
     ("key-change", include_str!("../../faults/key-change.toml")),
     ("upgrades", include_str!("../../faults/upgrades.toml")),
     ("never-answers", include_str!("../../faults/never-answers.toml")),
@@ -323,15 +323,15 @@
         }
         let relays = scenario.voters + scenario.observers;
         for (n, step) in scenario.step.iter().enumerate() {
-            let named = match step.deed {
-                Deed::Kill { relay, .. } | Deed::Stop { relay, .. } | Deed::Cut { relay, .. } => relay,
-                Deed::Arm { relay, .. } | Deed::Tear { relay, .. } | Deed::Upgrade { relay } => relay,
-                Deed::Reach { relay, .. } | Deed::Restart { relay } | Deed::Said { relay, .. } => relay,
-                Deed::Rebuild { relay } => relay,
-                Deed::Replace { relay, by, .. } if by < scenario.voters || relay == by => {
+            let named = match step.action {
+                Action::Kill { relay, .. } | Action::Stop { relay, .. } | Action::Cut { relay, .. } => relay,
+                Action::Arm { relay, .. } | Action::Tear { relay, .. } | Action::Upgrade { relay } => relay,
+                Action::Reach { relay, .. } | Action::Restart { relay } | Action::Said { relay, .. } => relay,
+                Action::Rebuild { relay } => relay,
+                Action::Replace { relay, by, .. } if by < scenario.voters || relay == by => {
                     return Err(format!("step[{n}].by: is {by}, which votes already"));
                 }
-                Deed::Replace { relay, by, .. } => relay.max(by),
+                Action::Replace { relay, by, .. } => relay.max(by),
                 _ => 0,
             };
             if named >= relays {
@@ -361,42 +361,42 @@
             let relay = rng.random_range(0..relays);
             let for_ms =
                 if rng.random_bool(0.7) { rng.random_range(50..900) } else { rng.random_range(900..2_500) };
-            let deed = match rng.random_range(0..22) {
-                0..=5 => Deed::Propose,
-                6 => Deed::ProposeBad,
-                7 => Deed::ProposeTwo,
-                8 | 9 => Deed::Kill { relay, for_ms },
-                10 | 11 => Deed::Stop { relay, for_ms },
-                12 => Deed::StopLeader { for_ms },
+            let action = match rng.random_range(0..22) {
+                0..=5 => Action::Propose,
+                6 => Action::ProposeBad,
+                7 => Action::ProposeTwo,
+                8 | 9 => Action::Kill { relay, for_ms },
+                10 | 11 => Action::Stop { relay, for_ms },
+                12 => Action::StopLeader { for_ms },
                 13 => {
                     let (out, back) = *[(true, true), (true, false), (false, true)]
                         .get(rng.random_range(0..3))
                         .unwrap_or(&(true, true));
-                    Deed::Cut { relay, out, back, held: rng.random_bool(0.5), for_ms }
+                    Action::Cut { relay, out, back, held: rng.random_bool(0.5), for_ms }
                 }
-                14 => Deed::Slow { by_ms: rng.random_range(5..200), for_ms },
-                15 => Deed::Lossy {
+                14 => Action::Slow { by_ms: rng.random_range(5..200), for_ms },
+                15 => Action::Lossy {
                     permille: rng.random_range(0..300),
                     by_ms: rng.random_range(1..100),
                     for_ms,
                 },
-                16 => Deed::Narrow { bytes_per_s: rng.random_range(1_000..50_000), for_ms },
+                16 => Action::Narrow { bytes_per_s: rng.random_range(1_000..50_000), for_ms },
                 17 | 18 => {
                     let point = POINTS[rng.random_range(0..POINTS.len())];
                     let points = format!("{point}={}*off->return", rng.random_range(0..12));
-                    Deed::Arm { relay, points, for_ms }
+                    Action::Arm { relay, points, for_ms }
                 }
-                20 => Deed::Upgrade { relay },
+                20 => Action::Upgrade { relay },
                 // One voter's disk at most, so that the others bear it.
                 19 if !replaced => {
                     replaced = true;
                     let disk = [Disk::Whole, Disk::Lost, Disk::Remade][rng.random_range(0..3)];
-                    Deed::Replace { relay: rng.random_range(0..voters), by: voters, disk }
+                    Action::Replace { relay: rng.random_range(0..voters), by: voters, disk }
                 }
-                _ if rng.random_bool(0.3) => Deed::KillAll { for_ms: 100 },
-                _ => Deed::Reset,
+                _ if rng.random_bool(0.3) => Action::KillAll { for_ms: 100 },
+                _ => Action::Reset,
             };
-            step.push(Step { at_ms, deed });
+            step.push(Step { at_ms, action });
             at_ms += rng.random_range(50..600);
         }
         let about = format!("drawn from seed {seed}");
@@ -416,21 +416,21 @@
             let for_ms =
                 if rng.random_bool(0.6) { rng.random_range(700..2_500) } else { rng.random_range(50..500) };
             let job = ["load/a", "moves"][usize::from(rng.random_bool(0.3))].to_string();
-            let deed = match rng.random_range(0..14) {
-                0..=6 => Deed::Owner { job, harm: Harm::ALL[rng.random_range(0..Harm::ALL.len())], for_ms },
-                7 | 8 => Deed::Propose,
-                9 => Deed::Stop { relay, for_ms },
-                10 => Deed::StopLeader { for_ms },
-                11 => Deed::Lossy {
+            let action = match rng.random_range(0..14) {
+                0..=6 => Action::Owner { job, harm: Harm::ALL[rng.random_range(0..Harm::ALL.len())], for_ms },
+                7 | 8 => Action::Propose,
+                9 => Action::Stop { relay, for_ms },
+                10 => Action::StopLeader { for_ms },
+                11 => Action::Lossy {
                     permille: rng.random_range(0..300),
                     by_ms: rng.random_range(1..100),
                     for_ms,
                 },
-                12 => Deed::Slow { by_ms: rng.random_range(5..300), for_ms },
-                _ if rng.random_bool(0.3) => Deed::KillAll { for_ms: 100 },
-                _ => Deed::Reset,
+                12 => Action::Slow { by_ms: rng.random_range(5..300), for_ms },
+                _ if rng.random_bool(0.3) => Action::KillAll { for_ms: 100 },
+                _ => Action::Reset,
             };
-            step.push(Step { at_ms, deed });
+            step.push(Step { at_ms, action });
             at_ms += rng.random_range(50..800);
         }
         // Half of the plays with an owner that sleeps between the look at its lease and its order.
