--- a/crates/lab/src/faults/virtual_fleet.rs
+++ b/crates/lab/src/faults/virtual_fleet.rs
@@ -5,31 +5,31 @@
 //! processes that are killed and come back with what their disk has, or are stopped for longer than a lease and go on as
 //! if nothing had been; clocks that differ by as much as is allowed.
 
-use super::books::{Broken, Fact, Line, Moment};
-use jaspermoor_control::fence::{Fence, Verdict};
-use jaspermoor_control::follower::Follower;
-use jaspermoor_control::holder::{Alone, Effect, Holder};
-use jaspermoor_control::log::{Kept, Log, Stored};
-use jaspermoor_control::message::{Answer, Ask, Message, News, Relay};
-use jaspermoor_control::moves::Moving;
-use jaspermoor_control::owner::Owner;
-use jaspermoor_control::owners::Deal;
-use jaspermoor_control::seats::{Change, Seats};
-use jaspermoor_control::state::{Policy, Proposal, ProposalId};
-use jaspermoor_control::voter::Voter;
-use jaspermoor_control::worker::{Deed, Scene, Worker};
-use jaspermoor_control::{Micros, Plant, Planted, Times};
+use super::history::{Broken, Fact, Line, Moment};
+use jaspermoor_control::broadcast::subscriber::Subscriber;
+use jaspermoor_control::jobs::assignment::Assignment;
+use jaspermoor_control::jobs::fence::{Fence, Verdict};
+use jaspermoor_control::jobs::moves::Moving;
+use jaspermoor_control::jobs::owner::Owner;
+use jaspermoor_control::jobs::worker::{WorkContext, Worker, WorkerCommand};
+use jaspermoor_control::lease::client::{Alone, Effect, LeaseClient};
+use jaspermoor_control::log::membership::{Change, Membership};
+use jaspermoor_control::log::state::{Policy, Proposal, ProposalId};
+use jaspermoor_control::log::storage::{Kept, Log, Stored};
+use jaspermoor_control::log::voter::Voter;
+use jaspermoor_control::wire::message::{Answer, Ask, Message, Relay, Updates};
+use jaspermoor_control::{InjectedBug, InjectedBugs, Micros, Times};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-/// The beat at which processes look at their time and clients knock, in microseconds.
-const BEAT: Moment = 10_000;
-/// Staff look so often how far the replacement of a voter is.
-const STAFF_LOOK: Moment = 300_000;
-/// The sender that stands for staff.
-const STAFF: usize = usize::MAX;
+/// The tick at which processes look at their time and clients request, in microseconds.
+const TICK: Moment = 10_000;
+/// Operators look so often how far the replacement of a voter is.
+const OPERATORS_LOOK: Moment = 300_000;
+/// The sender that stands for operators.
+const OPERATORS: usize = usize::MAX;
 
 /// What a play is made of.
 #[derive(Clone, Copy, Debug)]
@@ -45,10 +45,10 @@
     /// Jobs that the fleet has owners for.
     pub jobs: usize,
     /// In place of drawn faults: the owner of a job is killed at 20 s, that of another is stopped at 35 s for 8 s, and
-    /// staff hand a third over at 50 s.
+    /// operators hand a third over at 50 s.
     pub owners_fail: bool,
     /// A fault in the program.
-    pub plant: Option<Plant>,
+    pub bug: Option<InjectedBug>,
     /// Whether faults happen at all: without, what is seen is what the fleet costs.
     pub faults: bool,
 }
@@ -62,7 +62,7 @@
             length: 40_000_000,
             jobs: 6,
             owners_fail: false,
-            plant: None,
+            bug: None,
             faults: true,
         }
     }
@@ -80,7 +80,7 @@
     /// Faults.
     pub faults: usize,
     /// Everything, in the order of time.
-    pub book: Vec<Line>,
+    pub history: Vec<Line>,
     /// Time from each proposal that came into force to when the last relay had it, in microseconds.
     pub took: Vec<Moment>,
     /// Orders that were obeyed, and refused by a fence; checkpoints in the log; times that a job changed hands.
@@ -102,12 +102,12 @@
 struct Process {
     name: String,
     voter: Option<Voter>,
-    holder: Option<Holder>,
+    lease_client: Option<LeaseClient>,
     /// What its disk has: a log where it is a voter, and the disk's incarnation.
     kept: Kept,
     incarnation: u64,
     /// The voters that it knows.
-    seats: Seats,
+    membership: Membership,
     /// Its voter's disk was lost and made anew by mistake, as if it were new: it may find that out itself.
     reborn: bool,
     /// What it knows as a receiver of orders. Relays with an even number keep it through a restart.
@@ -143,7 +143,7 @@
 }
 
 enum Event {
-    Beat(usize),
+    Tick(usize),
     /// An order comes to a receiver.
     Order(usize, Order),
     /// A receiver's refusal comes back.
@@ -152,16 +152,16 @@
     Fault,
     Start(usize),
     Propose,
-    /// Staff have jobs opened, and take one back from its owner now and then.
+    /// Operators have jobs opened, and take one back from its owner now and then.
     Jobs,
     /// The owner of that job fails.
     OwnerFails(usize),
     /// Whether anybody may act on the jobs whose owners fail is looked at.
     Look,
-    /// Staff look after the replacement of a voter that is under way.
-    Staff,
+    /// Operators look after the replacement of a voter that is under way.
+    Operators,
     Mend,
-    /// Staff look for relays that cannot find their fleet.
+    /// Operators look for relays that cannot find their fleet.
     Find,
 }
 
@@ -183,7 +183,7 @@
     processes: Vec<Process>,
     cuts: BTreeMap<(usize, usize), Cut>,
     /// Loss in thousandths and the longest delay, fleet-wide, up to then.
-    weather: (u32, Moment, Moment),
+    network: (u32, Moment, Moment),
     /// The process that takes the place of another among the voters.
     replaced: Option<(usize, usize)>,
     /// The lowest process that can take one: a number is given once.
@@ -250,7 +250,7 @@
             what: BTreeMap::new(),
             processes: Vec::new(),
             cuts: BTreeMap::new(),
-            weather: (0, 0, 0),
+            network: (0, 0, 0),
             replaced: None,
             free: play.voters,
             proposals: Vec::new(),
@@ -269,7 +269,7 @@
     }
 
     fn write(&mut self, fact: Fact) {
-        self.seen.book.push(Line { at: self.now, fact });
+        self.seen.history.push(Line { at: self.now, fact });
     }
 
     fn local(&self, n: usize) -> Micros {
@@ -293,12 +293,12 @@
             self.processes.push(Process {
                 name: format!("n{n}"),
                 voter: None,
-                holder: None,
+                lease_client: None,
                 kept,
                 incarnation: 1_000 + n as u64,
-                seats: Seats::default(),
+                membership: Membership::default(),
                 reborn: false,
-                fence: Fence::planted(Planted(self.play.plant)),
+                fence: Fence::with_injected(InjectedBugs(self.play.bug)),
                 doubts: Vec::new(),
                 worker: None,
                 moving: Moving { waiting: 200, ..Moving::default() },
@@ -334,14 +334,14 @@
 
     fn happen(&mut self, event: Event) {
         match event {
-            Event::Beat(n) => self.beat(n),
+            Event::Tick(n) => self.tick(n),
             Event::Order(to, order) => self.order(to, order),
             Event::Stale(to, job, token) => self.stale(to, &job, token),
             Event::Arrives(to, from, message) => self.arrives(to, from, *message),
             Event::Fault => self.fault(),
             Event::Start(n) => self.start(n),
             Event::Propose => self.propose(),
-            Event::Staff => self.staff(),
+            Event::Operators => self.operators(),
             Event::Jobs => self.staff_jobs(),
             Event::OwnerFails(n) => self.owner_fails(n),
             Event::Look => {
@@ -349,15 +349,15 @@
                     if self.owners(&format!("job-{n}")).is_empty()
                         && self.now >= 20_000_000 + n as u64 * 15_000_000
                     {
-                        self.seen.ownerless[n] += BEAT;
+                        self.seen.ownerless[n] += TICK;
                     }
                 }
-                self.later(self.now + BEAT, Event::Look);
+                self.later(self.now + TICK, Event::Look);
             }
             Event::Find => self.find(),
             Event::Mend => {
                 self.cuts.clear();
-                self.weather = (0, 0, 0);
+                self.network = (0, 0, 0);
                 self.write(Fact::Fault { text: "all is mended".into() });
                 for n in 0..self.processes.len() {
                     self.processes[n].stopped_until = self.processes[n].stopped_until.min(self.now);
@@ -367,35 +367,35 @@
         }
     }
 
-    fn planted(&self) -> Planted {
-        Planted(self.play.plant)
+    fn with_injected(&self) -> InjectedBugs {
+        InjectedBugs(self.play.bug)
     }
 
     fn start(&mut self, n: usize) {
-        if self.processes[n].holder.is_some() {
+        if self.processes[n].lease_client.is_some() {
             return;
         }
-        let (local, planted, times) = (self.local(n), self.planted(), self.times);
-        if let Some(seats) = self.strange(n) {
-            self.processes[n].seats = seats;
+        let (local, injected, times) = (self.local(n), self.with_injected(), self.times);
+        if let Some(membership) = self.strange(n) {
+            self.processes[n].membership = membership;
         }
         let voters: Vec<u64> = (1..=self.play.voters as u64).collect();
         let p = &mut self.processes[n];
         p.starts += 1;
         let relay = Relay { name: p.name.clone(), start: p.starts };
-        let mut holder =
-            Holder::new(relay, voters, p.policy.clone(), times, Alone::Refuse).planted(planted, local);
-        holder.seated(&p.seats);
-        holder.works(Owner::planted(planted));
-        p.worker = Some(Worker::new(Follower::new(holder.relay().clone())).planted(planted));
+        let mut lease_client = LeaseClient::new(relay, voters, p.policy.clone(), times, Alone::Refuse)
+            .with_injected(injected, local);
+        lease_client.learn_membership(&p.membership);
+        lease_client.works(Owner::with_injected(injected));
+        p.worker = Some(Worker::new(Subscriber::new(lease_client.relay().clone())).with_injected(injected));
         // Counted since the start of each process.
         p.moving = Moving { waiting: p.moving.waiting, ..Moving::default() };
-        p.holder = Some(holder);
+        p.lease_client = Some(lease_client);
         // A disk without a log is that of a relay that has no vote, or was lost.
         if p.kept.snapshot.is_some() {
             match Voter::new(n as u64 + 1, p.incarnation, &p.kept, times, local) {
                 Ok(voter) if voter.ended().is_some() => {}
-                Ok(voter) => p.voter = Some(voter.planted(planted)),
+                Ok(voter) => p.voter = Some(voter.with_injected(injected)),
                 Err(damaged) => {
                     let text = format!("n{n} cannot start: {damaged:?}");
                     self.seen.broken.push(Broken {
@@ -407,27 +407,27 @@
             }
         }
         self.processes[n].wakes += 1;
-        self.later(self.now, Event::Beat(n));
+        self.later(self.now, Event::Tick(n));
     }
 
     /// The voters, where a process knows none of them any more: each was replaced while it was away. It cannot find its
-    /// fleet before staff have put one into its operator file, as the pages ask for, and have started it again.
-    fn strange(&self, n: usize) -> Option<Seats> {
+    /// fleet before operators have put one into its operator file, as the pages ask for, and have started it again.
+    fn strange(&self, n: usize) -> Option<Membership> {
         let p = &self.processes[n];
-        let now = &self.leader()?.state().seats;
-        let known: Vec<u64> = match p.seats.version {
+        let now = &self.leader()?.state().membership;
+        let known: Vec<u64> = match p.membership.version {
             0 => (1..=self.play.voters as u64).collect(),
-            _ => p.seats.voters().collect(),
+            _ => p.membership.voters().collect(),
         };
         let known = known.iter().any(|number| now.voters().any(|voter| voter == *number));
-        (!known && now.version > p.seats.version).then(|| now.clone())
+        (!known && now.version > p.membership.version).then(|| now.clone())
     }
 
-    /// Staff start those anew that cannot find their fleet. They cannot tell while nobody leads, and look again then: seed
-    /// 5331 was mended in the middle of an election, and its staff never looked a second time.
+    /// Operators start those anew that cannot find their fleet. They cannot tell while nobody leads, and look again then: seed
+    /// 5331 was mended in the middle of an election, and its operators never looked a second time.
     fn find(&mut self) {
         if self.leader().is_none() {
-            return self.later(self.now + STAFF_LOOK, Event::Find);
+            return self.later(self.now + OPERATORS_LOOK, Event::Find);
         }
         for n in 0..self.processes.len() {
             if self.strange(n).is_some() {
@@ -438,90 +438,92 @@
     }
 
     fn kill(&mut self, n: usize) {
-        let planted = self.planted();
+        let injected = self.with_injected();
         let p = &mut self.processes[n];
-        (p.voter, p.holder, p.worker) = (None, None, None);
+        (p.voter, p.lease_client, p.worker) = (None, None, None);
         p.inbox.clear();
         p.unstored.clear();
         p.doubts.clear();
         p.stopped_until = 0;
         if n % 2 == 1 {
-            p.fence = Fence::planted(planted);
+            p.fence = Fence::with_injected(injected);
         }
     }
 
-    fn beat(&mut self, n: usize) {
-        if self.processes[n].holder.is_none() {
+    fn tick(&mut self, n: usize) {
+        if self.processes[n].lease_client.is_none() {
             return;
         }
         if self.now < self.processes[n].stopped_until {
             let at = self.processes[n].stopped_until;
-            return self.later(at, Event::Beat(n));
+            return self.later(at, Event::Tick(n));
         }
-        // A client may knock before what waited in the sockets is read: after a stop the lease is all that counts.
-        self.knock(n);
+        // A client may request before what waited in the sockets is read: after a stop the lease is all that counts.
+        self.request(n);
         for (from, message) in std::mem::take(&mut self.processes[n].inbox) {
             self.take(n, from, message);
         }
         let local = self.local(n);
         if let Some(voter) = &mut self.processes[n].voter {
             voter.tick(local);
-            let seats = voter.state().seats.clone();
+            let membership = voter.state().membership.clone();
             let p = &mut self.processes[n];
-            if p.holder.as_mut().is_some_and(|holder| holder.seated(&seats)) {
-                p.seats = seats;
+            if p.lease_client.as_mut().is_some_and(|lease_client| lease_client.learn_membership(&membership))
+            {
+                p.membership = membership;
             }
         }
         self.work(n);
-        let effect = self.processes[n].holder.as_mut().and_then(|holder| holder.tick(local));
+        let effect =
+            self.processes[n].lease_client.as_mut().and_then(|lease_client| lease_client.tick(local));
         self.carry_out(n, effect.into_iter().collect());
-        self.knock(n);
+        self.request(n);
         self.act(n);
         self.do_jobs(n, None);
         self.work(n);
         self.ask_doubts(n);
-        self.later(self.now + BEAT, Event::Beat(n));
+        self.later(self.now + TICK, Event::Tick(n));
     }
 
-    /// What a relay does for the fleet; or what it does with news of a voter.
-    fn do_jobs(&mut self, n: usize, heard: Option<(u64, News)>) {
+    /// What a relay does for the fleet; or what it does with updates of a voter.
+    fn do_jobs(&mut self, n: usize, heard: Option<(u64, Updates)>) {
         let local = self.local(n);
         let p = &mut self.processes[n];
-        let (Some(worker), Some(holder)) = (&mut p.worker, &mut p.holder) else { return };
+        let (Some(worker), Some(lease_client)) = (&mut p.worker, &mut p.lease_client) else { return };
         let moving = p.moving;
-        let scene = Scene {
+        let context = WorkContext {
             columns: &["s".to_string(), "us".to_string()],
             listed: &|zone| if zone == "z" { (0..6).collect() } else { Vec::new() },
             moves: &|| Some((moving, MOVES)),
         };
-        let deeds = match heard {
-            Some((voter, news)) => worker.news(local, voter, holder, scene, news),
-            None => worker.turn(local, holder, scene),
+        let commands = match heard {
+            Some((voter, updates)) => worker.updates(local, voter, lease_client, context, updates),
+            None => worker.turn(local, lease_client, context),
         };
         let acts: Vec<(String, u64)> = worker.acts_on().map(|(name, token)| (name.into(), token)).collect();
-        if deeds.iter().any(|deed| matches!(deed, Deed::Act(..))) {
+        if commands.iter().any(|command| matches!(command, WorkerCommand::Act(..))) {
             for (job, token) in acts.iter().filter(|(name, _)| DONE.contains(&name.as_str())) {
                 self.write(Fact::Acted { relay: format!("n{n}"), job: job.clone(), token: *token });
             }
         }
-        for deed in deeds {
-            match deed {
-                Deed::Send(voter, message) | Deed::Act(voter, message) => {
+        for command in commands {
+            match command {
+                WorkerCommand::Send(voter, message) | WorkerCommand::Act(voter, message) => {
                     self.send(n, voter as usize - 1, message);
                 }
-                Deed::Probe(server) => {
+                WorkerCommand::Probe(server) => {
                     // When it was true, in what it says.
                     let says = vec![(self.now / 1_000_000) as f32, (self.now % 1_000_000) as f32];
                     let report = self.rng.random_bool(0.9).then_some(says);
                     self.processes[n].worker.iter_mut().for_each(|w| w.found(local, server, report.clone()));
                 }
-                Deed::Loads(rows) => rows.iter().for_each(|(_, at, row)| self.word(n, *at, row)),
-                Deed::Permit(upto) => {
+                WorkerCommand::Loads(rows) => rows.iter().for_each(|(_, at, row)| self.word(n, *at, row)),
+                WorkerCommand::Permit(upto) => {
                     let moving = &mut self.processes[n].moving;
                     moving.permitted = moving.permitted.max(upto);
                 }
-                Deed::Log(line) => {
-                    if let Some((job, token)) = super::books::obeyed(&line) {
+                WorkerCommand::Log(line) => {
+                    if let Some((job, token)) = super::history::obeyed(&line) {
                         self.write(Fact::Obeyed {
                             receiver: format!("n{n}/{}", self.processes[n].starts),
                             job,
@@ -560,7 +562,9 @@
     /// An owner acts: it sends an order, says how far it is, or gives a job up.
     fn act(&mut self, n: usize) {
         let (local, all) = (self.local(n), self.processes.len());
-        let Some(owner) = self.processes[n].holder.as_mut().and_then(Holder::owner_mut) else { return };
+        let Some(owner) = self.processes[n].lease_client.as_mut().and_then(LeaseClient::owner_mut) else {
+            return;
+        };
         let names = owner.names().filter(|name| !DONE.contains(name));
         let names: Vec<String> = names.map(String::from).collect();
         for job in names {
@@ -569,7 +573,9 @@
                 continue;
             }
             let (to, whim) = (self.rng.random_range(0..all), self.rng.random_range(0..400));
-            let Some(owner) = self.processes[n].holder.as_mut().and_then(Holder::owner_mut) else { return };
+            let Some(owner) = self.processes[n].lease_client.as_mut().and_then(LeaseClient::owner_mut) else {
+                return;
+            };
             let Some(token) = owner.may_act(local, &job).map(|own| own.token) else { continue };
             match whim {
                 // Not near the end, where each job must have its owner.
@@ -586,14 +592,14 @@
     }
 
     fn order(&mut self, to: usize, order: Order) {
-        if self.processes[to].holder.is_none() {
+        if self.processes[to].lease_client.is_none() {
             return;
         }
         let until = self.processes[to].stopped_until;
         if self.now < until {
             return self.later(until, Event::Order(to, order));
         }
-        let last = self.processes[to].holder.as_ref().and_then(Holder::tokens);
+        let last = self.processes[to].lease_client.as_ref().and_then(LeaseClient::tokens);
         let p = &mut self.processes[to];
         if let Some(last) = last {
             p.fence.floor(last);
@@ -618,7 +624,9 @@
 
     fn stale(&mut self, to: usize, job: &str, token: u64) {
         let local = self.local(to);
-        let Some(owner) = self.processes[to].holder.as_mut().and_then(Holder::owner_mut) else { return };
+        let Some(owner) = self.processes[to].lease_client.as_mut().and_then(LeaseClient::owner_mut) else {
+            return;
+        };
         if owner.may_act(local, job).is_some_and(|own| own.token < token) {
             owner.give_up(job, "a receiver knows a newer token");
         }
@@ -626,7 +634,7 @@
 
     /// Asks the fleet about orders that may be of owners of before.
     fn ask_doubts(&mut self, n: usize) {
-        if self.now % 500_000 >= BEAT {
+        if self.now % 500_000 >= TICK {
             return;
         }
         let jobs: Vec<String> = self.processes[n].doubts.iter().map(|order| order.job.clone()).collect();
@@ -638,17 +646,17 @@
     }
 
     /// A client asks to be admitted.
-    fn knock(&mut self, n: usize) {
+    fn request(&mut self, n: usize) {
         let local = self.local(n);
-        let Some(holder) = &self.processes[n].holder else { return };
-        if !holder.admits(local) {
+        let Some(lease_client) = &self.processes[n].lease_client else { return };
+        if !lease_client.admits(local) {
             return;
         }
-        let epoch = holder.policy().epoch;
+        let epoch = lease_client.policy().epoch;
         let name = self.processes[n].name.clone();
-        // Each change, and again from time to time: the book is to be read.
+        // Each change, and again from time to time: the history is to be read.
         if self.admitted.insert(n, epoch) != Some(epoch)
-            || self.now % 500_000 < BEAT
+            || self.now % 500_000 < TICK
             || self.admitted.values().any(|e| *e != epoch)
         {
             // It asks and is answered in the same moment: what was admitted in an earlier one came before.
@@ -657,14 +665,14 @@
     }
 
     fn arrives(&mut self, to: usize, from: usize, message: Message) {
-        if to == STAFF {
+        if to == OPERATORS {
             if let Message::Answer(_, answer) = message {
                 self.told(answer);
             }
             return;
         }
         let p = &mut self.processes[to];
-        if p.holder.is_none() {
+        if p.lease_client.is_none() {
             return;
         }
         if self.now < p.stopped_until {
@@ -678,7 +686,7 @@
     fn take(&mut self, n: usize, from: usize, message: Message) {
         let local = self.local(n);
         let p = &mut self.processes[n];
-        match (message, &mut p.voter, &mut p.holder) {
+        match (message, &mut p.voter, &mut p.lease_client) {
             (Message::Founding(number, incarnation), Some(voter), _) => {
                 voter.founder(local, from as u64, number, incarnation);
             }
@@ -700,11 +708,11 @@
             }
             (Message::Renew(renew), Some(voter), _) => voter.renew(local, from as u64, renew),
             (Message::Ask(number, ask), Some(voter), _) => voter.ask(local, from as u64, number, ask),
-            (Message::Follow(follow), Some(voter), _) => voter.follow(local, from as u64, follow),
+            (Message::Subscribe(follow), Some(voter), _) => voter.subscribe(local, from as u64, follow),
             (Message::Publish(publish), Some(voter), _) => voter.publish(local, from as u64, publish),
-            (Message::News(news), ..) => self.do_jobs(n, Some((from as u64 + 1, news))),
-            (Message::Stale(job, token), _, Some(holder)) => {
-                p.worker.iter_mut().for_each(|worker| worker.stale(local, holder, &job, token));
+            (Message::Updates(updates), ..) => self.do_jobs(n, Some((from as u64 + 1, updates))),
+            (Message::Stale(job, token), _, Some(lease_client)) => {
+                p.worker.iter_mut().for_each(|worker| worker.stale(local, lease_client, &job, token));
             }
             (Message::Answer(_, Answer::Token(job, token)), ..) => {
                 p.worker.iter_mut().for_each(|worker| worker.known(&job, token));
@@ -713,7 +721,7 @@
                 p.doubts = wait;
                 known.into_iter().for_each(|order| self.order(n, order));
             }
-            (Message::Reply(reply), _, Some(holder)) => {
+            (Message::Reply(reply), _, Some(lease_client)) => {
                 let check = |text: &str| {
                     if text.contains("bad") {
                         Err("a key that nobody knows".into())
@@ -721,9 +729,9 @@
                         Ok(())
                     }
                 };
-                let effects = holder.heard(local, reply, check);
+                let effects = lease_client.heard(local, reply, check);
                 self.carry_out(n, effects);
-                self.knock(n);
+                self.request(n);
             }
             _ => {}
         }
@@ -734,8 +742,10 @@
         for effect in effects {
             match effect {
                 Effect::Prepare(proposal) => {
-                    let again =
-                        self.processes[n].holder.as_mut().map(|holder| holder.prepared(local, proposal));
+                    let again = self.processes[n]
+                        .lease_client
+                        .as_mut()
+                        .map(|lease_client| lease_client.prepared(local, proposal));
                     self.carry_out(n, again.into_iter().collect());
                 }
                 Effect::Adopt(policy) => {
@@ -746,7 +756,7 @@
                     self.texts.entry(text.clone()).and_modify(|(_, last)| *last = now);
                     self.write(Fact::Holds { relay, epoch, text });
                 }
-                Effect::Seats(seats) => self.processes[n].seats = seats,
+                Effect::Membership(membership) => self.processes[n].membership = membership,
                 Effect::Send(voter, renew) => self.send(n, voter as usize - 1, Message::Renew(*renew)),
             }
         }
@@ -767,7 +777,7 @@
                 return;
             }
             let p = &mut self.processes[n];
-            if self.play.plant == Some(Plant::SkipStore) {
+            if self.play.bug == Some(InjectedBug::SkipStore) {
                 p.unstored.push(work.store);
                 // It is written some time; what came last is not.
                 if p.unstored.len() > 4 {
@@ -802,7 +812,7 @@
 
     /// When what is sent now arrives: never, once, or twice.
     fn arrivals(&mut self, from: usize, to: usize) -> Vec<Moment> {
-        let (loss, delay, until) = self.weather;
+        let (loss, delay, until) = self.network;
         let mut wait = self.rng.random_range(100..3_000);
         let mut arrivals = Vec::new();
         if self.now < until && from != to {
@@ -862,7 +872,7 @@
             }
             6 => {
                 let (loss, delay) = (self.rng.random_range(0..400), self.rng.random_range(1_000..2_000_000));
-                self.weather = (loss, delay, until);
+                self.network = (loss, delay, until);
                 format!("{loss} in 1000 lost, up to {} ms late, for {} ms", delay / 1_000, span / 1_000)
             }
             7 => {
@@ -890,7 +900,7 @@
     /// may have been made anew, as the pages say that nobody should.
     fn replace(&mut self) -> String {
         let new = self.free;
-        let Some(known) = self.leader().map(|leader| leader.state().seats.clone()) else {
+        let Some(known) = self.leader().map(|leader| leader.state().membership.clone()) else {
             return "no voter leads, and none is replaced".into();
         };
         // Not one more disk than the others can bear the loss of.
@@ -909,7 +919,7 @@
             self.kill(old);
             let p = &mut self.processes[old];
             // Its operator file names those that vote now, as the pages ask for.
-            (p.kept, p.policy, p.seats) = (Kept::default(), Policy::default(), known);
+            (p.kept, p.policy, p.membership) = (Kept::default(), Policy::default(), known);
             if lost == 1 {
                 let ids: Vec<u64> = (1..=self.play.voters as u64).collect();
                 store(&mut p.kept, Log::found(&ids).stored());
@@ -926,7 +936,7 @@
         self.free += 1;
         self.replaced = Some((old, new));
         self.later(self.now, Event::Start(new));
-        self.later(self.now + STAFF_LOOK, Event::Staff);
+        self.later(self.now + OPERATORS_LOOK, Event::Operators);
         let what = ["with its disk lost", "with its disk made anew", "while it runs"][lost];
         format!("n{new} takes the place of n{old} {what}")
     }
@@ -936,7 +946,7 @@
         let acts = |n: &usize| {
             let local = self.local(*n);
             let p = &self.processes[*n];
-            let owner = p.holder.as_ref().and_then(Holder::owner);
+            let owner = p.lease_client.as_ref().and_then(LeaseClient::owner);
             self.now >= p.stopped_until && owner.is_some_and(|owner| owner.may_act(local, name).is_some())
         };
         (0..self.processes.len()).filter(acts).collect()
@@ -956,10 +966,10 @@
                     .leader()
                     .and_then(|leader| leader.state().jobs.of.get(&name))
                     .map_or(0, |job| job.token);
-                let deal = Deal::Yield(vec![(name, token, "staff hand it over".into())]);
+                let deal = Assignment::Revoke(vec![(name, token, "operators hand it over".into())]);
                 for n in 0..self.processes.len() {
                     let ask = Message::Ask(3, Ask::Job(deal.clone()));
-                    self.later(self.now, Event::Arrives(n, STAFF, Box::new(ask)));
+                    self.later(self.now, Event::Arrives(n, OPERATORS, Box::new(ask)));
                 }
             }
         }
@@ -973,13 +983,13 @@
         let known = self.leader().map(|leader| leader.state().jobs.clone()).unwrap_or_default();
         let deal = match known.of.get(&some) {
             Some(job) if self.play.faults && self.now < self.play.length && self.rng.random_bool(0.3) => {
-                Deal::Yield(vec![(some, job.token, "staff hand it over".into())])
+                Assignment::Revoke(vec![(some, job.token, "operators hand it over".into())])
             }
-            _ => Deal::Open(names),
+            _ => Assignment::Open(names),
         };
         for n in 0..self.processes.len() {
             let ask = Message::Ask(3, Ask::Job(deal.clone()));
-            self.later(self.now, Event::Arrives(n, STAFF, Box::new(ask)));
+            self.later(self.now, Event::Arrives(n, OPERATORS, Box::new(ask)));
         }
     }
 
@@ -988,15 +998,15 @@
         voters.filter(|voter| voter.leads().is_some()).max_by_key(|voter| voter.leads())
     }
 
-    fn staff(&mut self) {
+    fn operators(&mut self) {
         let Some((old, new)) = self.replaced else { return };
-        self.later(self.now + STAFF_LOOK, Event::Staff);
-        let Some(seats) = self.leader().map(|leader| leader.state().seats.clone()) else { return };
+        self.later(self.now + OPERATORS_LOOK, Event::Operators);
+        let Some(membership) = self.leader().map(|leader| leader.state().membership.clone()) else { return };
         let (goes, comes) = (old as u64 + 1, new as u64 + 1);
-        let votes = seats.of.get(&comes).is_some_and(|seat| seat.votes);
+        let votes = membership.of.get(&comes).is_some_and(|seat| seat.votes);
         let change = match votes {
             false => Change::Add(comes, format!("n{new}"), self.processes[new].incarnation),
-            true if seats.of.contains_key(&goes) => Change::Remove(goes),
+            true if membership.of.contains_key(&goes) => Change::Remove(goes),
             true => {
                 self.replaced = None;
                 if self.now > self.play.length {
@@ -1006,8 +1016,8 @@
             }
         };
         for n in 0..self.processes.len() {
-            let ask = Message::Ask(1, Ask::Seat(change.clone()));
-            self.later(self.now, Event::Arrives(n, STAFF, Box::new(ask)));
+            let ask = Message::Ask(1, Ask::Member(change.clone()));
+            self.later(self.now, Event::Arrives(n, OPERATORS, Box::new(ask)));
         }
     }
 
@@ -1023,16 +1033,16 @@
             let bad = if self.rng.random_bool(0.1) { "bad" } else { "good" };
             let text = format!("{bad} {}", old + 1);
             self.texts.insert(text.clone(), (self.now, 0));
-            Ask::Propose(Proposal { id, base: 0, text, who: "staff".into(), why: "a play".into() })
+            Ask::Propose(Proposal { id, base: 0, text, who: "operators".into(), why: "a play".into() })
         };
         // Every voter is asked: the one that leads answers.
         for n in 0..self.processes.len() {
-            self.later(self.now, Event::Arrives(n, STAFF, Box::new(Message::Ask(1, ask.clone()))));
+            self.later(self.now, Event::Arrives(n, OPERATORS, Box::new(Message::Ask(1, ask.clone()))));
         }
     }
 
     fn told(&mut self, answer: Answer) {
-        use jaspermoor_control::state::Outcome;
+        use jaspermoor_control::log::state::Outcome;
         if let Answer::Outcome(outcome) = answer {
             let n = match &outcome {
                 Outcome::InForce(_) => 0,
@@ -1044,7 +1054,7 @@
     }
 
     fn end(mut self) -> Seen {
-        self.seen.broken.extend(super::books::check(&self.seen.book));
+        self.seen.broken.extend(super::history::check(&self.seen.history));
         self.seen.length = self.now;
         let took = self.texts.values().filter(|(_, last)| *last > 0).map(|(begin, last)| last - begin);
         self.seen.took = took.collect();
@@ -1062,7 +1072,7 @@
         for (name, job) in &jobs.of {
             let owners = self.owners(name);
             // One may be on its way from one relay to another just now: by its own wish, or for balance.
-            if owners.len() != 1 && job.owner.is_some() && job.yields.is_none() {
+            if owners.len() != 1 && job.owner.is_some() && job.revoked_at.is_none() {
                 let text = format!("{name} has the owners {owners:?}, the log says {job:?}");
                 self.seen.broken.push(Broken { rule: "each job has its owner", at: self.now, text });
             }
@@ -1074,8 +1084,8 @@
         }
         let states: Vec<(bool, u64)> = (0..self.processes.len())
             .map(|n| {
-                let holder = self.processes[n].holder.as_ref();
-                holder.map_or((false, 0), |h| (h.admits(self.local(n)), h.policy().epoch))
+                let lease_client = self.processes[n].lease_client.as_ref();
+                lease_client.map_or((false, 0), |h| (h.admits(self.local(n)), h.policy().epoch))
             })
             .collect();
         self.seen.epoch = states.iter().map(|(_, epoch)| *epoch).max().unwrap_or(0);
--- a/crates/lab/src/faults_cli.rs
+++ b/crates/lab/src/faults_cli.rs
@@ -2,8 +2,8 @@
 
 use argh::FromArgs;
 use indicatif::{ProgressBar, ProgressStyle};
-use jaspermoor_control::Plant;
-use jaspermoor_lab::faults::harness::{play, write_book, Ground, Played};
+use jaspermoor_control::InjectedBug;
+use jaspermoor_lab::faults::harness::{play, write_history, Ground, Played};
 use jaspermoor_lab::faults::plot;
 use jaspermoor_lab::faults::scenario::{Harm, Scenario, NAMED};
 use jaspermoor_lab::faults::virtual_fleet;
@@ -46,13 +46,13 @@
     /// how many plays (default 1)
     #[argh(option, default = "1")]
     plays: u64,
-    /// a planted fault, or 'list' for their names
+    /// a injected fault, or 'list' for their names
     #[argh(option)]
-    plant: Option<String>,
-    /// where books, scenarios and pictures go (default: faults-out)
+    bug: Option<String>,
+    /// where history, scenarios and pictures go (default: faults-out)
     #[argh(option, default = "PathBuf::from(\"faults-out\")")]
     out: PathBuf,
-    /// keep book and picture of each play, not only of those that broke a rule
+    /// keep history and picture of each play, not only of those that broke a rule
     #[argh(switch)]
     keep: bool,
     /// one JSON object a play
@@ -60,22 +60,22 @@
     json: bool,
 }
 
-/// Names the scenarios and the planted faults.
+/// Names the scenarios and the injected faults.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "list")]
 struct List {}
 
-/// Plays the scenario of a saved book, or of a file, again.
+/// Plays the scenario of a saved history, or of a file, again.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "replay")]
 struct Replay {
-    /// the book or scenario
+    /// the history or scenario
     #[argh(positional)]
     file: PathBuf,
-    /// a planted fault
+    /// a injected fault
     #[argh(option)]
-    plant: Option<String>,
-    /// where book and picture go (default: faults-out)
+    bug: Option<String>,
+    /// where history and picture go (default: faults-out)
     #[argh(option, default = "PathBuf::from(\"faults-out\")")]
     out: PathBuf,
 }
@@ -84,12 +84,12 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "shrink")]
 struct Shrink {
-    /// the book or scenario
+    /// the history or scenario
     #[argh(positional)]
     file: PathBuf,
-    /// a planted fault
+    /// a injected fault
     #[argh(option)]
-    plant: Option<String>,
+    bug: Option<String>,
     /// plays of each shortened scenario before it counts as sound (default 2)
     #[argh(option, default = "2")]
     tries: u32,
@@ -111,9 +111,9 @@
     /// see --voters
     #[argh(option, default = "3")]
     observers: usize,
-    /// a planted fault
+    /// a injected fault
     #[argh(option)]
-    plant: Option<String>,
+    bug: Option<String>,
     /// no faults: what the fleet costs, in time and bytes
     #[argh(switch)]
     calm: bool,
@@ -123,9 +123,9 @@
     /// no drawn faults: owners of jobs are killed, stopped and relieved, and the time without an owner is printed
     #[argh(switch)]
     owners_fail: bool,
-    /// where the book of the last play goes, as lines of JSON
+    /// where the history of the last play goes, as lines of JSON
     #[argh(option)]
-    book: Option<PathBuf>,
+    history: Option<PathBuf>,
 }
 
 /// Runs it.
@@ -140,17 +140,17 @@
                 "{:<16} random plays of jobs whose owners come to harm, by --seed and --plays",
                 "owners"
             );
-            println!("planted faults: {}", Plant::ALL.map(|(name, _)| name).join(" "));
+            println!("injected faults: {}", InjectedBug::ALL.map(|(name, _)| name).join(" "));
             Ok(())
         }
-        Command::Run(run) if run.plant.as_deref() == Some("list") => {
-            Plant::ALL.iter().for_each(|(name, _)| println!("{name}"));
+        Command::Run(run) if run.bug.as_deref() == Some("list") => {
+            InjectedBug::ALL.iter().for_each(|(name, _)| println!("{name}"));
             Ok(())
         }
         Command::Run(run) => run_plays(&run),
         Command::Replay(replay) => {
             let scenario = read(&replay.file)?;
-            let played = one(&scenario, replay.plant.as_deref())?;
+            let played = one(&scenario, replay.bug.as_deref())?;
             keep(&replay.out, "replay", &scenario, &played)?;
             say(&played);
             closing(1, u64::from(!played.broken.is_empty()))
@@ -159,7 +159,7 @@
             let scenario = read(&shrink.file)?;
             let mut last = None;
             let mut broken = |scenario: &Scenario| {
-                (0..shrink.tries).any(|_| match one(scenario, shrink.plant.as_deref()) {
+                (0..shrink.tries).any(|_| match one(scenario, shrink.bug.as_deref()) {
                     Ok(played) => {
                         last = played.broken.first().map(ToString::to_string).or(last.take());
                         !played.broken.is_empty()
@@ -169,7 +169,7 @@
             };
             if !broken(&scenario) {
                 return Err(
-                    "the whole scenario breaks no rule: give more --tries, or the --plant it was found with"
+                    "the whole scenario breaks no rule: give more --tries, or the --bug it was found with"
                         .into(),
                 );
             }
@@ -187,17 +187,17 @@
     }
 }
 
-fn planted(name: Option<&str>) -> Result<Option<Plant>, Failure> {
+fn injected(name: Option<&str>) -> Result<Option<InjectedBug>, Failure> {
     match name {
         None => Ok(None),
-        Some(name) => match Plant::named(name) {
-            Some(plant) => Ok(Some(plant)),
-            None => Err(format!("no planted fault is named '{name}'; --plant list names them").into()),
+        Some(name) => match InjectedBug::named(name) {
+            Some(bug) => Ok(Some(bug)),
+            None => Err(format!("no injected fault is named '{name}'; --bug list names them").into()),
         },
     }
 }
 
-/// A scenario from its file, or from the first line of a book.
+/// A scenario from its file, or from the first line of a history.
 fn read(file: &Path) -> Result<Scenario, Failure> {
     let text =
         std::fs::read_to_string(file).map_err(|e| format!("{}: cannot be read: {e}", file.display()))?;
@@ -208,20 +208,19 @@
     Ok(Scenario::read(&text).map_err(|e| format!("{}: {e}", file.display()))?)
 }
 
-fn one(scenario: &Scenario, plant: Option<&str>) -> Result<Played, Failure> {
-    planted(plant)?;
+fn one(scenario: &Scenario, bug: Option<&str>) -> Result<Played, Failure> {
+    injected(bug)?;
     let dir = tempfile::tempdir()?;
-    let ground =
-        Ground { program: relay::program()?, dir: dir.path().into(), plant: plant.map(String::from) };
+    let ground = Ground { program: relay::program()?, dir: dir.path().into(), bug: bug.map(String::from) };
     Ok(play(&ground, scenario)?)
 }
 
 fn keep(out: &Path, name: &str, scenario: &Scenario, played: &Played) -> Result<(), Failure> {
     std::fs::create_dir_all(out)?;
-    write_book(&out.join(format!("{name}.jsonl")), scenario, &played.book)?;
+    write_history(&out.join(format!("{name}.jsonl")), scenario, &played.history)?;
     std::fs::write(out.join(format!("{name}.toml")), scenario.text())?;
     let title = format!("{}: {}", name, scenario.about);
-    plot::draw(&out.join(format!("{name}.svg")), &title, &played.book)?;
+    plot::draw(&out.join(format!("{name}.svg")), &title, &played.history)?;
     Ok(())
 }
 
@@ -248,7 +247,7 @@
 }
 
 fn run_plays(run: &Run) -> Result<(), Failure> {
-    planted(run.plant.as_deref())?;
+    injected(run.bug.as_deref())?;
     let bar = progress(run.plays);
     let (mut broken, mut took, mut admitted): (u64, Vec<Duration>, usize) = (0, Vec::new(), 0);
     let mut taken: BTreeMap<Harm, Vec<Duration>> = BTreeMap::new();
@@ -260,7 +259,7 @@
             Some((name, text)) => (format!("{name}-{n}"), Scenario::read(text)?),
             None => (format!("play-{n}"), read(Path::new(&run.what))?),
         };
-        let played = one(&scenario, run.plant.as_deref())?;
+        let played = one(&scenario, run.bug.as_deref())?;
         if !played.broken.is_empty() {
             broken += 1;
             bar.suspend(|| {
@@ -326,7 +325,7 @@
 }
 
 fn run_sim(sim: &Sim) -> Result<(), Failure> {
-    let plant = planted(sim.plant.as_deref())?;
+    let bug = injected(sim.bug.as_deref())?;
     let (bar, begin) = (progress(sim.plays), Instant::now());
     let (mut broken, mut epochs, mut faults) = (0, 0, 0);
     let (mut orders, mut checkpoints, mut hands) = ([0, 0], 0, 0);
@@ -336,7 +335,7 @@
             seed,
             voters: sim.voters,
             observers: sim.observers,
-            plant,
+            bug,
             faults: !sim.calm && !sim.owners_fail,
             jobs: sim.jobs,
             owners_fail: sim.owners_fail,
@@ -350,14 +349,14 @@
         if sim.calm {
             bar.suspend(|| say_cost(sim, &seen));
         }
-        if let Some(book) = sim.book.as_ref().filter(|_| seed + 1 == sim.seed + sim.plays) {
-            let lines: Result<Vec<String>, _> = seen.book.iter().map(serde_json::to_string).collect();
-            std::fs::write(book, lines?.join("\n") + "\n")?;
+        if let Some(history) = sim.history.as_ref().filter(|_| seed + 1 == sim.seed + sim.plays) {
+            let lines: Result<Vec<String>, _> = seen.history.iter().map(serde_json::to_string).collect();
+            std::fs::write(history, lines?.join("\n") + "\n")?;
         }
         if let Some(first) = seen.broken.first() {
             broken += 1;
             bar.suspend(|| eprintln!("seed {seed}: {first}"));
-            if plant.is_some() {
+            if bug.is_some() {
                 bar.finish_and_clear();
                 println!("found at seed {seed}, play {}", seed - sim.seed + 1);
                 return closing(seed - sim.seed + 1, broken);
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -35,8 +35,8 @@
     pub core: Option<usize>,
     /// A listening socket that the platform holds and all processes of the relay inherit.
     pub held: Option<Arc<TcpListener>>,
-    /// A fault of the fleet's control that is planted in it; builds that serve know none.
-    pub plant: Option<String>,
+    /// A fault of the fleet's control that is injected in it; builds that serve know none.
+    pub bug: Option<String>,
     /// Which build of a fleet it stands for: `older` or `later` than this one.
     pub build: Option<String>,
     /// Where it ends or its disk fails, as the library `fail` writes it.
@@ -109,9 +109,9 @@
             }
         };
         command.arg("serve").env("BALANCER_CONFIG", &config).env("TMPDIR", &setup.dir);
-        match &setup.plant {
-            Some(plant) => command.env("JASPERMOOR_PLANT", plant),
-            None => command.env_remove("JASPERMOOR_PLANT"),
+        match &setup.bug {
+            Some(bug) => command.env("JASPERMOOR_INJECTED_BUG", bug),
+            None => command.env_remove("JASPERMOOR_INJECTED_BUG"),
         };
         match &setup.build {
             Some(build) => command.env("JASPERMOOR_BUILD", build),
--- a/crates/lab/tests/faults.rs
+++ b/crates/lab/tests/faults.rs
@@ -1,6 +1,6 @@
-//! Plays of a whole fleet in one process: rules hold, and each planted fault is found.
+//! Plays of a whole fleet in one process: rules hold, and each injected fault is found.
 
-use jaspermoor_control::Plant;
+use jaspermoor_control::InjectedBug;
 use jaspermoor_lab::faults::virtual_fleet::{run, Play};
 
 #[test]
@@ -34,11 +34,17 @@
 
 #[test]
 fn every_planted_fault_is_found() {
-    let of_jobs = [Plant::OwnForever, Plant::GiveEarly, Plant::KeepJob, Plant::NoFence, Plant::TrustFirst];
-    for (name, plant) in Plant::ALL {
+    let of_jobs = [
+        InjectedBug::OwnForever,
+        InjectedBug::GiveEarly,
+        InjectedBug::KeepJob,
+        InjectedBug::NoFence,
+        InjectedBug::TrustFirst,
+    ];
+    for (name, bug) in InjectedBug::ALL {
         // Without jobs, where the fault is not one of theirs, a play is short.
-        let jobs = if of_jobs.contains(&plant) { Play::default().jobs } else { 0 };
-        let play = |seed| Play { seed, jobs, plant: Some(plant), ..Play::default() };
+        let jobs = if of_jobs.contains(&bug) { Play::default().jobs } else { 0 };
+        let play = |seed| Play { seed, jobs, bug: Some(bug), ..Play::default() };
         let found = (1..=400).find(|&seed| !run(play(seed)).broken.is_empty());
         assert!(found.is_some(), "{name} was not found in 400 plays");
     }
@@ -47,6 +53,6 @@
 #[test]
 fn a_seed_gives_the_same_play_each_time() {
     let (one, two) = (run(Play { seed: 9, ..Play::default() }), run(Play { seed: 9, ..Play::default() }));
-    assert_eq!(one.book, two.book);
+    assert_eq!(one.history, two.history);
     assert!(one.faults > 5);
 }
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -8,8 +8,8 @@
 use jaspermoor::config::operator::OperatorFile;
 use jaspermoor::net::fleet::{number, Setup};
 use jaspermoor::platform::ledger::Ledger;
-use jaspermoor_control::message::{Answer, Ask};
-use jaspermoor_control::seats::Change;
+use jaspermoor_control::log::membership::Change;
+use jaspermoor_control::wire::message::{Answer, Ask};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -182,12 +182,12 @@
         Change::Add(number, ..) | Change::Promote(number) => ("votes", *number),
         Change::Remove(number) => ("is removed", *number),
     };
-    let ask = Ask::Seat(change);
+    let ask = Ask::Member(change);
     let mut said = String::new();
     loop {
         match voters.ask(&ask)? {
-            Answer::Seat(Ok(())) => break,
-            Answer::Seat(Err(why)) => return Err(format!("voter {number}: {why}").into()),
+            Answer::Member(Ok(())) => break,
+            Answer::Member(Err(why)) => return Err(format!("voter {number}: {why}").into()),
             Answer::UnderWay(news, _) => {
                 if news != said && !json {
                     eprintln!("voter {number}: {news}");
@@ -214,8 +214,8 @@
 
 fn list(voters: &mut Voters, json: bool) -> Result<(), Failure> {
     let status = voters.status()?;
-    for (number, active, behind) in &status.seats {
-        let seat = status.state.seats.of.get(number).cloned().unwrap_or_default();
+    for (number, active, behind) in &status.membership {
+        let seat = status.state.membership.of.get(number).cloned().unwrap_or_default();
         let state = match (*number == status.leader, seat.votes, active) {
             (true, ..) => "leads",
             (_, _, false) => "does not answer",
@@ -236,7 +236,7 @@
         }
     }
     if !json {
-        println!("the next number to give is {}", status.state.seats.highest + 1);
+        println!("the next number to give is {}", status.state.membership.highest + 1);
     }
     Ok(())
 }
--- a/src/cli/jobs.rs
+++ b/src/cli/jobs.rs
@@ -4,8 +4,8 @@
 use super::voters::Voters;
 use super::Failure;
 use argh::FromArgs;
-use jaspermoor_control::message::{Answer, Ask, Status};
-use jaspermoor_control::owners::{Deal, Job};
+use jaspermoor_control::jobs::assignment::{Assignment, Job};
+use jaspermoor_control::wire::message::{Answer, Ask, Status};
 use std::time::{Duration, Instant};
 
 /// Pause between two looks at how far a change is.
@@ -87,7 +87,7 @@
             return Err(format!("{} is held: 'fleet release {}' first", self.name, self.name).into());
         }
         if had.is_some() {
-            deal(voters, Deal::Yield(vec![(self.name.clone(), token, BY_HAND.into())]))?;
+            deal(voters, Assignment::Revoke(vec![(self.name.clone(), token, BY_HAND.into())]))?;
         }
         await_job(voters, &self.name, json, |job| job.token > token && job.owner.is_some())
     }
@@ -97,7 +97,7 @@
     /// Runs it.
     pub fn run(self, voters: &mut Voters, json: bool) -> Result<(), Failure> {
         known(&voters.status()?, &self.name)?;
-        deal(voters, Deal::Hold(self.name.clone(), true))?;
+        deal(voters, Assignment::Hold(self.name.clone(), true))?;
         await_job(voters, &self.name, json, |job| job.held && job.owner.is_none())
     }
 }
@@ -106,7 +106,7 @@
     /// Runs it.
     pub fn run(self, voters: &mut Voters, json: bool) -> Result<(), Failure> {
         known(&voters.status()?, &self.name)?;
-        deal(voters, Deal::Hold(self.name.clone(), false))?;
+        deal(voters, Assignment::Hold(self.name.clone(), false))?;
         await_job(voters, &self.name, json, |job| !job.held && job.owner.is_some())
     }
 }
@@ -144,7 +144,7 @@
 }
 
 /// Hands it to the log, and asks until it is there.
-fn deal(voters: &mut Voters, deal: Deal) -> Result<(), Failure> {
+fn deal(voters: &mut Voters, deal: Assignment) -> Result<(), Failure> {
     let ask = Ask::Job(deal);
     loop {
         match voters.ask(&ask)? {
--- a/src/cli/policy.rs
+++ b/src/cli/policy.rs
@@ -6,8 +6,8 @@
 use jaspermoor::config::operator::OperatorFile;
 use jaspermoor::config::policy;
 use jaspermoor::net::fleet::{number, Setup};
-use jaspermoor_control::message::{Answer, Ask};
-use jaspermoor_control::state::{Outcome, Phase, Policy, Proposal, ProposalId};
+use jaspermoor_control::log::state::{Outcome, Phase, Policy, Proposal, ProposalId};
+use jaspermoor_control::wire::message::{Answer, Ask};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -279,7 +279,7 @@
                 Phase::Preparing(p) => {
                     println!("under way: {} by {}: each relay checks and stores it", name(p.id), p.who)
                 }
-                Phase::Closing(p) => {
+                Phase::Sealed(p) => {
                     println!("under way: {} by {}: waits until no lease runs", name(p.id), p.who)
                 }
             }
--- a/src/cli/voters.rs
+++ b/src/cli/voters.rs
@@ -2,8 +2,8 @@
 
 use super::Failure;
 use jaspermoor::net::fleet::{number, Setup};
-use jaspermoor_control::message::{Answer, Ask, Message, Status};
-use jaspermoor_control::seal::Session;
+use jaspermoor_control::wire::mac::Session;
+use jaspermoor_control::wire::message::{Answer, Ask, Message, Status};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
--- a/src/config/policy.rs
+++ b/src/config/policy.rs
@@ -36,12 +36,12 @@
 }
 
 /// Whether this process does as an older build, which does not know that parameter: for tests of fleets of two builds.
-#[cfg(feature = "plants")]
+#[cfg(feature = "injected-bugs")]
 fn of_a_later_build(name: &str) -> bool {
     name == "look_both" && std::env::var("JASPERMOOR_BUILD").is_ok_and(|build| build == "older")
 }
 
-#[cfg(not(feature = "plants"))]
+#[cfg(not(feature = "injected-bugs"))]
 fn of_a_later_build(_: &str) -> bool {
     false
 }
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -18,18 +18,18 @@
 use crate::platform::directory::Directory;
 use crate::platform::ledger::{self, Ledger};
 use crate::sys::{boottime, timed_out, Wake};
-use jaspermoor_control::follower::Follower;
-use jaspermoor_control::holder::{Alone, Effect, Holder};
-use jaspermoor_control::message::{Answer, Message, Relay, Skills};
-use jaspermoor_control::moves::{self, Moving};
-use jaspermoor_control::owner::Owner;
-use jaspermoor_control::owners::may_be_named;
-use jaspermoor_control::seal::Session;
-use jaspermoor_control::seats::Seats;
-use jaspermoor_control::state::Policy;
-use jaspermoor_control::voter::Voter;
-use jaspermoor_control::watch;
-use jaspermoor_control::worker::{Deed, Scene, Worker};
+use jaspermoor_control::broadcast::subscriber::Subscriber;
+use jaspermoor_control::jobs::assignment::may_be_named;
+use jaspermoor_control::jobs::load_watch;
+use jaspermoor_control::jobs::moves::{self, Moving};
+use jaspermoor_control::jobs::owner::Owner;
+use jaspermoor_control::jobs::worker::{WorkContext, Worker, WorkerCommand};
+use jaspermoor_control::lease::client::{Alone, Effect, LeaseClient};
+use jaspermoor_control::log::membership::Membership;
+use jaspermoor_control::log::state::Policy;
+use jaspermoor_control::log::voter::Voter;
+use jaspermoor_control::wire::mac::Session;
+use jaspermoor_control::wire::message::{Answer, Message, Relay, Skills};
 use jaspermoor_control::Times;
 use socket2::{Domain, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
@@ -162,8 +162,8 @@
     fn skills(&self, jobs: operator::Jobs) -> Skills {
         let mut skills = Skills::default();
         if jobs.load_watch && self.probes {
-            skills.kinds.push(watch::KIND.into());
-            let named = self.zones.iter().map(|zone| format!("{}/{zone}", watch::KIND));
+            skills.kinds.push(load_watch::KIND.into());
+            let named = self.zones.iter().map(|zone| format!("{}/{zone}", load_watch::KIND));
             let (may, cannot): (Vec<String>, Vec<String>) = named.partition(|name| may_be_named(name));
             for name in cannot {
                 log(&format!("fleet.jobs.load_watch: no job can be named '{name}': a shorter name of the zone is wanted"));
@@ -227,10 +227,10 @@
     /// The link to each voter, and when it was last dialled.
     voters: BTreeMap<u64, (Option<u64>, Micros)>,
     /// Who votes, as it was told last.
-    seats: Seats,
+    membership: Membership,
     ledger: Option<Ledger>,
     voter: Option<Voter>,
-    holder: Holder,
+    lease_client: LeaseClient,
     /// What it does for the fleet, and what it needs for that; none where the operator file wants no jobs.
     work: Option<(Worker, Ground)>,
     handle: Handle,
@@ -259,7 +259,7 @@
         decisions: Arc<Decisions>,
     ) -> Result<Fleet, Box<dyn std::error::Error>> {
         // For as long as the process runs.
-        #[cfg(feature = "plants")]
+        #[cfg(feature = "injected-bugs")]
         {
             // Once a process: the library holds a lock for as long as a set-up lasts, and a second one would wait for good.
             static POINTS: std::sync::Once = std::sync::Once::new();
@@ -298,13 +298,13 @@
                 }
             }
         }
-        let mut holder = Holder::new(relay, setup.numbers(), kept, setup.times(), alone);
-        let seats = ledger.as_ref().map_or(Ok(None), Ledger::seats)?.unwrap_or_default();
-        holder.seated(&seats);
+        let mut lease_client = LeaseClient::new(relay, setup.numbers(), kept, setup.times(), alone);
+        let membership = ledger.as_ref().map_or(Ok(None), Ledger::membership)?.unwrap_or_default();
+        lease_client.learn_membership(&membership);
         let now = boottime();
-        #[cfg(feature = "plants")]
-        let holder = holder.planted(planted(), now);
-        decisions.lease(if foreign { 0 } else { holder.until(now) });
+        #[cfg(feature = "injected-bugs")]
+        let lease_client = lease_client.with_injected(injected(), now);
+        decisions.lease(if foreign { 0 } else { lease_client.until(now) });
         let handle = Handle { stop: Arc::default(), wake: poller.wake() };
         let mut fleet = Fleet {
             name: name.into(),
@@ -318,10 +318,10 @@
             wires: BTreeMap::new(),
             next: FIRST,
             voters: BTreeMap::new(),
-            seats,
+            membership,
             ledger,
             voter: None,
-            holder,
+            lease_client,
             retry,
             leads: None,
             missing: Vec::new(),
@@ -358,14 +358,14 @@
         if jobs.paced_moves {
             self.decisions.pace_moves();
         }
-        #[cfg(not(feature = "plants"))]
+        #[cfg(not(feature = "injected-bugs"))]
         let owner = Owner::default();
-        #[cfg(feature = "plants")]
-        let owner = Owner::planted(planted());
-        self.holder.works(owner.skilled(skills));
-        let worker = Worker::new(Follower::new(self.holder.relay().clone()));
-        #[cfg(feature = "plants")]
-        let worker = worker.planted(planted());
+        #[cfg(feature = "injected-bugs")]
+        let owner = Owner::with_injected(injected());
+        self.lease_client.works(owner.skilled(skills));
+        let worker = Worker::new(Subscriber::new(self.lease_client.relay().clone()));
+        #[cfg(feature = "injected-bugs")]
+        let worker = worker.with_injected(injected());
         self.work = Some((worker, ground));
     }
 
@@ -386,8 +386,8 @@
                 return Ok(());
             }
         };
-        #[cfg(feature = "plants")]
-        let voter = voter.planted(planted());
+        #[cfg(feature = "injected-bugs")]
+        let voter = voter.with_injected(injected());
         if let Some(why) = voter.ended() {
             log(&format!("fleet: {}; voter {number} does not vote", why.0));
             return Ok(());
@@ -417,7 +417,7 @@
             let beat = if self.voter.is_some() { now + self.setup.times().tick / 2 } else { Micros::MAX };
             let worker = self.work.as_ref().map_or(Micros::MAX, |(worker, _)| worker.due());
             let due = self
-                .holder
+                .lease_client
                 .due()
                 .min(worker)
                 .min(beat)
@@ -437,16 +437,16 @@
         }
         if let Some(voter) = &mut self.voter {
             voter.tick(now);
-            if self.holder.seated(&voter.state().seats) {
-                let seats = voter.state().seats.clone();
-                self.seat(seats);
+            if self.lease_client.learn_membership(&voter.state().membership) {
+                let membership = voter.state().membership.clone();
+                self.seat(membership);
             }
         }
-        let effect = self.holder.tick(now);
+        let effect = self.lease_client.tick(now);
         self.carry_out(effect.into_iter().collect());
         self.work();
         if self.handle.stop.load(Relaxed) && !std::mem::replace(&mut self.stopped, true) {
-            let effect = self.holder.stop_work(now);
+            let effect = self.lease_client.stop_work(now);
             self.carry_out(effect.into_iter().collect());
         }
         self.do_jobs();
@@ -464,7 +464,7 @@
             Ok(ledger) => {
                 self.retry = None;
                 // It has followed the fleet meanwhile: what it has is newer than what stands there.
-                let policy = self.holder.policy().clone();
+                let policy = self.lease_client.policy().clone();
                 let newer = ledger.policy().is_ok_and(|kept| kept.epoch < policy.epoch);
                 if let Err(e) = if newer { ledger.adopt(&policy) } else { Ok(()) } {
                     return log(&format!("fleet: {e}; this relay does not vote"));
@@ -489,7 +489,7 @@
         self.decisions.lease(until);
         let admits = now < until;
         if std::mem::replace(&mut self.admits, admits) != admits {
-            let epoch = self.holder.policy().epoch;
+            let epoch = self.lease_client.policy().epoch;
             let what = if admits { "clients are admitted" } else { "no lease: new clients are refused" };
             log(&format!("fleet: {what}, policy of epoch {epoch}"));
         }
@@ -503,7 +503,7 @@
         }
         let leads = self.voter.as_ref().and_then(Voter::leads);
         let figures = &self.metrics.control;
-        figures.epoch.store(self.holder.policy().epoch, Relaxed);
+        figures.epoch.store(self.lease_client.policy().epoch, Relaxed);
         figures.votes.store(self.voter.is_some() && self.missing.is_empty(), Relaxed);
         figures.leads.store(leads.unwrap_or(0), Relaxed);
         if figures.admits.swap(admits, Relaxed) && !admits {
@@ -522,7 +522,7 @@
         if self.foreign {
             0
         } else {
-            self.holder.until(now)
+            self.lease_client.until(now)
         }
     }
 
@@ -534,12 +534,12 @@
             worker.found(at, server.0, report);
         }
         let (decisions, paced) = (&self.decisions, self.setup.fleet.jobs.paced_moves);
-        let scene = Scene {
+        let context = WorkContext {
             columns: &ground.columns,
             listed: &|zone| ground.of_zone(zone),
             moves: &|| moving(decisions).filter(|_| paced),
         };
-        let deeds = worker.turn(now, &mut self.holder, scene);
+        let commands = worker.turn(now, &mut self.lease_client, context);
         let figures = &self.metrics.control;
         figures.works.store(true, Relaxed);
         figures.obeyed.store(worker.obeyed, Relaxed);
@@ -552,43 +552,43 @@
             *told = worker.acts_on().map(|(name, token)| (name.to_string(), token)).collect();
         }
         drop(told);
-        self.carry_out_deeds(deeds);
+        self.carry_out_deeds(commands);
     }
 
-    fn hear_news(&mut self, from: u64, news: jaspermoor_control::message::News) {
+    fn hear_updates(&mut self, from: u64, updates: jaspermoor_control::wire::message::Updates) {
         let voter = if from == LOCAL {
             self.setup.fleet.voter
         } else {
             self.wires.get(&from).and_then(|wire| wire.voter)
         };
         let (Some(voter), Some((worker, ground))) = (voter, &mut self.work) else { return };
-        let scene = Scene { columns: &ground.columns, listed: &|_| Vec::new(), moves: &|| None };
-        let deeds = worker.news(boottime(), voter, &self.holder, scene, news);
-        self.carry_out_deeds(deeds);
+        let context = WorkContext { columns: &ground.columns, listed: &|_| Vec::new(), moves: &|| None };
+        let commands = worker.updates(boottime(), voter, &self.lease_client, context, updates);
+        self.carry_out_deeds(commands);
     }
 
-    fn carry_out_deeds(&mut self, deeds: Vec<Deed>) {
-        for deed in deeds {
-            match deed {
-                Deed::Send(voter, message) => self.tell(voter, message),
-                Deed::Act(voter, message) => {
+    fn carry_out_deeds(&mut self, commands: Vec<WorkerCommand>) {
+        for command in commands {
+            match command {
+                WorkerCommand::Send(voter, message) => self.tell(voter, message),
+                WorkerCommand::Act(voter, message) => {
                     // The worst moment to be stopped: the lease was looked at, the order is not sent.
-                    #[cfg(feature = "plants")]
+                    #[cfg(feature = "injected-bugs")]
                     fail::fail_point!("before-order");
                     self.tell(voter, message);
                 }
-                Deed::Probe(server) => {
+                WorkerCommand::Probe(server) => {
                     if let Some((_, ground)) = &self.work {
                         ground.book.want([ServerId(server)]);
                     }
                 }
-                Deed::Loads(rows) => {
+                WorkerCommand::Loads(rows) => {
                     let Some((_, ground)) = &self.work else { continue };
                     ground.book.forget(boottime(), |server| ground.directory.endpoint(server).is_some());
                     ground.book.tell(rows.into_iter().map(|(server, at, row)| (ServerId(server), at, row)));
                 }
-                Deed::Permit(upto) => self.decisions.permit(upto),
-                Deed::Log(line) => log(&line),
+                WorkerCommand::Permit(upto) => self.decisions.permit(upto),
+                WorkerCommand::Log(line) => log(&line),
             }
         }
     }
@@ -600,7 +600,7 @@
             match effect {
                 Effect::Send(voter, renew) => self.tell(voter, Message::Renew(*renew)),
                 Effect::Adopt(policy) => self.adopt(&policy),
-                Effect::Seats(seats) => self.seat(seats),
+                Effect::Membership(membership) => self.seat(membership),
                 Effect::Prepare(proposal) => {
                     let stored = self.ledger.as_ref().map_or(Ok(()), |ledger| ledger.prepare(&proposal));
                     if let Err(e) = stored {
@@ -608,7 +608,7 @@
                         log(&format!("fleet: a proposal cannot be stored: {e}"));
                         continue;
                     }
-                    let effect = self.holder.prepared(boottime(), proposal);
+                    let effect = self.lease_client.prepared(boottime(), proposal);
                     self.carry_out(vec![effect]);
                 }
             }
@@ -617,11 +617,11 @@
 
     /// These vote now. Stored also where its own log says so: it may vote no more when it starts again, and then its
     /// operator file may name nobody who does (seed 2147 of the virtual fleet).
-    fn seat(&mut self, seats: Seats) {
-        if let Some(Err(e)) = self.ledger.as_ref().map(|ledger| ledger.seat(&seats)) {
+    fn seat(&mut self, membership: Membership) {
+        if let Some(Err(e)) = self.ledger.as_ref().map(|ledger| ledger.seat(&membership)) {
             log(&format!("fleet: the voters cannot be stored: {e}"));
         }
-        self.seats = seats;
+        self.membership = membership;
     }
 
     fn adopt(&mut self, policy: &Policy) {
@@ -693,8 +693,9 @@
     /// Where a voter is reached: the operator file's word goes before the log's, for a way of this relay's own.
     fn address(&self, voter: u64) -> Option<SocketAddr> {
         let own = self.setup.fleet.voters.iter().find(|v| v.number == voter).map(|v| v.address);
-        let seat = |seats: &Seats| seats.of.get(&voter).and_then(|seat| seat.address.parse().ok());
-        own.or_else(|| seat(&self.seats)).or_else(|| seat(&self.voter.as_ref()?.state().seats))
+        let seat =
+            |membership: &Membership| membership.of.get(&voter).and_then(|seat| seat.address.parse().ok());
+        own.or_else(|| seat(&self.membership)).or_else(|| seat(&self.voter.as_ref()?.state().membership))
     }
 
     fn enter(&mut self, wire: Wire) -> Option<u64> {
@@ -862,13 +863,13 @@
                     }
                     (Message::Renew(renew), Some(voter)) => voter.renew(now, from, renew),
                     (Message::Ask(number, ask), Some(voter)) => voter.ask(now, from, number, ask),
-                    (Message::Follow(follow), Some(voter)) => voter.follow(now, from, follow),
+                    (Message::Subscribe(subscribe), Some(voter)) => voter.subscribe(now, from, subscribe),
                     (Message::Publish(publish), Some(voter)) => voter.publish(now, from, publish),
-                    (Message::News(news), _) => self.hear_news(from, news),
+                    (Message::Updates(updates), _) => self.hear_updates(from, updates),
                     (Message::Stale(job, token), _) => {
                         if let Some((worker, _)) = &mut self.work {
                             log(&format!("fleet: {job} has token {token} by now: it acts on it no more"));
-                            worker.stale(now, &mut self.holder, &job, token);
+                            worker.stale(now, &mut self.lease_client, &job, token);
                         }
                     }
                     (Message::Answer(_, Answer::Token(job, token)), _) => {
@@ -880,7 +881,7 @@
                         let check = |text: &str| {
                             policy::read(Path::new("policy"), text).map(drop).map_err(|e| e.to_string())
                         };
-                        let effects = self.holder.heard(now, reply, check);
+                        let effects = self.lease_client.heard(now, reply, check);
                         self.carry_out(effects);
                         self.publish();
                     }
@@ -896,9 +897,9 @@
             if work.is_empty() {
                 return;
             }
-            #[cfg(feature = "plants")]
-            let skip = planted().is(jaspermoor_control::Plant::SkipStore);
-            #[cfg(not(feature = "plants"))]
+            #[cfg(feature = "injected-bugs")]
+            let skip = injected().is(jaspermoor_control::InjectedBug::SkipStore);
+            #[cfg(not(feature = "injected-bugs"))]
             let skip = false;
             if !work.store.is_empty() && !skip {
                 if let Some(Err(e)) = self.ledger.as_ref().map(|ledger| ledger.store(&work.store)) {
@@ -961,11 +962,11 @@
     open().map_err(|e| format!("fleet.voters: cannot listen on {addr}: {e}"))
 }
 
-/// The fault that a test has planted in this process.
-#[cfg(feature = "plants")]
-fn planted() -> jaspermoor_control::Planted {
-    let name = std::env::var("JASPERMOOR_PLANT").unwrap_or_default();
-    jaspermoor_control::Planted(jaspermoor_control::Plant::named(&name))
+/// The fault that a test has injected in this process.
+#[cfg(feature = "injected-bugs")]
+fn injected() -> jaspermoor_control::InjectedBugs {
+    let name = std::env::var("JASPERMOOR_INJECTED_BUG").unwrap_or_default();
+    jaspermoor_control::InjectedBugs(jaspermoor_control::InjectedBug::named(&name))
 }
 
 #[cfg(test)]
@@ -1003,8 +1004,8 @@
             let (zones, columns) = (vec!["a".into(), "b".repeat(90)], vec!["x0".into()]);
             let (directory, book) = (Arc::default(), Arc::default());
             fleet.work_with(Ground { directory, zones, columns, zone: 0, probes, book });
-            let mut renew = jaspermoor_control::message::Renew::default();
-            fleet.holder.owner()?.fill(&mut renew);
+            let mut renew = jaspermoor_control::wire::message::Renew::default();
+            fleet.lease_client.owner()?.fill(&mut renew);
             Some((renew.skills.kinds.join(" "), renew.skills.opens.join(" ")))
         };
         let some = |kinds: &str, opens: &str| Some((kinds.to_string(), opens.to_string()));
--- a/src/platform/ledger.rs
+++ b/src/platform/ledger.rs
@@ -5,9 +5,9 @@
 //! for (its directory must have been made by `fleet init`), a directory of another fleet or relay, and a file that is
 //! damaged or of a newer build (refused with a remedy; nothing is overwritten).
 
-use jaspermoor_control::log::{Kept, Log, Stored};
-use jaspermoor_control::seats::Seats;
-use jaspermoor_control::state::{Policy, Proposal};
+use jaspermoor_control::log::membership::Membership;
+use jaspermoor_control::log::state::{Policy, Proposal};
+use jaspermoor_control::log::storage::{Kept, Log, Stored};
 use jaspermoor_control::wire;
 use redb::{Database, DatabaseError, ReadableTable, TableDefinition};
 use std::fmt;
@@ -47,7 +47,7 @@
 }
 
 /// Ends the process where a test wants it, and says so: the test has to know that it came so far.
-#[cfg(feature = "plants")]
+#[cfg(feature = "injected-bugs")]
 fn end(point: &str) -> ! {
     crate::log::log(&format!("fleet: ends at the fail point {point}"));
     std::process::abort()
@@ -216,13 +216,13 @@
             write.commit()?;
             Ok(())
         };
-        #[cfg(feature = "plants")]
+        #[cfg(feature = "injected-bugs")]
         {
             fail::fail_point!(&format!("before-{step}"), |_| end(&format!("before-{step}")));
             fail::fail_point!("disk-full", |_| Err(self.error("no space left on device")));
         }
         write().map_err(|e| self.error(e))?;
-        #[cfg(feature = "plants")]
+        #[cfg(feature = "injected-bugs")]
         fail::fail_point!(&format!("after-{step}"), |_| end(&format!("after-{step}")));
         let _ = step;
         Ok(())
@@ -265,7 +265,7 @@
     }
 
     /// Who votes, as it was told last; none where the operator file's hold still.
-    pub fn seats(&self) -> Result<Option<Seats>, LedgerError> {
+    pub fn membership(&self) -> Result<Option<Membership>, LedgerError> {
         let read = |bytes: Vec<u8>| {
             wire::decode(&bytes).ok_or_else(|| self.error("the voters in it cannot be read"))
         };
@@ -273,7 +273,7 @@
     }
 
     /// These vote from now on.
-    pub fn seat(&self, seats: &Seats) -> Result<(), LedgerError> {
+    pub fn seat(&self, seats: &Membership) -> Result<(), LedgerError> {
         self.write("seat", |facts, _| {
             facts.insert("seats", wire::encode(seats).as_slice()).map(drop).map_err(Into::into)
         })
@@ -338,10 +338,10 @@
         let ledger = Ledger::open(dir.path(), &owner("f", 4)).unwrap();
         assert_eq!((ledger.incarnation().unwrap(), ledger.policy().unwrap().epoch), (44, 3));
         assert!(Log::read(&ledger.kept().unwrap()).is_ok_and(|log| log.is_empty()));
-        assert!(ledger.seats().unwrap().is_none());
-        let seats = Seats::found(&[4]);
+        assert!(ledger.membership().unwrap().is_none());
+        let seats = Membership::found(&[4]);
         ledger.seat(&seats).unwrap();
-        assert_eq!(ledger.seats().unwrap(), Some(seats));
+        assert_eq!(ledger.membership().unwrap(), Some(seats));
     }
 
     #[test]
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -1,8 +1,8 @@
-//! Fleets of real processes with faults between them: what must hold does, and planted faults are found.
+//! Fleets of real processes with faults between them: what must hold does, and injected faults are found.
 
 use jaspermoor_lab::discovery::{Discovery, Entry};
-use jaspermoor_lab::faults::books::Fact;
 use jaspermoor_lab::faults::harness::{play, Ground, Played};
+use jaspermoor_lab::faults::history::Fact;
 use jaspermoor_lab::faults::scenario::{Harm, Scenario, NAMED};
 use jaspermoor_lab::line::Backend;
 use jaspermoor_lab::relay::{Relay, Setup};
@@ -10,10 +10,10 @@
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 
-fn run(scenario: &Scenario, plant: Option<&str>) -> Played {
+fn run(scenario: &Scenario, bug: Option<&str>) -> Played {
     let dir = tempfile::tempdir().unwrap();
     let program = PathBuf::from(env!("CARGO_BIN_EXE_jaspermoor"));
-    play(&Ground { program, dir: dir.path().into(), plant: plant.map(String::from) }, scenario).unwrap()
+    play(&Ground { program, dir: dir.path().into(), bug: bug.map(String::from) }, scenario).unwrap()
 }
 
 fn named(name: &str) -> Scenario {
@@ -93,7 +93,7 @@
 
 #[test]
 fn links_later_than_a_lease_and_a_change_of_keys_leave_one_policy() {
-    sound("bad-weather");
+    sound("bad-network");
     sound("key-change");
 }
 
@@ -106,9 +106,13 @@
 fn a_fleet_of_three_builds_agrees_and_the_oldest_refuses_by_name_what_it_does_not_know() {
     let played = sound("two-builds");
     let told = |word: &str| {
-        played.book.iter().filter(|l| matches!(&l.fact, Fact::Fault { text } if text.contains(word))).count()
+        played
+            .history
+            .iter()
+            .filter(|l| matches!(&l.fact, Fact::Fault { text } if text.contains(word)))
+            .count()
     };
-    assert_eq!((told(": refused after"), told(": in-force after")), (1, 3), "{:?}", played.book.last());
+    assert_eq!((told(": refused after"), told(": in-force after")), (1, 3), "{:?}", played.history.last());
 }
 
 #[test]
@@ -134,7 +138,7 @@
 #[test]
 fn a_site_is_moved_once_and_at_the_fleets_pace_though_whoever_paces_it_is_killed_and_stopped() {
     let played = sound("paced-moves");
-    let moves = played.book.iter().filter(|line| matches!(line.fact, Fact::Moved { .. })).count();
+    let moves = played.history.iter().filter(|line| matches!(line.fact, Fact::Moved { .. })).count();
     assert!(moves >= 60, "{moves} of 60 clients and two changes");
 }
 
@@ -151,9 +155,9 @@
     };
     let restart = "[[step]]\nat_ms = 500\ndo = 'kill'\nrelay = 3\nfor_ms = 100\n";
     assert!(run(&scenario(restart), None).broken.is_empty());
-    for (plant, steps) in [("ignore-lease", ""), ("lease-survives-restart", restart)] {
-        let played = run(&scenario(steps), Some(plant));
-        assert!(played.broken.iter().any(|b| b.rule == "one policy"), "{plant}: {:?}", played.broken);
+    for (bug, steps) in [("ignore-lease", ""), ("lease-survives-restart", restart)] {
+        let played = run(&scenario(steps), Some(bug));
+        assert!(played.broken.iter().any(|b| b.rule == "one policy"), "{bug}: {:?}", played.broken);
     }
 }
 
@@ -177,7 +181,7 @@
         listen: None,
         core: None,
         held: None,
-        plant: None,
+        bug: None,
         build: None,
         fail_points: None,
     };
