Hold SIGTERM before the first list by a test on sockets

A relay that is told to end before discovery has ever answered had no test. Six cases: the first call taken in and never answered, refused, or answered after the signal; with and without a backend known from before the start. Waiting are requests that no backend can be found for, one at a backend that never answers, one that looks for the backend it was open at (at=), half a line, one that rests, and one that comes after the signal; SIGTERM comes twice.

Each has one final answer, the process ends within 3.7 s, each request has one line in the log, and no backend sees more than it should.

--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -96,3 +96,126 @@
     assert!(relay.exit().success());
     flooding.join().unwrap();
 }
+
+/// What discovery does before the signal.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Discovering {
+    /// It takes the call in and never answers.
+    Mute,
+    /// Nobody listens there.
+    Refusing,
+    /// It answers the call once the relay has heard the signal.
+    Late,
+}
+
+const MOVED: &str = "UP r\r\nMOVE\r\n";
+const FAILED: &str = "FAILED\r\n";
+
+/// Told to end before its first list: requests that wait for a backend, that are out at one or that look for the one
+/// which they were open at, half a line, and one that comes after the signal each get one final answer in time.
+#[test]
+fn a_relay_that_is_told_to_end_before_its_first_list_answers_everyone() {
+    let cases = [
+        (Discovering::Mute, false),
+        (Discovering::Mute, true),
+        (Discovering::Refusing, false),
+        (Discovering::Refusing, true),
+        (Discovering::Late, false),
+        (Discovering::Late, true),
+    ];
+    std::thread::scope(|scope| {
+        for (discovering, cached) in cases {
+            scope.spawn(move || end_before_the_first_list(discovering, cached));
+        }
+    });
+}
+
+/// One case; `cached` says that the relay knows a backend from before its start.
+fn end_before_the_first_list(discovering: Discovering, cached: bool) {
+    let case = format!("{discovering:?}, cached: {cached}");
+    let (fleet, refusing) = (Fleet::new(&["s-1", "s-2"]), Refusing::new());
+    let at = if discovering == Discovering::Refusing { refusing.addr() } else { fleet.discovery.addr() };
+    let known = if cached { vec![fleet.entry("s-1", "active")] } else { Vec::new() };
+    let mut relay = Relay::start(&config(at, &known), None);
+    let held_back = match discovering {
+        Discovering::Refusing => {
+            relay.wait_for_log("discovery: the watch failed");
+            None
+        }
+        _ => Some(fleet.discovery.called().0),
+    };
+
+    let standing = cached.then(|| fleet.pair(&relay, "standing"));
+    let open = |line: &str| {
+        let mut client = relay.client();
+        client.send(line);
+        client
+    };
+    let mut waits = open("OPEN waits 8f c=chat,d=60000");
+    let mut returns = open("OPEN returns 9f c=chat,d=60000,at=s-2");
+    let mut rests = open("PING");
+    assert_eq!(rests.line(), "PONG", "{case}");
+    let mut half = relay.client();
+    half.write(b"OPEN half 7f c=ch");
+    // Out at a backend that never answers, where there is one.
+    let mut mute = cached.then(|| fleet.backend("s-1").accept());
+    mute.iter_mut().for_each(|mute| assert!(mute.line().starts_with("OPEN waits "), "{case}"));
+
+    let since = Instant::now();
+    ["TERM", "TERM"].iter().for_each(|name| relay.signal(name));
+    relay.wait_for_log("signal 15");
+    let mut late = relay.client();
+    late.send("OPEN late 9f c=chat,d=60000");
+    let list = discovering == Discovering::Late;
+    let mut watch = held_back.map(|peer| Watch { peer });
+    if let Some(watch) = watch.as_mut().filter(|_| list) {
+        watch.peer.write(WATCHED);
+        watch.tell(2, true, &[fleet.entry("s-1", "active"), fleet.entry("s-2", "active")]);
+    }
+
+    // Who is sent on, each once, is served and then moved.
+    let sent_on = [("waits", list && !cached), ("returns", list), ("late", list || cached)];
+    let mut served: Vec<(String, Peer)> = Vec::new();
+    for _ in sent_on.iter().filter(|(_, sent)| *sent) {
+        let (_, mut backend) = fleet.accept_any();
+        let line = backend.line();
+        backend.send("UP r");
+        served.push((line.split(' ').nth(1).unwrap().to_string(), backend));
+    }
+    served.sort_by(|a, b| a.0.cmp(&b.0));
+    let mut expected: Vec<&str> = sent_on.iter().filter(|(_, sent)| *sent).map(|(name, _)| *name).collect();
+    expected.sort();
+    assert_eq!(served.iter().map(|(name, _)| name.as_str()).collect::<Vec<_>>(), expected, "{case}");
+
+    let answers = [("waits", &mut waits), ("returns", &mut returns), ("late", &mut late)];
+    for ((name, client), (_, sent)) in answers.into_iter().zip(sent_on) {
+        let answer = client.rest();
+        match (name, sent) {
+            (_, true) => assert_eq!(answer, MOVED, "{case}: {name}"),
+            ("returns", false) => assert_eq!(answer, FAILED, "{case}"),
+            _ => assert_refused(&answer, &format!("{case}: {name}")),
+        }
+    }
+    assert_refused(&rests.rest(), &case);
+    assert_refused(&half.rest(), &case);
+    if let Some((mut client, mut backend)) = standing {
+        assert_eq!((client.rest().as_str(), backend.ended()), ("MOVE\r\n", true), "{case}");
+    }
+    assert!(mute.is_none_or(|mut mute| mute.ended()), "{case}");
+    assert!(served.iter_mut().all(|(_, backend)| backend.ended()), "{case}");
+
+    assert!(relay.exit().success(), "{case}");
+    assert!(since.elapsed() < Duration::from_millis(3_700), "{case}: {:?}", since.elapsed());
+    for name in ["waits", "returns", "late"] {
+        relay.wait_for_log(&format!("end id={name} "));
+        assert_eq!(relay.times_logged(&format!("end id={name} ")), 1, "{case}: {name}");
+    }
+    assert!(["s-1", "s-2"].iter().all(|name| fleet.backend(name).unvisited()), "{case}");
+}
+
+/// One refusal, and nothing more.
+fn assert_refused(answer: &str, whose: &str) {
+    let line = answer.strip_suffix("\r\n").unwrap_or_else(|| panic!("{whose}: {answer:?}"));
+    let wait = line.strip_prefix("BUSY").unwrap_or_else(|| panic!("{whose}: {answer:?}"));
+    assert!(wait.is_empty() || wait.trim_start().parse::<u32>().is_ok(), "{whose}: {answer:?}");
+}
