Give the retry budget back for an attempt that never began

Cause: advance() took a whole attempt from the budget for each one after the first, whatever became of it. A dial for which this machine had no descriptor, a backend that left before its dial or its first byte, no time left, and a client that left before the attempt (told as cancelled) spent it like an attempt that a backend had to bear; and where the first attempt never began, the first that did was charged as a further one.

Change: what ends as moot (never sent) gives its share back, and only attempts after one that has begun are charged; a request earns its share once. A further attempt that is called off before its dial is told as moot. Full, refused and late connections, errors, timeouts and what is called off later did begin: a backend bore them, nothing is given back.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -121,7 +121,8 @@
     sent_at: Micros,
     tried: Vec<ServerId>,
     wakes: Micros,
-    /// First attempt that may have run: when it was sent, to which zone and cell.
+    /// Whether an attempt has begun; the first that may have run: when it was sent, to which zone and cell.
+    begun: bool,
     ran: Option<(Micros, u16, u16)>,
 }
 
@@ -758,8 +759,6 @@
         self.pace();
         // Without a budget, attempts given up and made anew are what jams the servers (incident i056f18):
         // once it is spent, an attempt has all the time there is and is the last.
-        let again = !p.tried.is_empty();
-        let broke = again && self.retries < 1.0;
         let spare = (p.tried.len() as u32 + 1) < self.settings.max_attempts && self.retries >= 2.0;
         // Not so short that a server which is merely slow loses its work, unless it is the last.
         let share = (p.class.aim as f32 * self.t.attempt_share) as Micros;
@@ -772,14 +771,14 @@
             (Some(_), Effect::Unsafe) => false,
         };
         let late = self.now >= p.deadline.saturating_sub(self.settings.tick);
-        let spent = p.tried.len() as u32 >= self.settings.max_attempts;
-        if late || spent || broke || !may_repeat || (self.shed(&p.request) && !p.request.mid_flow) {
+        let spent = p.tried.len() as u32 >= self.settings.max_attempts || (p.begun && self.retries < 1.0);
+        if late || spent || !may_repeat || (self.shed(&p.request) && !p.request.mid_flow) {
             return self.answer(&mut p, out);
         }
         let found = if self.look(&p, out) { None } else { self.place(&p) };
         if let Some(i) = found {
             self.take(i);
-            let earned = if again { -1.0 } else { self.t.retry_share };
+            let earned = if p.tried.is_empty() { self.t.retry_share } else { -f32::from(p.begun) };
             self.retries = (self.retries + earned).min(self.t.retry_saved);
             let s = &mut self.servers[i];
             (s.due, s.credit, s.since) = (None, s.credit - 1.0, s.since + 1.0);
@@ -833,14 +832,15 @@
         self.held -= 1;
         match outcome {
             Outcome::Ok => (self.servers[i].strikes, self.servers[i].ejections) = (0, 0),
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Moot => self.retries = (self.retries + f32::from(p.begun)).min(self.t.retry_saved),
+            Outcome::Cancelled => {}
             Outcome::Reset if p.phase == Phase::Up => self.servers[i].cut_at = Some(self.now),
             _ => self.failed(i, outcome),
         }
         if last || p.answered {
             return Ok(());
         }
-        p.phase = Phase::Held;
+        (p.phase, p.begun) = (Phase::Held, p.begun || outcome != Outcome::Moot);
         if !outcome.never_ran() && p.ran.is_none() {
             p.ran = Some((p.sent_at, self.servers[i].zone, self.servers[i].cell));
         }
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -166,7 +166,8 @@
 
     fn step(&mut self, g: Ground, ready: bool) -> Option<Result<Up, Failed>> {
         if g.session.called_off(self.number) {
-            return failed(Outcome::Cancelled);
+            // Before the dial nothing has begun: the retry budget has its share back.
+            return failed(if self.seeks() { Outcome::Moot } else { Outcome::Cancelled });
         }
         let now = g.core.decisions.now();
         match self.at {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -58,6 +58,32 @@
     assert!(fleet.backend(other).unvisited(), "an attempt began for nobody");
 }
 
+/// Attempts that did not begin, since their clients had left, once spent the retry budget of those who stayed.
+#[test]
+fn clients_that_left_leave_the_retry_budget_to_the_others() {
+    let fleet = Fleet::new(&["s-1", "s-2"]);
+    let relay = fleet.relay();
+    // Four further attempts are saved, and each request earns 0.3 of one.
+    for n in 0..5 {
+        let mut client = relay.client();
+        client.send(&format!("OPEN left{n} 7f c=chat,d=60000"));
+        let (_, mut backend) = fleet.accept_any();
+        backend.line();
+        relay.signal("STOP");
+        backend.send("BUSY");
+        drop(client);
+        relay.signal("CONT");
+        until("the end of each", || (relay.times_logged("reason=client-gave-up") == n + 1).then_some(()));
+    }
+    let mut stays = relay.client();
+    stays.send("OPEN stays 7f c=chat,d=60000");
+    fleet.accept_any().1.answer("BUSY");
+    let (_, mut second) = fleet.accept_any();
+    second.line();
+    second.send("UP r");
+    assert_eq!(stays.line(), "UP r");
+}
+
 /// A dial that came up after its time, while the process was held up, was used all the same.
 #[test]
 fn a_dial_that_comes_up_after_its_time_is_closed_unused() {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -449,6 +449,39 @@
     assert!((42..=60).contains(&sends), "{sends} sends for 40 requests: four saved, 0.3 each");
 }
 
+/// How many sends forty requests cause whose attempts all end so: the first one, and those after it.
+fn sends_of_forty(first: Outcome, further: Outcome) -> usize {
+    let mut proxy = Proxy::with_servers(Settings::default(), 200);
+    let mut sends = 0;
+    for id in 1..=40 {
+        proxy.now += MS;
+        let (mut actions, mut outcome) = (proxy.request(request(id, u64::from(id), 0)), first);
+        while let Some(server) = sent(&actions) {
+            sends += 1;
+            actions = proxy.end(id, server, outcome, false);
+            outcome = further;
+        }
+        assert!(refused(&actions));
+    }
+    sends
+}
+
+/// A dial for which this machine had no descriptor, or a backend that left before the dial, took from the budget like
+/// an attempt that a backend had to bear. Four are saved, each request earns 0.3, and there are four attempts at most.
+#[test]
+fn only_an_attempt_that_began_takes_from_the_retry_budget() {
+    use Outcome::{ConnectFailed, Error, Full, Moot, Timeout};
+    for spends in [Full, ConnectFailed, Error, Timeout] {
+        let sends = sends_of_forty(Timeout, spends);
+        assert!((50..=56).contains(&sends), "{spends:?}: {sends} sends");
+    }
+    assert_eq!(sends_of_forty(Timeout, Moot), 160, "what never began is given back");
+    assert_eq!(sends_of_forty(Moot, Moot), 160, "and nothing is taken where nothing has begun");
+    // The second is the first that begins, and the request has earned its share by then.
+    let sends = sends_of_forty(Moot, Timeout);
+    assert!((90..=96).contains(&sends), "{sends} sends");
+}
+
 #[test]
 fn a_reset_ends_the_request() {
     let mut proxy = Proxy::with_servers(Settings::default(), 3);
