Wait in tests until a stopped relay has stopped

Cause: 'kill -STOP' returns before all threads have stopped.

Nothing is eased: what a test looks at stays.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -487,6 +487,20 @@
     pub fn signal(&self, name: &str) {
         let status = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
         assert!(status.unwrap().success());
+        if name == "STOP" {
+            until("all threads of the relay to stop", || self.is_stopped().then_some(()));
+        }
+    }
+
+    /// Whether each of its threads is stopped: on a busy machine a signal is on its way for a while after `kill` returns.
+    fn is_stopped(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        let stopped = |thread: std::io::Result<std::fs::DirEntry>| {
+            let stat = std::fs::read_to_string(thread.unwrap().path().join("stat")).unwrap();
+            // The state stands behind the name in brackets, which may hold anything.
+            stat.rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T'))
+        };
+        threads.into_iter().all(stopped)
     }
 
     pub fn exit(&mut self) -> ExitStatus {
