Hold a group whose servers are told to be full, in place of a blind send elsewhere

Change: where a relay without estimates of its own is told loads by the servers of the group's jumps, and none of these has room, the request waits for a report that tells of some, and is refused at its deadline. Requests without a group, relays that know nothing of loads, and groups none of whose servers may be used go on as before. Three lines shortened.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -603,7 +603,10 @@
         let stay = list.first().filter(|_| self.planned() && self.late_share >= self.t.stay_from);
         let found =
             near.or(list[..homes].iter().find(fits)).or(far).or(stay).or(list.iter().find(fits)).copied();
-        found.or_else(|| self.fallback(own, p))
+        // A group whose servers are told to be full waits: sent on blindly it costs one more: a jam feeds itself.
+        let told = list.iter().any(|&i| self.load(&self.servers[i]).is_some());
+        let waits = told && p.request.group != 0 && !self.planned();
+        found.or_else(|| if waits { None } else { self.fallback(own, p) })
     }
 
     /// Whether the own estimates of groups and loads are better than none.
@@ -716,8 +719,7 @@
         }
         let deadline = self.now + request.left;
         self.owed_by(request.id, deadline, out);
-        let class = self.class(&request);
-        self.advance(Pending { request, class, deadline, ..Pending::default() }, out);
+        self.advance(Pending { class: self.class(&request), request, deadline, ..Pending::default() }, out);
     }
 
     /// Answered a tick before the client gives up, whatever is out or held then.
@@ -798,10 +800,9 @@
     }
 
     fn answer(&self, p: &mut Pending, out: &mut Out) {
-        if p.answered {
+        if std::mem::replace(&mut p.answered, true) {
             return;
         }
-        p.answered = true;
         let maybe_ran = p.ran.is_some() || p.phase == Phase::Out;
         let repeats = matches!(p.class.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let id = p.request.id;
@@ -883,8 +884,7 @@
     }
 
     fn relocate(&mut self, id: RequestId, out: &mut Out) {
-        let standing = |p: &&mut Pending| p.phase == Phase::Up && !p.moving;
-        let Some(p) = self.pending.get_mut(&id).filter(standing) else { return };
+        let Some(p) = self.pending.get_mut(&id).filter(|p| p.phase == Phase::Up && !p.moving) else { return };
         p.moving = true;
         out.push(Action::Move(id));
     }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1046,6 +1046,45 @@
     assert!(timers(&proxy.feed(Event::Open(request(3, 3, 0), ServerId(3)))).is_empty());
 }
 
+/// To how many of forty servers a request of this group goes while all others report that they are full, and that
+/// one has not been asked. Where it goes nowhere, it is refused at its deadline.
+fn sends_to_the_one_that_is_not_known(group: u64) -> usize {
+    let goes = |unknown: &u64| {
+        let mut proxy = Proxy::with_servers(with_probes(), 40);
+        (1..=40).filter(|server| server != unknown).for_each(|server| tell(&mut proxy, server, 1.5));
+        let mut actions = proxy.request(request(1, 1, group));
+        let deadline = timers(&actions)[0];
+        while sent(&actions).is_none() {
+            let hold = timers(&actions).into_iter().rfind(|timer| *timer != deadline);
+            let (at, token) = hold.filter(|(at, _)| *at < deadline.0).unwrap_or(deadline);
+            proxy.now = at;
+            actions = proxy.fire(token);
+            if token == deadline.1 {
+                assert!(refused(&actions));
+                return false;
+            }
+        }
+        assert_eq!(sent(&actions), Some(ServerId(*unknown)));
+        true
+    };
+    (1..=40).filter(goes).count()
+}
+
+/// Groups that found no room were sent to servers of which nothing was known: each paid for one group more, the next
+/// report told of a jam there, too, and 2,300 connections cost a large fleet over twice what they had.
+#[test]
+fn a_group_that_finds_no_room_waits_and_is_not_sent_beyond_its_own_servers() {
+    let own = sends_to_the_one_that_is_not_known(9);
+    assert!((8..=16).contains(&own), "{own} of 40");
+    assert!(sends_to_the_one_that_is_not_known(0) > 30, "without a group any server costs the same");
+    let mut proxy = Proxy::with_servers(with_probes(), 3);
+    (1..=3).for_each(|server| tell(&mut proxy, server, 1.5));
+    assert_eq!(sent(&proxy.request(request(1, 1, 9))), None);
+    let report = vec![50.0, 0.3];
+    let told = Event::Probed { server: ServerId(2), outcome: Outcome::Ok, report };
+    assert_eq!(sent(&proxy.feed(told)), Some(ServerId(2)), "it goes out as soon as one has room");
+}
+
 /// Jams on one or two of five servers once kept a group there although another was known to be idle.
 #[test]
 fn a_group_leaves_its_strained_homes_for_a_server_that_is_known_to_have_room() {
