Measure the data path at several sizes, and fit lines through results of runs

Change: 'bench data-path' measures standing connections, deliveries of one topic and set-ups at several sizes and appends each result as a line of JSON; 'scale fit' puts lines through such results and writes the tables of a page between two markers, or compares them. Arguments of 'scale' that cannot be read end with 2, like its other bad input.

--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -2,6 +2,7 @@
 //! a relay adds is read against a bare copy loop under the same TLS, which knows nothing of XML, placement or drains.
 
 pub mod line;
+pub mod path;
 
 use crate::certs::{self, Authority, Pair, Valid};
 use crate::demo::{operator, setup, DOMAIN};
--- a/crates/lab/src/bench/line.rs
+++ b/crates/lab/src/bench/line.rs
@@ -73,7 +73,7 @@
 static NEXT: AtomicUsize = AtomicUsize::new(1);
 
 /// A connection that is up; an error says what came in place of `UP`.
-fn open(addr: SocketAddr) -> io::Result<BufReader<TcpStream>> {
+pub(super) fn open(addr: SocketAddr) -> io::Result<BufReader<TcpStream>> {
     let n = NEXT.fetch_add(1, Relaxed);
     let mut socket = TcpStream::connect(addr)?;
     socket.set_nodelay(true)?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod line;
 pub mod relay;
 pub mod rules;
+pub mod scale;
 pub mod scram;
 pub mod sim;
 pub mod stream;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,10 +2,12 @@
 
 mod faults_cli;
 mod fleet_cli;
+mod scale_cli;
 
 use argh::FromArgs;
 use jaspermoor_lab::certs::{self, Authority, Valid};
 use jaspermoor_lab::discovery::{read_list, Discovery};
+use jaspermoor_lab::scale::error::ScaleError;
 use jaspermoor_lab::sim::poison::{self, Experiment};
 use jaspermoor_lab::xmpp_server::{Fault, Server, Setup};
 use jaspermoor_lab::{bench, demo, line, relay};
@@ -35,6 +37,7 @@
     Sim(Sim),
     Fleet(fleet_cli::Fleet),
     Faults(faults_cli::Faults),
+    Scale(scale_cli::Scale),
 }
 
 /// Starts a relay, discovery, three servers and clients, drains one server half-way and checks the rules.
@@ -111,7 +114,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "bench")]
 struct Bench {
-    /// what: line or xmpp
+    /// what: line, xmpp or data-path
     #[argh(positional)]
     what: String,
     /// line: another build of the relay, measured in turn with this one
@@ -126,6 +129,12 @@
     /// idle sessions whose memory is measured (default 2000)
     #[argh(option, default = "2000")]
     idle: usize,
+    /// data-path: the file that results are appended to, as lines of JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+    /// data-path: what distinguishes these results from others
+    #[argh(option, default = "String::new()")]
+    label: String,
 }
 
 /// Plays cells against one fleet and small shards on a virtual clock, with the relay's own decisions: one site turns
@@ -253,6 +262,7 @@
         }
         Command::Fleet(f) => fleet_cli::run(f),
         Command::Faults(faults) => faults_cli::run(faults).map(|()| true),
+        Command::Scale(scale) => scale_cli::run(scale),
         Command::Sim(s) => {
             let Sim { seed, seeds, servers, relays, cell, sites, load, factor, jobs } = s;
             if servers == 0 || relays == 0 || seeds == 0 || !(0.01..=10.0).contains(&load) || factor < 0.0 {
@@ -281,17 +291,58 @@
             print!("{}", result?);
             Ok(true)
         }
-        Command::Bench(b) => Err(format!("'{}' is not measured; line and xmpp are", b.what).into()),
+        Command::Bench(b) if b.what == "data-path" => {
+            let (program, dir) = (relay::program()?, scratch());
+            let plan = bench::path::Plan { program, dir: dir.clone(), json: b.json, label: b.label };
+            let result = bench::path::report(&plan);
+            let _ = std::fs::remove_dir_all(dir);
+            print!("{}", result?);
+            Ok(true)
+        }
+        Command::Bench(b) => {
+            Err(format!("'{}' is not measured; line, xmpp and data-path are", b.what).into())
+        }
     }
 }
 
+/// Whoever called has to call otherwise.
+const BAD_INPUT: u8 = 2;
+
+/// Reads the arguments; where they cannot be read, what to end with after it was said.
+fn arguments() -> Result<Arguments, ExitCode> {
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let (name, words) = words.split_first().unwrap_or((&"jaspermoor-lab", &[]));
+    Arguments::from_args(&[name], words).map_err(|early| match early.status {
+        Ok(()) => {
+            println!("{}", early.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}Run {name} --help for more information.", early.output);
+            if words.first() == Some(&"scale") {
+                ExitCode::from(BAD_INPUT)
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+    })
+}
+
 fn main() -> ExitCode {
-    match run(argh::from_env::<Arguments>().command) {
+    let arguments = match arguments() {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
+    match run(arguments.command) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(e) => {
             eprintln!("jaspermoor-lab: {e}");
-            ExitCode::FAILURE
+            match e.downcast_ref::<ScaleError>() {
+                Some(error) if error.is_input() => ExitCode::from(BAD_INPUT),
+                _ => ExitCode::FAILURE,
+            }
         }
     }
 }
