Part the fleet's thread by concern: setup, links, messages, lease, voting, jobs

Change: src/net/fleet/ has a module each for the checked setup, one link (socket, session, queue), all links, messages that have come, the lease client's effects, the vote and the jobs; the tests are in a file of their own. Ground is called JobResources, Wire Link, number() random_number(), and what ends a link is a type in place of texts. Nothing is done otherwise, and without [fleet] nothing of it runs.

Measured: the library's tests, and those of faults, fleet, operators and threads, pass.

--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -6,7 +6,7 @@
 use super::Failure;
 use argh::FromArgs;
 use jaspermoor::config::operator::OperatorFile;
-use jaspermoor::net::fleet::{number, Setup};
+use jaspermoor::net::fleet::{random_number, Setup};
 use jaspermoor::platform::ledger::Ledger;
 use jaspermoor_control::log::membership::Change;
 use jaspermoor_control::wire::message::{Answer, Ask};
@@ -115,7 +115,7 @@
         println!("voter {voter} of the fleet '{}' has its ledger in {place}", setup.fleet.id);
     };
     let mut incarnation = [0; 8];
-    incarnation.copy_from_slice(&number()[..8]);
+    incarnation.copy_from_slice(&random_number()[..8]);
     // Never 0, which stands for one that nobody knows yet.
     let incarnation = u64::from_be_bytes(incarnation).max(1);
     let mut voters = Voters::new(setup.clone(), Duration::from_secs(asked.wait));
--- a/src/cli/policy.rs
+++ b/src/cli/policy.rs
@@ -5,7 +5,7 @@
 use argh::FromArgs;
 use jaspermoor::config::operator::OperatorFile;
 use jaspermoor::config::policy;
-use jaspermoor::net::fleet::{number, Setup};
+use jaspermoor::net::fleet::{random_number, Setup};
 use jaspermoor_control::log::state::{Outcome, Phase, Policy, Proposal, ProposalId};
 use jaspermoor_control::wire::message::{Answer, Ask};
 use std::path::PathBuf;
@@ -208,7 +208,7 @@
         |text: String, who: Option<String>, why: String, base: u64, id: Option<&str>| -> Result<_, Failure> {
             let id = match id {
                 Some(id) => read_name(id)?,
-                None => ProposalId::from_be_bytes(number()),
+                None => ProposalId::from_be_bytes(random_number()),
             };
             let who = who.or_else(|| super::env("USER")).unwrap_or_else(|| "unknown".into());
             Ok(Proposal { id, base, text, who, why })
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -13,7 +13,7 @@
 use jaspermoor::log::{self, log, Format};
 use jaspermoor::net::core::{Core, Xmpp};
 use jaspermoor::net::engine::{Engine, Speaks};
-use jaspermoor::net::fleet::{Fleet, Ground, Setup};
+use jaspermoor::net::fleet::{Fleet, JobResources, Setup};
 use jaspermoor::net::listen::Listener;
 use jaspermoor::ops::admin::{Admin, Staffed};
 use jaspermoor::ops::bans::Bans;
@@ -99,7 +99,7 @@
         if jobs.load_watch {
             engine.watch(book.clone());
         }
-        fleet.work_with(Ground {
+        fleet.work_with(JobResources {
             directory: core.directory.clone(),
             zones: config.names.zones.clone(),
             columns: config.names.columns.clone(),
--- a/src/cli/voters.rs
+++ b/src/cli/voters.rs
@@ -1,7 +1,7 @@
 //! Asking the voters of a fleet, as staff do: one after the other, until the leader answers.
 
 use super::Failure;
-use jaspermoor::net::fleet::{number, Setup};
+use jaspermoor::net::fleet::{random_number, Setup};
 use jaspermoor_control::wire::mac::Session;
 use jaspermoor_control::wire::message::{Answer, Ask, Message, Status};
 use std::io::{Read, Write};
@@ -72,7 +72,7 @@
         let mut socket = TcpStream::connect_timeout(&addr, ANSWER)?;
         socket.set_read_timeout(Some(ANSWER))?;
         socket.set_write_timeout(Some(ANSWER))?;
-        let mut session = Session::new(true, self.setup.keys.clone(), self.setup.id(), number());
+        let mut session = Session::new(true, self.setup.keys.clone(), self.setup.id(), random_number());
         socket.write_all(session.out())?;
         session.out().clear();
         let (mut piece, mut asked, end) = (vec![0; 64 * 1024], false, Instant::now() + ANSWER);
--- /dev/null
+++ b/src/net/fleet/lease.rs
@@ -0,0 +1,120 @@
+//! What the lease client wants done: policies and voters that are stored, leases that the decisions are told of.
+
+use super::Fleet;
+use crate::api::Micros;
+use crate::config::policy;
+use crate::log::log;
+use crate::sys::boottime;
+use jaspermoor_control::lease::client::Effect;
+use jaspermoor_control::log::membership::Membership;
+use jaspermoor_control::log::state::Policy;
+use jaspermoor_control::log::voter::Voter;
+use jaspermoor_control::wire::message::Message;
+use std::path::Path;
+use std::sync::atomic::Ordering::Relaxed;
+
+impl Fleet {
+    /// Tells the decisions up to when clients may be admitted. Always before anything is said that rests on it.
+    pub(super) fn publish(&mut self) {
+        let now = boottime();
+        let until = self.until(now);
+        self.decisions.lease(until);
+        let admits = now < until;
+        if std::mem::replace(&mut self.admits, admits) != admits {
+            let epoch = self.lease_client.policy().epoch;
+            let what = if admits { "clients are admitted" } else { "no lease: new clients are refused" };
+            log(&format!("fleet: {what}, policy of epoch {epoch}"));
+        }
+        let missing = self.voter.as_ref().map(Voter::missing).unwrap_or_default();
+        if missing != self.missing {
+            if !missing.is_empty() {
+                let names: Vec<String> = missing.iter().map(u64::to_string).collect();
+                log(&format!("fleet: founders {} have not been heard yet", names.join(", ")));
+            }
+            self.missing = missing;
+        }
+        let leads = self.voter.as_ref().and_then(Voter::leads);
+        let figures = &self.metrics.control;
+        figures.epoch.store(self.lease_client.policy().epoch, Relaxed);
+        figures.votes.store(self.voter.is_some() && self.missing.is_empty(), Relaxed);
+        figures.leads.store(leads.unwrap_or(0), Relaxed);
+        if figures.admits.swap(admits, Relaxed) && !admits {
+            figures.stops.fetch_add(1, Relaxed);
+        }
+        if std::mem::replace(&mut self.leads, leads) != leads {
+            match leads {
+                Some(term) => log(&format!("fleet: leads in term {term}")),
+                None => log("fleet: leads no more"),
+            }
+        }
+    }
+
+    /// Up to when clients may be admitted.
+    pub(super) fn until(&self, now: Micros) -> Micros {
+        if self.foreign {
+            0
+        } else {
+            self.lease_client.until(now)
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, effects: Vec<Effect>) {
+        // A lease that has ended ends before the words that say so.
+        self.decisions.lease(self.until(boottime()));
+        for effect in effects {
+            match effect {
+                Effect::Send(voter, renew) => self.send_to_voter(voter, Message::Renew(*renew)),
+                Effect::Adopt(policy) => self.adopt(&policy),
+                Effect::Membership(membership) => self.seat(membership),
+                Effect::Prepare(proposal) => {
+                    let stored = self.ledger.as_ref().map_or(Ok(()), |ledger| ledger.prepare(&proposal));
+                    if let Err(e) = stored {
+                        // Unanswered, it will be given up, and the fleet keeps what it has.
+                        log(&format!("fleet: a proposal cannot be stored: {e}"));
+                        continue;
+                    }
+                    let effect = self.lease_client.prepared(boottime(), proposal);
+                    self.carry_out(vec![effect]);
+                }
+            }
+        }
+    }
+
+    /// These vote now. Stored also where its own log says so: it may vote no more when it starts again, and then its
+    /// operator file may name nobody who does (seed 2147 of the virtual fleet).
+    pub(super) fn seat(&mut self, membership: Membership) {
+        if let Some(Err(e)) = self.ledger.as_ref().map(|ledger| ledger.seat(&membership)) {
+            log(&format!("fleet: the voters cannot be stored: {e}"));
+        }
+        self.membership = membership;
+    }
+
+    pub(super) fn adopt(&mut self, policy: &Policy) {
+        if let Some(Err(e)) = self.ledger.as_ref().map(|ledger| ledger.adopt(policy)) {
+            // After a restart it asks for the policy before it admits anybody.
+            log(&format!("fleet: the policy cannot be stored: {e}"));
+        }
+        let rules = match (policy.epoch, policy::read(Path::new("policy"), &policy.text)) {
+            (0, _) => self.own.clone(),
+            (_, Ok(rules)) => rules,
+            (epoch, Err(e)) => {
+                // It came up after the others had agreed. It must serve nobody: not under this policy, and not under
+                // another.
+                log(&format!(
+                    "fleet: the policy of epoch {epoch} is not understood, clients are refused: {e}"
+                ));
+                self.foreign = true;
+                return self.decisions.lease(0);
+            }
+        };
+        self.foreign = false;
+        self.decisions.policy(rules.cells, rules.tuning);
+        log(&format!(
+            "fleet: policy of epoch {} ({}) in force, by {}: {}",
+            policy.epoch,
+            policy::digest(&policy.text),
+            policy.who,
+            policy.why
+        ));
+    }
+}
