Let voters that are past the founding answer an introduction once in a while only

Cause: two voters that were past the founding answered each other's answers for good, as fast as the network was. A fleet of five founders on one machine had four voters at 47 to 98% of a processor each from its founding on; strace showed 50-byte introductions back and forth.

Change: a voter says to each other one who it is at most once in half the time after which a founder asks again, so an answer to an answer is the last. Whoever was removed is told so each time, as before.

Ruled out: another message for answers (an older build would not take it), and answers on links that came in only (the voter knows no links).

--- a/crates/control/src/log/voter.rs
+++ b/crates/control/src/log/voter.rs
@@ -124,6 +124,8 @@
     /// Founders meet before they vote; what they know then is stored first.
     founding: Option<Founding>,
     met: Option<Stored>,
+    /// When each founder was last told who this voter is, past the founding.
+    introduced: BTreeMap<u64, Micros>,
     /// The log has what this build cannot read: it must neither vote nor let its state stand for the log.
     fault: Option<Damaged>,
     /// What owners of jobs tell all relays.
@@ -178,6 +180,7 @@
             snapshots: BTreeMap::new(),
             founding,
             met: None,
+            introduced: BTreeMap::new(),
             fault: None,
             broadcaster: Broadcaster::default(),
             now,
--- a/crates/control/src/log/voter/members.rs
+++ b/crates/control/src/log/voter/members.rs
@@ -30,14 +30,8 @@
     /// A founder has said which disk it has. Whoever is past the founding tells it the same, or that it is none.
     pub fn founder(&mut self, now: Micros, from: From, number: u64, incarnation: u64) {
         self.now = now;
-        let trusts = self.injected.is(InjectedBug::TrustReborn);
         let Some(founding) = &mut self.founding else {
-            let answer = if self.state.membership.gone(number, incarnation) && !trusts {
-                Message::Gone(number, incarnation)
-            } else {
-                Message::Founding(self.id(), self.incarnation)
-            };
-            return self.answers.push((from, answer));
+            return self.answer_founder(from, number, incarnation);
         };
         if self.state.membership.of.contains_key(&number) {
             founding.heard.insert(number, incarnation);
@@ -45,6 +39,22 @@
         self.meet();
     }
 
+    /// Past the founding: says which disk this voter has, or that the other is none. Each is told the former once in a
+    /// while only: another that is past the founding, too, answers in turn, and they would go on for good.
+    fn answer_founder(&mut self, from: From, number: u64, incarnation: u64) {
+        let trusts = self.injected.is(InjectedBug::TrustReborn);
+        if self.state.membership.gone(number, incarnation) && !trusts {
+            return self.answers.push((from, Message::Gone(number, incarnation)));
+        }
+        let now = self.now;
+        self.introduced.retain(|_, at| now < *at + INTRODUCE / 2);
+        if self.introduced.contains_key(&number) {
+            return;
+        }
+        self.introduced.insert(number, now);
+        self.answers.push((from, Message::Founding(self.id(), self.incarnation)));
+    }
+
     /// Once all founders have been heard, what each knows of the others is the same, and it votes.
     pub(super) fn meet(&mut self) {
         let Some(founding) = &self.founding else { return };
