Count messages and bytes of the fleet's links by type and direction, and let the thread end

Cause: what a relay and a voter send and receive was known from a model only, and no process could have two relays one after the other.

Change: ops/traffic.rs counts each message of the links by its type and direction, with its frame; the second address tells it as fleet_messages_sent_total{type=...} and three more, where there is a fleet. Message::kind() names the types. Handle::end() lets Fleet::run return once its jobs are given up.

Unit tests of the figures pass.

--- a/crates/control/src/wire/mac.rs
+++ b/crates/control/src/wire/mac.rs
@@ -17,8 +17,10 @@
 const NUMBER: usize = 16;
 const TAG: usize = 32;
 const LENGTH: usize = 4;
-/// Magic, format, fleet, number.
-const HELLO: usize = 3 + 1 + 8 + NUMBER + TAG;
+/// What a frame has beside its message, in bytes.
+pub const FRAME: usize = LENGTH + TAG;
+/// What each side says first, in bytes: magic, format, fleet, number.
+pub const HELLO: usize = 3 + 1 + 8 + NUMBER + TAG;
 
 type Hash = Hmac<Sha256>;
 
--- a/crates/control/src/wire/message.rs
+++ b/crates/control/src/wire/message.rs
@@ -271,6 +271,23 @@
         wire::decode(bytes)
     }
 
+    /// The name of its type, for figures.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Message::Log(..) => "log",
+            Message::Founding(..) => "founding",
+            Message::Gone(..) => "gone",
+            Message::Renew(_) => "renew",
+            Message::Reply(_) => "reply",
+            Message::Ask(..) => "ask",
+            Message::Answer(..) => "answer",
+            Message::Subscribe(_) => "subscribe",
+            Message::Updates(_) => "updates",
+            Message::Publish(_) => "publish",
+            Message::Stale(..) => "stale",
+        }
+    }
+
     /// Whether one that comes later makes it needless: what must go first where a queue is full.
     pub fn replaceable(&self) -> bool {
         matches!(
--- a/src/net/fleet/link.rs
+++ b/src/net/fleet/link.rs
@@ -2,8 +2,9 @@
 
 use crate::api::Micros;
 use crate::net::poll::{Interest, Poller};
+use crate::ops::traffic::{Direction, Traffic};
 use crate::sys::{boottime, timed_out};
-use jaspermoor_control::wire::mac::{Fault, Session};
+use jaspermoor_control::wire::mac::{Fault, Session, FRAME, HELLO};
 use jaspermoor_control::wire::message::Message;
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
@@ -16,6 +17,9 @@
 /// Bytes read of a link in a turn: one that sends at full speed must not hold up the others.
 const PIECE: usize = 64 * 1024;
 
+/// What each side says first, in the figures.
+const HELLO_KIND: &str = "hello";
+
 /// Why a link is of no use any more.
 #[derive(Debug)]
 pub(super) enum LinkEnd {
@@ -101,13 +105,16 @@
     }
 
     /// Writes what waits, as far as the socket takes it.
-    pub(super) fn flush(&mut self, poller: &Poller, token: u64) -> Result<(), LinkEnd> {
+    pub(super) fn flush(&mut self, poller: &Poller, token: u64, traffic: &Traffic) -> Result<(), LinkEnd> {
         if self.connecting {
             return Ok(());
         }
         while self.session.ready() && self.session.out().len() < UNSENT {
             let Some(message) = self.queue.pop_front() else { break };
-            self.session.send(&message.encode());
+            let bytes = message.encode();
+            if self.session.send(&bytes) {
+                traffic.count(Direction::Sent, message.kind(), bytes.len() + FRAME);
+            }
         }
         let written = self.write()?;
         let waits = !self.session.out().is_empty();
@@ -141,7 +148,7 @@
     }
 
     /// Reads what has come; the messages in it that this build knows.
-    pub(super) fn read(&mut self) -> Result<Vec<Message>, LinkEnd> {
+    pub(super) fn read(&mut self, traffic: &Traffic) -> Result<Vec<Message>, LinkEnd> {
         let mut piece = vec![0; PIECE];
         let n = match (&self.socket).read(&mut piece) {
             Ok(0) => return Err(LinkEnd::Ended),
@@ -149,7 +156,17 @@
             Err(e) if timed_out(&e) || e.kind() == io::ErrorKind::Interrupted => return Ok(Vec::new()),
             Err(_) => return Err(LinkEnd::Broke),
         };
-        let messages = self.session.feed(&piece[..n]).map_err(LinkEnd::Fault)?;
-        Ok(messages.iter().filter_map(|bytes| Message::decode(bytes)).collect())
+        let knew = self.session.ready();
+        let frames = self.session.feed(&piece[..n]).map_err(LinkEnd::Fault)?;
+        if !knew && self.session.ready() {
+            traffic.count(Direction::Sent, HELLO_KIND, HELLO);
+            traffic.count(Direction::Received, HELLO_KIND, HELLO);
+        }
+        let decoded = |bytes: &Vec<u8>| {
+            let message = Message::decode(bytes)?;
+            traffic.count(Direction::Received, message.kind(), bytes.len() + FRAME);
+            Some(message)
+        };
+        Ok(frames.iter().filter_map(decoded).collect())
     }
 }
--- a/src/net/fleet/links.rs
+++ b/src/net/fleet/links.rs
@@ -78,7 +78,7 @@
 
     fn flush(&mut self, token: u64) {
         let Some(link) = self.links.get_mut(&token) else { return };
-        if let Err(end) = link.flush(&self.poller, token) {
+        if let Err(end) = link.flush(&self.poller, token, &self.metrics.control.traffic) {
             self.close(token, &end);
         }
     }
@@ -136,7 +136,7 @@
 
     fn read(&mut self, token: u64) {
         let Some(link) = self.links.get_mut(&token) else { return };
-        let messages = match link.read() {
+        let messages = match link.read(&self.metrics.control.traffic) {
             Ok(messages) => messages,
             Err(end) => {
                 if let LinkEnd::Fault(fault) = &end {
--- a/src/net/fleet/mod.rs
+++ b/src/net/fleet/mod.rs
@@ -55,6 +55,7 @@
 #[derive(Clone)]
 pub struct Handle {
     stop: Arc<AtomicBool>,
+    end: Arc<AtomicBool>,
     wake: Wake,
 }
 
@@ -64,6 +65,14 @@
         self.stop.store(true, Relaxed);
         (self.wake)();
     }
+
+    /// The same, and [`Fleet::run`] returns then: for processes that outlive the relay.
+    pub fn end(&self) {
+        // In this order: it must not return before it has given its jobs up.
+        self.stop.store(true, Relaxed);
+        self.end.store(true, Relaxed);
+        (self.wake)();
+    }
 }
 
 /// A random number, which nobody can guess: for sessions, proposals and disks.
@@ -165,7 +174,7 @@
         #[cfg(feature = "injected-bugs")]
         let lease_client = lease_client.with_injected(injected(), now);
         decisions.lease(if foreign { 0 } else { lease_client.until(now) });
-        let handle = Handle { stop: Arc::default(), wake: poller.wake() };
+        let handle = Handle { stop: Arc::default(), end: Arc::default(), wake: poller.wake() };
         let mut fleet = Fleet {
             name: name.into(),
             work: None,
@@ -200,14 +209,18 @@
         self.handle.clone()
     }
 
-    /// Runs for as long as the process does; its figures are among these.
+    /// Runs until [`Handle::end`], or for as long as the process does; its figures are among these.
     pub fn run(mut self, metrics: Arc<Metrics>) {
         self.metrics = metrics;
         self.metrics.control.on.store(true, Relaxed);
         self.poller.own();
         let (mut events, mut ready) = (Events::default(), Vec::new());
         loop {
+            let ends = self.handle.end.load(Relaxed);
             self.turn();
+            if ends {
+                return;
+            }
             let now = boottime();
             let wait = Duration::from_micros(self.due(now).saturating_sub(now));
             self.poller.wait(wait, &mut events, &mut ready);
--- a/src/ops/metrics.rs
+++ b/src/ops/metrics.rs
@@ -1,6 +1,7 @@
 //! The figures of this process. They are counted where things happen, outside the decisions' lock, and
 //! rendered in one place, in the text form that scrapers read.
 
+use super::traffic::{Count, Direction, Traffic};
 use crate::decide::CellFigures;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
@@ -59,6 +60,8 @@
     pub spared: AtomicU64,
     /// See `spared`.
     pub made: AtomicU64,
+    /// Messages and bytes of its links.
+    pub traffic: Traffic,
 }
 
 /// Jobs that are told by name: a relay that has more tells how many.
@@ -176,6 +179,9 @@
         for (name, kind, n) in single.into_iter().chain(xmpp).chain(control).chain(jobs) {
             let _ = writeln!(text, "# TYPE edge_balancer_{name} {kind}\nedge_balancer_{name} {n}");
         }
+        if self.control.on.load(Relaxed) {
+            by_message_type(&mut text, &self.control.traffic);
+        }
         if fleet.cells.len() > 1 {
             by_cell(&mut text, fleet);
         }
@@ -183,6 +189,25 @@
     }
 }
 
+/// Messages and bytes of the control's links, by direction and type of message.
+fn by_message_type(text: &mut String, traffic: &Traffic) {
+    type Figure = fn(&Count) -> u64;
+    let figures: [(&str, Direction, Figure); 4] = [
+        ("fleet_messages_sent_total", Direction::Sent, |count| count.messages),
+        ("fleet_bytes_sent_total", Direction::Sent, |count| count.bytes),
+        ("fleet_messages_received_total", Direction::Received, |count| count.messages),
+        ("fleet_bytes_received_total", Direction::Received, |count| count.bytes),
+    ];
+    let counts = traffic.counts();
+    // Writing to a text cannot fail.
+    for (name, direction, figure) in figures {
+        let _ = writeln!(text, "# TYPE edge_balancer_{name} counter");
+        for count in counts.iter().filter(|count| count.direction == direction) {
+            let _ = writeln!(text, "edge_balancer_{name}{{type=\"{}\"}} {}", count.kind, figure(count));
+        }
+    }
+}
+
 /// The figures of cells. Their number is bounded by that of cells.
 fn by_cell(text: &mut String, fleet: &Fleet) {
     type Figure = fn(&CellFigures) -> u64;
@@ -272,6 +297,15 @@
         assert!(metrics
             .render(&fleet)
             .contains("# TYPE edge_balancer_fleet_epoch gauge\nedge_balancer_fleet_epoch 7\n"));
+        metrics.control.traffic.count(Direction::Received, "reply", 90);
+        let text = metrics.render(&fleet);
+        for line in [
+            "edge_balancer_fleet_messages_received_total{type=\"reply\"} 1",
+            "edge_balancer_fleet_bytes_received_total{type=\"reply\"} 90",
+        ] {
+            assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
+        }
+        assert!(!text.contains("fleet_bytes_sent_total{"), "none was sent");
         let (one, two) = (metrics.begin("chat"), metrics.begin("chat"));
         one.passed();
         two.dropped();
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -3,3 +3,4 @@
 pub mod admin;
 pub mod bans;
 pub mod metrics;
+pub mod traffic;
