--- a/crates/lab/src/faults/virtual_fleet.rs
+++ b/crates/lab/src/faults/virtual_fleet.rs
@@ -894,7 +894,7 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: Message) {
-        if from != to {
+        if to != STAFF {
             self.seen.traffic.count(self.now, from, to, &message);
         }
         for at in self.arrivals(from, to) {
