--- /dev/null
+++ b/crates/control/src/broadcast/quantise/tests.rs
@@ -0,0 +1,36 @@
+use super::*;
+
+/// The thresholds of the decisions, in loads.
+const THRESHOLDS: [f32; 8] = [0.3, 0.4, 0.6, 0.7, 0.75, 0.9, 1.0, 1.5];
+
+#[test]
+fn a_told_load_is_on_the_same_side_of_each_threshold() {
+    for n in 0..160_000u32 {
+        let measured = n as f32 / 100_000.0;
+        let told = load(level(measured).unwrap());
+        assert!((told - measured).abs() <= 0.02501, "{measured} is told as {told}");
+        for threshold in THRESHOLDS.into_iter().filter(|threshold| *threshold != measured) {
+            assert_eq!(told < threshold, measured < threshold, "{measured} told as {told}, at {threshold}");
+        }
+    }
+}
+
+#[test]
+fn counts_are_told_to_within_a_few_hundredths_and_a_told_load_has_its_own_level() {
+    for n in 2..100_000u32 {
+        let told = load(level(n as f32).unwrap());
+        assert!((told / n as f32 - 1.0).abs() < 0.023, "{n} is told as {told}");
+    }
+    for n in 0..400 {
+        assert_eq!(level(load(n)), Some(n), "{n}");
+    }
+    assert!(level(100.0).unwrap() < 128, "one byte for a hundred connections");
+}
+
+#[test]
+fn what_is_no_load_has_no_level() {
+    for odd in [-0.1, f32::NAN, f32::INFINITY, f32::NEG_INFINITY] {
+        assert_eq!(level(odd), None);
+    }
+    assert!(level(f32::MAX).is_some());
+}
--- /dev/null
+++ b/crates/control/src/broadcast/stream/tests.rs
@@ -0,0 +1,69 @@
+use super::*;
+
+fn received(sequences: &[u64]) -> Received {
+    let mut received = Received { stream: 3, ..Received::default() };
+    sequences.iter().for_each(|sequence| received.add(3, *sequence));
+    received
+}
+
+fn send(stream: &mut Stream, now: Micros, version: u64) -> u64 {
+    stream.send(now, vec![("a".into(), (1, version))])
+}
+
+#[test]
+fn the_window_knows_what_came_in_whatever_order() {
+    let window = received(&[1, 2, 5, 4, 40, 38, 2]);
+    let has: Vec<u64> = (1..=41).filter(|sequence| window.has(*sequence)).collect();
+    assert_eq!(has, [38, 40], "what is 33 and more behind counts as lost");
+    let window = received(&[2, 4, 3, 34]);
+    let has: Vec<u64> = (1..=41).filter(|sequence| window.has(*sequence)).collect();
+    assert_eq!(has, [2, 3, 4, 34]);
+    let mut other = window;
+    other.add(2, 99);
+    assert_eq!(other, window, "another stream");
+}
+
+#[test]
+fn changes_start_from_what_was_acknowledged_and_a_lost_one_is_sent_again() {
+    let mut stream = Stream::new(3, [("a".to_string(), (1, 4))]);
+    assert!(!stream.lacks("a", (1, 4)) && stream.lacks("a", (1, 5)) && stream.lacks("b", (1, 1)));
+    assert_eq!((send(&mut stream, 0, 5), send(&mut stream, 10, 6)), (1, 2));
+    assert!(!stream.lacks("a", (1, 6)));
+    assert_eq!(stream.has("a"), (1, 4));
+    stream.acknowledged(20, received(&[1]));
+    assert_eq!(stream.has("a"), (1, 5));
+    assert!(!stream.lacks("a", (1, 6)), "it is on its way");
+    stream.acknowledged(LOST_AFTER + 10, received(&[1]));
+    assert!(stream.lacks("a", (1, 6)), "it is lost");
+    // One that is overtaken is lost, too; if it comes later, it counts.
+    send(&mut stream, LOST_AFTER + 20, 7);
+    send(&mut stream, LOST_AFTER + 20, 7);
+    stream.acknowledged(LOST_AFTER + 30, received(&[1, 4]));
+    assert_eq!(stream.has("a"), (1, 7));
+    // An acknowledgement of another stream says nothing.
+    send(&mut stream, LOST_AFTER + 40, 8);
+    stream.acknowledged(LOST_AFTER + 50, Received { stream: 2, highest: 5, before: u32::MAX });
+    assert_eq!(stream.has("a"), (1, 7));
+}
+
+#[test]
+fn what_is_in_flight_is_bounded_and_what_falls_out_is_sent_again() {
+    let mut stream = Stream::new(3, []);
+    stream.send(0, vec![("b".into(), (1, 1))]);
+    for version in 1..=IN_FLIGHT as u64 {
+        send(&mut stream, 0, version);
+    }
+    assert_eq!(stream.in_flight.len(), IN_FLIGHT);
+    assert!(stream.lacks("b", (1, 1)));
+}
+
+#[test]
+fn a_bucket_fills_at_its_rate_and_owes_no_more_than_a_second() {
+    let mut bucket = Bucket::full(0, 1_000);
+    bucket.take(5_000, 1_000);
+    assert!(!bucket.fill(1_000_000, 1_000), "a second's debt is paid back");
+    assert!(bucket.fill(1_001_000, 1_000));
+    assert!(bucket.fill(900_000_000, 1_000));
+    bucket.take(1_000, 1_000);
+    assert!(!bucket.has_any(), "nothing beyond a second is saved up");
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! The rule that all of it serves: at no moment do two relays admit clients under different policies, and none admits
 //! under an older policy than one that was in force before. `docs/design/control.md` has the proof.
 
+pub mod broadcast;
 pub mod fence;
 pub mod follower;
 pub mod holder;
