--- a/crates/control/src/broadcast/allowance.rs
+++ b/crates/control/src/broadcast/allowance.rs
@@ -11,7 +11,7 @@
 //! anybody has.
 
 use super::message::{Allowance, MovesSummary};
-use crate::moves::Moving;
+use crate::jobs::moves::Moving;
 
 #[cfg(test)]
 mod tests;
--- a/crates/control/src/broadcast/message.rs
+++ b/crates/control/src/broadcast/message.rs
@@ -5,7 +5,7 @@
 //! left out. As everywhere, a part that is not known is passed over.
 
 use super::table::Version;
-use crate::owners::Token;
+use crate::jobs::assignment::Token;
 use crate::Micros;
 use serde::{Deserialize, Serialize};
 
--- a/crates/control/src/broadcast/stream.rs
+++ b/crates/control/src/broadcast/stream.rs
@@ -8,7 +8,7 @@
 //! bytes bounds what a relay is sent; what it needs most goes first, then what it has waited for longest), and
 //! acknowledgements of a stream of before.
 
-use crate::owners::Token;
+use crate::jobs::assignment::Token;
 use crate::Micros;
 use std::collections::{BTreeMap, VecDeque};
 
--- a/crates/control/src/broadcast/table.rs
+++ b/crates/control/src/broadcast/table.rs
@@ -13,7 +13,7 @@
 //! clock are lengthened, offsets are rounded up, and what is beyond their range has no time at all).
 
 use super::quantise::{level, load, Level};
-use crate::owners::Token;
+use crate::jobs::assignment::Token;
 use crate::{at_most, Micros};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
--- a/crates/lab/src/faults/figures.rs
+++ b/crates/lab/src/faults/figures.rs
@@ -1,7 +1,7 @@
 //! What a fleet costs and how old its updates are, as a play on the virtual network shows it.
 
-use super::books::Moment;
-use jaspermoor_control::message::Message;
+use super::history::Moment;
+use jaspermoor_control::wire::message::Message;
 use std::collections::BTreeMap;
 
 /// The length of the windows in which traffic must stay within its budget, in seconds.
@@ -91,8 +91,8 @@
         Message::Reply(_) => "Reply",
         Message::Ask(..) => "Ask",
         Message::Answer(..) => "Answer",
-        Message::Follow(_) => "Follow",
-        Message::News(_) => "News",
+        Message::Subscribe(_) => "Subscribe",
+        Message::Updates(_) => "Updates",
         Message::Publish(_) => "Publish",
         Message::Stale(..) => "Stale",
     }
