--- a/crates/control/src/broadcast/broadcaster.rs
+++ b/crates/control/src/broadcast/broadcaster.rs
@@ -15,7 +15,7 @@
 
 use super::allowance::{AllowancePool, RelayMoves};
 use super::channel::Channel;
-use super::feed::Feed;
+use super::feed::{Feed, Why};
 use super::message::{Delivery, Poll, Receipt, Reports, Submission, VERSION};
 use super::stream::Received;
 use super::subscription::Subscription;
@@ -84,7 +84,7 @@
         let mut out = Vec::new();
         if subscription.compact.is_some() {
             out.push(Message::Updates(answer));
-            out.extend(self.feed.deliver(now, &mut subscription, jobs, true).map(Message::Delivery));
+            out.extend(self.feed.deliver(now, &mut subscription, jobs, Why::Answer).map(Message::Delivery));
         } else {
             answer.reports = self.reports_for(now, &subscription, jobs);
             answer.updates = self.feed.whole_updates(now, &subscription, None);
@@ -145,7 +145,7 @@
             subscription.take_reports(of.into_iter().map(report).collect());
             subscription.reports_version = version;
         }
-        self.feed.deliver(now, subscription, jobs, true).unwrap_or(unknown)
+        self.feed.deliver(now, subscription, jobs, Why::Answer).unwrap_or(unknown)
     }
 
     /// An owner of an older build has an update for all. What comes of it goes to whoever it is for.
--- a/crates/control/src/broadcast/feed.rs
+++ b/crates/control/src/broadcast/feed.rs
@@ -12,8 +12,8 @@
 
 /// Bytes a second of updates that a relay is sent, but for those that it needs most; and a relay that owns a job with
 /// updates, which has its own traffic besides.
-const RATE: u64 = 1_400;
-const RATE_OF_OWNER: u64 = 500;
+const RATE: u64 = 1_600;
+const RATE_OF_OWNER: u64 = 1_100;
 /// What a message and an update in it cost beside the update's body, about.
 const MESSAGE_BYTES: usize = 36;
 const UPDATE_BYTES: usize = 28;
@@ -27,6 +27,17 @@
     pub moves: Have,
 }
 
+/// Why a relay is told something.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Why {
+    /// It has asked, and is answered also where there is nothing to tell.
+    Answer,
+    /// A job has a new update.
+    Spread,
+    /// It is permitted more moves.
+    Permits,
+}
+
 /// A job whose update a relay lacks: what is not near goes last, then what was sent last.
 type Lacking = (bool, Micros, String);
 
@@ -45,7 +56,8 @@
         job: &str,
     ) -> Option<Message> {
         if subscription.compact.is_some() {
-            return self.deliver(now, subscription, jobs, false).map(Message::Delivery);
+            let why = if job == moves::KIND { Why::Permits } else { Why::Spread };
+            return self.deliver(now, subscription, jobs, why).map(Message::Delivery);
         }
         let updates = self.whole_updates(now, subscription, Some(job));
         (!updates.is_empty()).then(|| Message::Updates(Updates { updates, ..subscription.answer(now) }))
@@ -58,7 +70,7 @@
         now: Micros,
         subscription: &mut Subscription,
         jobs: &Jobs,
-        answers: bool,
+        why: Why,
     ) -> Option<Delivery> {
         let (lacking, owns) = self.lacking(now, subscription, jobs);
         let permitted = subscription.moves.and_then(|moves| moves.to_be_told());
@@ -66,11 +78,13 @@
         let rate = if owns { RATE_OF_OWNER } else { RATE };
         compact.bucket.fill(now, rate);
         let (mut updates, versions) = self.changes(now, compact, lacking, rate);
-        if let Some(permitted) = permitted.filter(|_| self.moves.0 > 0) {
+        // Said again with each answer, until the relay reports that it knows.
+        let is_due = why != Why::Spread || !updates.is_empty();
+        if let Some(permitted) = permitted.filter(|_| self.moves.0 > 0 && is_due) {
             let (job, (token, _)) = (moves::KIND.to_string(), self.moves);
             updates.push(Delivered { job, token, permitted, ..Delivered::default() });
         }
-        if updates.is_empty() && !answers {
+        if updates.is_empty() && why != Why::Answer {
             return None;
         }
         compact.bucket.take(MESSAGE_BYTES, rate);
@@ -90,7 +104,9 @@
     /// The jobs whose newest update a relay was not sent, in the order in which it is to be, and whether it owns one that
     /// has updates.
     fn lacking(&self, now: Micros, subscription: &Subscription, jobs: &Jobs) -> (Vec<Lacking>, bool) {
-        let (mut lacking, mut owns_any) = (Vec::new(), false);
+        let owns_moves =
+            jobs.of.get(moves::KIND).is_some_and(|job| job.owner.as_ref() == Some(&subscription.relay));
+        let (mut lacking, mut owns_any) = (Vec::new(), owns_moves);
         let Some(Compact { stream, zone, .. }) = &subscription.compact else { return (lacking, false) };
         for (name, channel) in &self.channels {
             let owner = jobs.of.get(name).and_then(|job| job.owner.as_ref());
@@ -119,12 +135,7 @@
                 break;
             }
             let Some(channel) = self.channels.get_mut(&name) else { continue };
-            let has = if self.injected.is(InjectedBug::LostChange) {
-                compact.stream.sent(&name)
-            } else {
-                compact.stream.has(&name)
-            };
-            let (delivered, bytes) = channel.delivered(now, &name, has);
+            let (delivered, bytes) = channel.delivered(now, &name, compact.stream.sent(&name));
             compact.bucket.take(bytes + UPDATE_BYTES, rate);
             updates.push(delivered);
             versions.push((name, channel.have()));
--- a/crates/control/src/broadcast/stream.rs
+++ b/crates/control/src/broadcast/stream.rs
@@ -1,8 +1,8 @@
 //! What one relay was sent and has received: a voter's account of it, and the relay's own.
 //!
-//! Deliveries of a stream bear sequence numbers. A relay says with each poll which of the last ones it has; the voter
-//! writes changes from the version that was acknowledged, so a delivery that is lost, late or doubled makes the next one
-//! longer and nothing else.
+//! Deliveries of a stream bear sequence numbers. A relay says with each poll which of the last ones it has. The voter
+//! writes changes from the version that it sent last, and from the one that was acknowledged where that is lost. A relay
+//! that lacks what changes start from refuses them, and follows anew.
 //!
 //! Guards against: a slow relay (only the newest version of each job is ever sent; nothing queues here), a burst (a bucket of
 //! bytes bounds what a relay is sent; what it needs most goes first, then what it has waited for longest), and
@@ -157,11 +157,6 @@
         self.jobs.get(job).map_or((0, 0), |state| state.sent)
     }
 
-    /// What the relay is known to have of a job.
-    pub fn has(&self, job: &str) -> Have {
-        self.jobs.get(job).map_or((0, 0), |state| state.acknowledged)
-    }
-
     /// When a job's last version was sent.
     pub fn sent_at(&self, job: &str) -> Micros {
         self.jobs.get(job).map_or(0, |state| state.sent_at)
--- a/crates/control/src/broadcast/subscriber.rs
+++ b/crates/control/src/broadcast/subscriber.rs
@@ -432,6 +432,16 @@
         true
     }
 
+    /// The last number of what this relay has said as an owner.
+    pub fn last_number(&self) -> u64 {
+        self.published
+    }
+
+    /// This relay says something of that number as an owner.
+    pub fn says(&mut self, number: u64) {
+        self.published = self.published.max(number);
+    }
+
     /// The next number of what this relay says as an owner.
     pub fn next_number(&mut self) -> u64 {
         self.published += 1;
--- a/crates/control/src/broadcast/table.rs
+++ b/crates/control/src/broadcast/table.rs
@@ -132,6 +132,12 @@
         Table { token, ..Table::default() }
     }
 
+    /// A new table of an owner that may have told others under this token, up to this version: it had the job before, and
+    /// its lease ran out meanwhile.
+    pub fn after(token: Token, version: Version) -> Table {
+        Table { token, version, base: version + 1, ..Table::default() }
+    }
+
     /// The token of its owner.
     pub fn token(&self) -> Token {
         self.token
@@ -225,7 +231,7 @@
     /// Changes from a version that a receiver has; the whole table for one that has none, or too old a one. The same bytes
     /// for all receivers: how old they are is told beside them, from [`Table::at`] on.
     pub fn changes(&mut self, from: Version) -> &[u8] {
-        let known = from >= self.base && from <= self.version;
+        let known = from >= self.base.max(1) && from <= self.version;
         let from = if known { from } else { 0 };
         // Where receivers have many versions, some are sent more than they lack.
         let kept = if self.encoded.len() >= ENCODED {
--- a/crates/control/src/jobs/owner.rs
+++ b/crates/control/src/jobs/owner.rs
@@ -12,6 +12,9 @@
 /// Why a relay gives its jobs up that is told to stop. It says nothing of the job.
 pub const STOPS: &str = "its relay stops";
 
+/// Jobs that one question says there are to be, at most.
+const OPENS: usize = 2;
+
 /// A job that it has.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Own {
@@ -85,10 +88,17 @@
         true
     }
 
+    /// Some of the jobs that there are to be. A question names few, so that it stays short; the next one names others.
+    fn opens(&self, number: u64) -> Vec<String> {
+        let all = &self.skills.opens;
+        let first = number as usize * OPENS % all.len().max(1);
+        all.iter().cycle().skip(first).take(OPENS.min(all.len())).cloned().collect()
+    }
+
     /// What it has to say with its next question.
     pub fn fill(&self, renew: &mut Renew) {
         renew.jobs = Some(self.version);
-        renew.skills = self.skills.clone();
+        renew.skills = Skills { opens: self.opens(renew.number), ..self.skills.clone() };
         if self.stops {
             // A kind that there is not: it can do nothing any more.
             renew.skills = Skills { kinds: vec![String::new()], ..Skills::default() };
--- a/crates/control/src/jobs/worker.rs
+++ b/crates/control/src/jobs/worker.rs
@@ -132,7 +132,7 @@
                     }
                     let Some(loads) = watch.tell(now, context.columns) else { continue };
                     commands.extend(shared.update(now, &loads, context.columns));
-                    shared.tell(now, name, token, &loads, &self.subscriber)
+                    shared.tell(now, name, token, &loads, &mut self.subscriber)
                 }
                 Job::Mover(moves) => {
                     if now < moves.mover.due() {
@@ -170,7 +170,10 @@
         for name in owner.names() {
             let Some(own) = own(name).filter(|_| !self.jobs.contains_key(name)) else { continue };
             let job = match kind_of(name) {
-                load_watch::KIND => Job::LoadWatch(LoadWatch::default(), SharedTable::new(own.token)),
+                load_watch::KIND => {
+                    let table = Table::after(own.token, self.subscriber.last_number());
+                    Job::LoadWatch(LoadWatch::default(), SharedTable { table, acknowledged: BTreeMap::new() })
+                }
                 moves::KIND => {
                     Job::Mover(PacedMoves { mover: Mover::resume(&own.checkpoint), saved: now, submitted: 0 })
                 }
@@ -349,10 +352,6 @@
 }
 
 impl SharedTable {
-    fn new(token: Token) -> SharedTable {
-        SharedTable { table: Table::new(token), acknowledged: BTreeMap::new() }
-    }
-
     /// A round has ended. This relay knows at once what it tells the others.
     fn update(&mut self, now: Micros, loads: &Loads, columns: &[String]) -> Option<WorkerCommand> {
         self.table.update(now, &loads.columns, &loads.of);
@@ -366,9 +365,10 @@
         job: &str,
         token: Token,
         loads: &Loads,
-        subscriber: &Subscriber,
+        subscriber: &mut Subscriber,
     ) -> Vec<(u64, Message)> {
         let said = (job, token, self.table.version());
+        subscriber.says(self.table.version());
         let mut out = subscriber.submit(now, said, |voter, submission| {
             let from = self.acknowledged.get(&voter).copied().unwrap_or(0);
             submission.changes = Some(serde_bytes::ByteBuf::from(self.table.changes(from)));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -90,7 +90,7 @@
     NoFence,
     /// A receiver that has started anew obeys before it knows the tokens.
     TrustFirst,
-    /// A voter takes what it has sent for received, and relays apply changes though those before them are missing.
+    /// Relays apply changes though those before them are missing.
     LostChange,
     /// A relay applies changes that lead to an older version than it has.
     VersionBack,
--- a/crates/lab/src/faults_cli.rs
+++ b/crates/lab/src/faults_cli.rs
@@ -3,6 +3,7 @@
 use argh::FromArgs;
 use indicatif::{ProgressBar, ProgressStyle};
 use jaspermoor_control::InjectedBug;
+use jaspermoor_lab::faults::figures::ProcessTraffic;
 use jaspermoor_lab::faults::harness::{play, write_history, Ground, Played};
 use jaspermoor_lab::faults::plot;
 use jaspermoor_lab::faults::scenario::{Harm, Scenario, NAMED};
@@ -335,11 +336,11 @@
     let rate = |bytes: u64| bytes as f64 * 1e6 / seen.length.max(1) as f64;
     let (voters, others) = seen.traffic.of.split_at(sim.voters.min(seen.traffic.of.len()));
     for (role, of) in [("voter", voters), ("relay", others)] {
-        let most = of.iter().max_by_key(|of| of.bytes_sent() + of.bytes_received());
-        let Some(most) = most else { continue };
-        let worst = of.iter().map(|of| of.worst_window(WARM_UP)).fold(0.0, f64::max);
+        let window = |of: &&ProcessTraffic| of.worst_window(WARM_UP) as u64;
+        let Some(most) = of.iter().max_by_key(window) else { continue };
+        let worst = window(&most);
         println!(
-            "the {role} with most: sends {:.0} and receives {:.0} bytes a second; the worst 10 s of any: {worst:.0} a second",
+            "the {role} with the worst 10 s: {worst} bytes a second in them; sends {:.0} and receives {:.0} a second",
             rate(most.bytes_sent()),
             rate(most.bytes_received())
         );
