--- a/crates/control/src/broadcast/stream.rs
+++ b/crates/control/src/broadcast/stream.rs
@@ -136,6 +136,7 @@
                 let state = self.jobs.entry(job.clone()).or_default();
                 if has {
                     state.acknowledged = state.acknowledged.max(*have);
+                    state.sent = state.sent.max(state.acknowledged);
                 } else if lost(&sent) && state.sent == *have {
                     // It is sent again, as if it never had been.
                     state.sent = state.acknowledged;
--- a/crates/control/src/broadcast/subscriber/tests.rs
+++ b/crates/control/src/broadcast/subscriber/tests.rs
@@ -22,7 +22,7 @@
         body: Vec::new(),
     };
     let updates = updates.iter().map(update).collect();
-    Updates { start: 4, number, since, stamp: 77, updates, reports: Vec::new() }
+    Updates { start: 4, number, since, stamp: 77, updates, ..Updates::default() }
 }
 
 #[test]
@@ -74,9 +74,9 @@
     assert_eq!(followed[..2], [first, first]);
     assert_eq!(asks(&mut subscriber, 20 * PACE, true).len(), 3);
     // Without a voter's clock its words would have no age.
-    assert!(subscriber.publish(20 * PACE, "load/a", 1, 0, &[]).is_empty());
+    assert!(subscriber.publish(20 * PACE, ("load/a", 1, 1), &[]).is_empty());
     subscriber.heard(20 * PACE + 1, 2, &[1, 2, 3], None, updates(subscriber.number, 0, &[]));
-    let said = subscriber.publish(20 * PACE + 5, "load/a", 1, 7, &[]);
+    let said = subscriber.publish(20 * PACE + 5, ("load/a", 1, 2), &[]);
     let [(2, Message::Publish(publish))] = &said[..] else { panic!("{said:?}") };
-    assert_eq!((publish.stamp, publish.since, publish.update.age), (77, 4, 7));
+    assert_eq!((publish.stamp, publish.since, publish.update.age), (77, 4, 0));
 }
--- a/crates/lab/src/faults/virtual_fleet.rs
+++ b/crates/lab/src/faults/virtual_fleet.rs
@@ -45,6 +45,8 @@
     pub observers: usize,
     /// How long faults go on; then all is mended, and the fleet must come together.
     pub length: Moment,
+    /// How long the play goes on after that.
+    pub rest: Moment,
     /// Jobs that the fleet has owners for.
     pub jobs: usize,
     /// Zones whose backends' loads are watched, one job each, and backends of each.
@@ -71,6 +73,7 @@
             voters: 3,
             observers: 3,
             length: 40_000_000,
+            rest: 30_000_000,
             jobs: 6,
             zones: 1,
             backends: 6,
@@ -104,6 +107,8 @@
     pub checkpoints: u64,
     /// See `orders`.
     pub hands: usize,
+    /// Moves that all relays made.
+    pub moves: u64,
     /// Reports of the load watch that relays took.
     pub words: usize,
     /// Of the three jobs whose owners fail: how long nobody could act on each, in microseconds.
@@ -281,7 +286,7 @@
     let mut world = World::new(play);
     world.begin();
     while let Some(Reverse((at, order))) = world.events.pop() {
-        if at > play.length + 30_000_000 {
+        if at > play.length + play.rest {
             break;
         }
         world.now = at;
@@ -1248,6 +1253,7 @@
     fn end(mut self) -> Seen {
         self.seen.broken.extend(super::history::check(&self.seen.history));
         self.seen.length = self.now;
+        self.seen.moves = self.moves;
         let took = self.texts.values().filter(|(_, last)| *last > 0).map(|(begin, last)| last - begin);
         self.seen.took = took.collect();
         self.seen.took.sort_unstable();
--- a/crates/lab/src/faults_cli.rs
+++ b/crates/lab/src/faults_cli.rs
@@ -380,6 +380,7 @@
             rolling: sim.rolling,
             owners_fail: sim.owners_fail,
             length: if sim.owners_fail { 60_000_000 } else { virtual_fleet::Play::default().length },
+            ..virtual_fleet::Play::default()
         };
         let seen = virtual_fleet::run(play);
         (epochs, faults) = (epochs + seen.epoch, faults + seen.faults);
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -362,8 +362,9 @@
         let owner = Owner::default();
         #[cfg(feature = "injected-bugs")]
         let owner = Owner::with_injected(injected());
+        let subscriber = Subscriber::new(self.lease_client.relay().clone()).in_zone(&skills.zone);
         self.lease_client.works(owner.skilled(skills));
-        let worker = Worker::new(Subscriber::new(self.lease_client.relay().clone()));
+        let worker = Worker::new(subscriber);
         #[cfg(feature = "injected-bugs")]
         let worker = worker.with_injected(injected());
         self.work = Some((worker, ground));
@@ -555,7 +556,7 @@
         self.carry_out_deeds(commands);
     }
 
-    fn hear_updates(&mut self, from: u64, updates: jaspermoor_control::wire::message::Updates) {
+    fn hear_updates(&mut self, from: u64, message: Message) {
         let voter = if from == LOCAL {
             self.setup.fleet.voter
         } else {
@@ -563,7 +564,16 @@
         };
         let (Some(voter), Some((worker, ground))) = (voter, &mut self.work) else { return };
         let context = WorkContext { columns: &ground.columns, listed: &|_| Vec::new(), moves: &|| None };
-        let commands = worker.updates(boottime(), voter, &self.lease_client, context, updates);
+        let now = boottime();
+        let commands = match message {
+            Message::Updates(updates) => worker.updates(now, voter, &self.lease_client, context, updates),
+            Message::Delivery(delivery) => worker.delivery(now, voter, &self.lease_client, context, delivery),
+            Message::Receipt(receipt) => {
+                worker.receipt(now, voter, receipt);
+                return;
+            }
+            _ => return,
+        };
         self.carry_out_deeds(commands);
     }
 
@@ -865,7 +875,11 @@
                     (Message::Ask(number, ask), Some(voter)) => voter.ask(now, from, number, ask),
                     (Message::Subscribe(subscribe), Some(voter)) => voter.subscribe(now, from, subscribe),
                     (Message::Publish(publish), Some(voter)) => voter.publish(now, from, publish),
-                    (Message::Updates(updates), _) => self.hear_updates(from, updates),
+                    (Message::Poll(poll), Some(voter)) => voter.poll(now, from, poll),
+                    (Message::Submission(submission), Some(voter)) => voter.submit(now, from, submission),
+                    (message @ (Message::Updates(_) | Message::Delivery(_) | Message::Receipt(_)), _) => {
+                        self.hear_updates(from, message)
+                    }
                     (Message::Stale(job, token), _) => {
                         if let Some((worker, _)) = &mut self.work {
                             log(&format!("fleet: {job} has token {token} by now: it acts on it no more"));
