--- a/crates/lab/src/faults/virtual_fleet.rs
+++ b/crates/lab/src/faults/virtual_fleet.rs
@@ -5,6 +5,7 @@
 //! processes that are killed and come back with what their disk has, or are stopped for longer than a lease and go on as
 //! if nothing had been; clocks that differ by as much as is allowed.
 
+use super::figures::{Ages, Traffic};
 use super::history::{Broken, Fact, Line, Moment};
 use jaspermoor_control::broadcast::subscriber::Subscriber;
 use jaspermoor_control::jobs::assignment::Assignment;
@@ -17,7 +18,7 @@
 use jaspermoor_control::log::state::{Policy, Proposal, ProposalId};
 use jaspermoor_control::log::storage::{Kept, Log, Stored};
 use jaspermoor_control::log::voter::Voter;
-use jaspermoor_control::wire::message::{Answer, Ask, Message, Relay, Updates};
+use jaspermoor_control::wire::message::{kind_of, Answer, Ask, Delivery, Message, Relay, Skills, Updates};
 use jaspermoor_control::{InjectedBug, InjectedBugs, Micros, Times};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -28,6 +29,8 @@
 const TICK: Moment = 10_000;
 /// Operators look so often how far the replacement of a voter is.
 const OPERATORS_LOOK: Moment = 300_000;
+/// Number of questions of receivers of orders.
+const RECEIVERS: u64 = 2;
 /// The sender that stands for operators.
 const OPERATORS: usize = usize::MAX;
 
@@ -42,8 +45,18 @@
     pub observers: usize,
     /// How long faults go on; then all is mended, and the fleet must come together.
     pub length: Moment,
+    /// How long the play goes on after that.
+    pub rest: Moment,
     /// Jobs that the fleet has owners for.
     pub jobs: usize,
+    /// Zones whose backends' loads are watched, one job each, and backends of each.
+    pub zones: usize,
+    /// See `zones`.
+    pub backends: usize,
+    /// Every so many-th process is of a build that knows no deliveries; zero for none.
+    pub older: usize,
+    /// Processes are stopped and started again one after the other, voters first, from 15 s on.
+    pub rolling: bool,
     /// In place of drawn faults: the owner of a job is killed at 20 s, that of another is stopped at 35 s for 8 s, and
     /// operators hand a third over at 50 s.
     pub owners_fail: bool,
@@ -60,7 +73,12 @@
             voters: 3,
             observers: 3,
             length: 40_000_000,
+            rest: 30_000_000,
             jobs: 6,
+            zones: 1,
+            backends: 6,
+            older: 0,
+            rolling: false,
             owners_fail: false,
             bug: None,
             faults: true,
@@ -89,14 +107,20 @@
     pub checkpoints: u64,
     /// See `orders`.
     pub hands: usize,
+    /// Moves that all relays made.
+    pub moves: u64,
     /// Reports of the load watch that relays took.
     pub words: usize,
     /// Of the three jobs whose owners fail: how long nobody could act on each, in microseconds.
     pub ownerless: [Moment; 3],
-    /// Bytes that each process has sent to others, voters first, and how long that took.
-    pub sent: Vec<u64>,
-    /// See `sent`.
+    /// What processes have sent to others, voters first, and how long that took.
+    pub traffic: Traffic,
+    /// See `traffic`.
     pub length: Moment,
+    /// How old the load of a backend was that relays knew, looked at again and again from the tenth second on.
+    pub ages: Ages,
+    /// The same, of the relay's own zone.
+    pub ages_near: Ages,
 }
 
 struct Process {
@@ -117,6 +141,10 @@
     /// What it does for the fleet as a relay does it, and its connections that wait to be moved.
     worker: Option<Worker>,
     moving: Moving,
+    /// The version of each table, by job and token, that it has had.
+    versions: BTreeMap<(String, u64), u64>,
+    /// When each backend's load that it knows was true, by the true time.
+    loads: BTreeMap<u64, Moment>,
     policy: Policy,
     /// What it has not stored, though it should have: lost in a crash.
     unstored: Vec<Stored>,
@@ -129,8 +157,18 @@
     wakes: Moment,
 }
 
-/// Jobs that are done as relays do them; with the others owners act at random.
-const DONE: [&str; 2] = ["load/z", "moves"];
+/// Jobs that are done as relays do them are of these kinds; with the others owners act at random.
+const DONE: [&str; 2] = ["load", "moves"];
+/// How often a backend says another load than to the probe before.
+const CHANGES: f64 = 0.4;
+/// Tables of about so many relays are compared with their owners'.
+const CHECKED: usize = 60;
+/// The ages of what relays know are looked at so often.
+const LOOK_AT_AGES: Moment = 230_000;
+/// A rolling restart: it begins then, a process is away so long, and the next follows so long after the one before.
+const ROLLING_FROM: Moment = 12_000_000;
+/// See above.
+const ROLLING_AWAY: Moment = 700_000;
 /// Moves a second that the policy allows all relays together.
 const MOVES: u64 = 20;
 
@@ -142,6 +180,12 @@
     token: u64,
 }
 
+/// What a voter has told a relay.
+enum Heard {
+    Updates(u64, Updates),
+    Delivery(u64, Delivery),
+}
+
 enum Event {
     Tick(usize),
     /// An order comes to a receiver.
@@ -152,6 +196,10 @@
     Fault,
     Start(usize),
     Propose,
+    /// The ages of what relays know are looked at.
+    Ages,
+    /// That process is stopped and started again, in a rolling restart.
+    Restart(usize),
     /// Operators have jobs opened, and take one back from its owner now and then.
     Jobs,
     /// The owner of that job fails.
@@ -196,6 +244,17 @@
     leads: BTreeMap<u64, u64>,
     /// Moves that all relays have made.
     moves: u64,
+    /// When each backend said each of its loads last.
+    said: BTreeMap<u64, Vec<Moment>>,
+    /// What owners' tables had at each version, by job and token.
+    tables: BTreeMap<(String, u64), BTreeMap<u64, u64>>,
+}
+
+/// The backends of a zone, by its name.
+fn backends(zone: &str, zones: usize, per_zone: usize) -> Vec<u64> {
+    let zone = zone.strip_prefix('z').and_then(|number| number.parse::<usize>().ok());
+    let of = |zone: usize| (zone * per_zone) as u64..((zone + 1) * per_zone) as u64;
+    zone.filter(|zone| *zone < zones).map(of).into_iter().flatten().collect()
 }
 
 /// Applies what is stored to a disk, as the relay's own store does.
@@ -227,7 +286,7 @@
     let mut world = World::new(play);
     world.begin();
     while let Some(Reverse((at, order))) = world.events.pop() {
-        if at > play.length + 30_000_000 {
+        if at > play.length + play.rest {
             break;
         }
         world.now = at;
@@ -259,6 +318,8 @@
             texts: BTreeMap::new(),
             leads: BTreeMap::new(),
             moves: 0,
+            said: BTreeMap::new(),
+            tables: BTreeMap::new(),
         }
     }
 
@@ -302,6 +363,8 @@
                 doubts: Vec::new(),
                 worker: None,
                 moving: Moving { waiting: 200, ..Moving::default() },
+                versions: BTreeMap::new(),
+                loads: BTreeMap::new(),
                 policy: Policy::default(),
                 unstored: Vec::new(),
                 starts: 0,
@@ -330,6 +393,17 @@
             at += self.rng.random_range(300_000..4_000_000);
         }
         self.later(self.play.length, Event::Mend);
+        self.later(10_000_000, Event::Ages);
+        if self.play.rolling {
+            // All of them within what is left of the play, voters first, and those slowly.
+            let (voters, all) = (self.play.voters as u64, self.processes.len() as u64);
+            let (slow, begin) = (3_000_000, ROLLING_FROM + voters * 3_000_000);
+            let rest = self.play.length.saturating_sub(begin) / all.max(1);
+            for n in 0..all {
+                let at = if n < voters { ROLLING_FROM + n * slow } else { begin + (n - voters) * rest };
+                self.later(at, Event::Restart(n as usize));
+            }
+        }
     }
 
     fn happen(&mut self, event: Event) {
@@ -341,6 +415,11 @@
             Event::Fault => self.fault(),
             Event::Start(n) => self.start(n),
             Event::Propose => self.propose(),
+            Event::Ages => self.look_at_ages(),
+            Event::Restart(n) => {
+                self.kill(n);
+                self.later(self.now + ROLLING_AWAY, Event::Start(n));
+            }
             Event::Operators => self.operators(),
             Event::Jobs => self.staff_jobs(),
             Event::OwnerFails(n) => self.owner_fails(n),
@@ -380,14 +459,22 @@
             self.processes[n].membership = membership;
         }
         let voters: Vec<u64> = (1..=self.play.voters as u64).collect();
+        let opens = if self.play.jobs > 0 { self.done().collect() } else { Vec::new() };
+        let (zones, is_older) = (self.play.zones, self.is_older(n));
         let p = &mut self.processes[n];
         p.starts += 1;
-        let relay = Relay { name: p.name.clone(), start: p.starts };
+        // As long as a number that is drawn.
+        let start = p.starts.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let relay = Relay { name: p.name.clone(), start };
         let mut lease_client = LeaseClient::new(relay, voters, p.policy.clone(), times, Alone::Refuse)
             .with_injected(injected, local);
         lease_client.learn_membership(&p.membership);
-        lease_client.works(Owner::with_injected(injected));
-        p.worker = Some(Worker::new(Subscriber::new(lease_client.relay().clone())).with_injected(injected));
+        let zone = format!("z{}", n % zones.max(1));
+        let skills = Skills { opens, zone: zone.clone(), ..Skills::default() };
+        lease_client.works(Owner::with_injected(injected).skilled(skills));
+        let subscriber = Subscriber::new(lease_client.relay().clone()).in_zone(&zone);
+        let subscriber = if is_older { subscriber.of_older_build() } else { subscriber };
+        p.worker = Some(Worker::new(subscriber).with_injected(injected));
         // Counted since the start of each process.
         p.moving = Moving { waiting: p.moving.waiting, ..Moving::default() };
         p.lease_client = Some(lease_client);
@@ -395,7 +482,10 @@
         if p.kept.snapshot.is_some() {
             match Voter::new(n as u64 + 1, p.incarnation, &p.kept, times, local) {
                 Ok(voter) if voter.ended().is_some() => {}
-                Ok(voter) => p.voter = Some(voter.with_injected(injected)),
+                Ok(voter) => {
+                    let voter = voter.with_injected(injected);
+                    p.voter = Some(if is_older { voter.of_older_build() } else { voter });
+                }
                 Err(damaged) => {
                     let text = format!("n{n} cannot start: {damaged:?}");
                     self.seen.broken.push(Broken {
@@ -441,6 +531,8 @@
         let injected = self.with_injected();
         let p = &mut self.processes[n];
         (p.voter, p.lease_client, p.worker) = (None, None, None);
+        p.loads.clear();
+        p.versions.clear();
         p.inbox.clear();
         p.unstored.clear();
         p.doubts.clear();
@@ -486,23 +578,35 @@
     }
 
     /// What a relay does for the fleet; or what it does with updates of a voter.
-    fn do_jobs(&mut self, n: usize, heard: Option<(u64, Updates)>) {
+    fn do_jobs(&mut self, n: usize, heard: Option<Heard>) {
         let local = self.local(n);
+        let (zones, per_zone) = (self.play.zones, self.play.backends);
         let p = &mut self.processes[n];
         let (Some(worker), Some(lease_client)) = (&mut p.worker, &mut p.lease_client) else { return };
         let moving = p.moving;
         let context = WorkContext {
-            columns: &["s".to_string(), "us".to_string()],
-            listed: &|zone| if zone == "z" { (0..6).collect() } else { Vec::new() },
+            columns: &["x0".to_string(), "active".to_string()],
+            listed: &|zone| backends(zone, zones, per_zone),
             moves: &|| Some((moving, MOVES)),
         };
         let commands = match heard {
-            Some((voter, updates)) => worker.updates(local, voter, lease_client, context, updates),
+            Some(Heard::Updates(voter, updates)) => {
+                worker.updates(local, voter, lease_client, context, updates)
+            }
+            Some(Heard::Delivery(voter, delivery)) => {
+                worker.delivery(local, voter, lease_client, context, delivery)
+            }
             None => worker.turn(local, lease_client, context),
         };
+        for (job, token) in worker.acts_on() {
+            if let Some(table) = worker.table(job) {
+                let of = self.tables.entry((job.into(), token)).or_default();
+                of.entry(table.version()).or_insert_with(|| table.digest());
+            }
+        }
         let acts: Vec<(String, u64)> = worker.acts_on().map(|(name, token)| (name.into(), token)).collect();
         if commands.iter().any(|command| matches!(command, WorkerCommand::Act(..))) {
-            for (job, token) in acts.iter().filter(|(name, _)| DONE.contains(&name.as_str())) {
+            for (job, token) in acts.iter().filter(|(name, _)| DONE.contains(&kind_of(name))) {
                 self.write(Fact::Acted { relay: format!("n{n}"), job: job.clone(), token: *token });
             }
         }
@@ -512,12 +616,12 @@
                     self.send(n, voter as usize - 1, message);
                 }
                 WorkerCommand::Probe(server) => {
-                    // When it was true, in what it says.
-                    let says = vec![(self.now / 1_000_000) as f32, (self.now % 1_000_000) as f32];
-                    let report = self.rng.random_bool(0.9).then_some(says);
+                    let report = self.rng.random_bool(0.9).then(|| self.probe(server));
                     self.processes[n].worker.iter_mut().for_each(|w| w.found(local, server, report.clone()));
                 }
-                WorkerCommand::Loads(rows) => rows.iter().for_each(|(_, at, row)| self.word(n, *at, row)),
+                WorkerCommand::Loads(rows) => {
+                    rows.iter().for_each(|(server, at, row)| self.word(n, *server, *at, row))
+                }
                 WorkerCommand::Permit(upto) => {
                     let moving = &mut self.processes[n].moving;
                     moving.permitted = moving.permitted.max(upto);
@@ -544,11 +648,59 @@
         }
     }
 
-    /// A word of the load watch: it is no younger than it is, whatever clocks and links do.
-    fn word(&mut self, n: usize, at: Micros, row: &[f32]) {
+    /// A relay has taken changes of these tables: each is what its owner had at that version, and no older than the one
+    /// before.
+    fn check_tables(&mut self, n: usize, jobs: &[String]) {
+        if !n.is_multiple_of(1 + self.processes.len() / CHECKED) {
+            return;
+        }
+        let p = &mut self.processes[n];
+        for job in jobs {
+            let Some(table) = p.worker.as_ref().and_then(|worker| worker.received_table(job)) else {
+                continue;
+            };
+            let (token, version) = (table.token(), table.version());
+            let before = p.versions.insert((job.clone(), token), version).unwrap_or(0);
+            if version < before {
+                let text = format!("n{n} had version {before} of {job} under token {token}, then {version}");
+                self.seen.broken.push(Broken { rule: "versions only grow", at: self.now, text });
+            }
+            let owners = self.tables.get(&(job.clone(), token)).and_then(|of| of.get(&version));
+            if owners != Some(&table.digest()) {
+                let text =
+                    format!("n{n} has another table of {job} at version {version} under token {token}");
+                self.seen.broken.push(Broken { rule: "tables are their owners'", at: self.now, text });
+            }
+        }
+    }
+
+    /// A backend says its load. What it says changes from time to time, and each is said by its number.
+    fn probe(&mut self, server: u64) -> Vec<f32> {
+        let changes = self.rng.random_bool(CHANGES);
+        let said = self.said.entry(server).or_default();
+        if said.is_empty() || changes {
+            said.push(self.now);
+        }
+        let number = said.len() - 1;
+        said[number] = self.now;
+        [number / 32 % 32, number % 32].map(|digit| (digit as f32 + 0.5) / 20.0).to_vec()
+    }
+
+    /// A word of the load watch: it is no younger than the last time that its backend said so, whatever clocks and links
+    /// do.
+    fn word(&mut self, n: usize, server: u64, at: Micros, row: &[f32]) {
         self.seen.words += 1;
-        let [seconds, us] = row else { return };
-        let truth = *seconds as Moment * 1_000_000 + *us as Moment;
+        let [high, low] = row else { return };
+        let digit = |value: &f32| (*value * 20.0) as usize;
+        let number = digit(high) * 32 + digit(low);
+        // The latest that is written so.
+        let said = self.said.get(&server).map_or(&[][..], |said| said);
+        let numbers = (0..said.len()).rev().filter(|of| of % 1_024 == number);
+        let Some(truth) = numbers.map(|of| said[of]).next() else {
+            let text = format!("n{n} took a load of backend {server} that it never had");
+            return self.seen.broken.push(Broken { rule: "no word is made up", at: self.now, text });
+        };
+        self.processes[n].loads.entry(server).and_modify(|of| *of = truth.max(*of)).or_insert(truth);
         let (offset, rate) = self.processes[n].clock;
         let here = offset + truth / 1_000 * rate / 1_000;
         // Clocks go in milliseconds here, and five readings of them are in a word's age; the rest is what they drift.
@@ -559,13 +711,42 @@
         }
     }
 
+    /// How old the loads are that some relays know.
+    fn look_at_ages(&mut self) {
+        self.later(self.now + LOOK_AT_AGES, Event::Ages);
+        let per_zone = self.play.backends as u64;
+        for n in (0..self.processes.len()).step_by(1 + self.processes.len() / 50) {
+            let p = &self.processes[n];
+            if p.lease_client.is_none() || self.now < p.stopped_until {
+                continue;
+            }
+            for (server, at) in &p.loads {
+                let age = self.now - at;
+                self.seen.ages.add(age);
+                if server / per_zone == (n % self.play.zones) as u64 {
+                    self.seen.ages_near.add(age);
+                }
+            }
+        }
+    }
+
+    /// Whether that process is of a build that knows no deliveries. It is so through all its starts.
+    fn is_older(&self, n: usize) -> bool {
+        self.play.older > 0 && n % self.play.older == 1 % self.play.older
+    }
+
+    /// The names of the jobs that are done as relays do them.
+    fn done(&self) -> impl Iterator<Item = String> {
+        (0..self.play.zones).map(|zone| format!("load/z{zone}")).chain(["moves".to_string()])
+    }
+
     /// An owner acts: it sends an order, says how far it is, or gives a job up.
     fn act(&mut self, n: usize) {
         let (local, all) = (self.local(n), self.processes.len());
         let Some(owner) = self.processes[n].lease_client.as_mut().and_then(LeaseClient::owner_mut) else {
             return;
         };
-        let names = owner.names().filter(|name| !DONE.contains(name));
+        let names = owner.names().filter(|name| !DONE.contains(&kind_of(name)));
         let names: Vec<String> = names.map(String::from).collect();
         for job in names {
             // Some hundred orders a job and play.
@@ -640,7 +821,7 @@
         let jobs: Vec<String> = self.processes[n].doubts.iter().map(|order| order.job.clone()).collect();
         for job in jobs {
             for voter in 0..self.processes.len() {
-                self.send(n, voter, Message::Ask(2, Ask::Token(job.clone())));
+                self.send(n, voter, Message::Ask(RECEIVERS, Ask::Token(job.clone())));
             }
         }
     }
@@ -710,7 +891,22 @@
             (Message::Ask(number, ask), Some(voter), _) => voter.ask(local, from as u64, number, ask),
             (Message::Subscribe(follow), Some(voter), _) => voter.subscribe(local, from as u64, follow),
             (Message::Publish(publish), Some(voter), _) => voter.publish(local, from as u64, publish),
-            (Message::Updates(updates), ..) => self.do_jobs(n, Some((from as u64 + 1, updates))),
+            (Message::Poll(poll), Some(voter), _) => voter.poll(local, from as u64, poll),
+            (Message::Submission(of), Some(voter), _) => voter.submit(local, from as u64, of),
+            (Message::Updates(updates), ..) => {
+                self.do_jobs(n, Some(Heard::Updates(from as u64 + 1, updates)))
+            }
+            (Message::Delivery(delivery), ..) => {
+                let jobs = delivery.updates.iter().filter(|update| update.changes.is_some());
+                let jobs: Vec<String> = jobs.map(|update| update.job.clone()).collect();
+                self.do_jobs(n, Some(Heard::Delivery(from as u64 + 1, delivery)));
+                self.check_tables(n, &jobs);
+            }
+            (Message::Receipt(receipt), ..) => {
+                p.worker
+                    .iter_mut()
+                    .for_each(|worker| worker.receipt(local, from as u64 + 1, receipt.clone()));
+            }
             (Message::Stale(job, token), _, Some(lease_client)) => {
                 p.worker.iter_mut().for_each(|worker| worker.stale(local, lease_client, &job, token));
             }
@@ -801,9 +997,10 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: Message) {
-        if from != to {
-            self.seen.sent.resize(self.processes.len(), 0);
-            self.seen.sent[from] += message.encode().len() as u64;
+        // Receivers of orders, which ask here for tokens, are the play's own.
+        let is_of_play = matches!(message, Message::Ask(RECEIVERS, _) | Message::Answer(RECEIVERS, _));
+        if to != OPERATORS && !is_of_play {
+            self.seen.traffic.count(self.now, from, to, &message);
         }
         for at in self.arrivals(from, to) {
             self.later(at, Event::Arrives(to, from, Box::new(message.clone())));
@@ -978,7 +1175,7 @@
     fn staff_jobs(&mut self) {
         self.later(self.now + 3_000_000, Event::Jobs);
         let names = (0..self.play.jobs).map(|n| format!("job-{n}"));
-        let names: Vec<String> = names.chain(DONE.map(String::from)).collect();
+        let names: Vec<String> = names.chain(self.done()).collect();
         let some = names[self.rng.random_range(0..names.len())].clone();
         let known = self.leader().map(|leader| leader.state().jobs.clone()).unwrap_or_default();
         let deal = match known.of.get(&some) {
@@ -1056,6 +1253,7 @@
     fn end(mut self) -> Seen {
         self.seen.broken.extend(super::history::check(&self.seen.history));
         self.seen.length = self.now;
+        self.seen.moves = self.moves;
         let took = self.texts.values().filter(|(_, last)| *last > 0).map(|(begin, last)| last - begin);
         self.seen.took = took.collect();
         self.seen.took.sort_unstable();
@@ -1077,7 +1275,7 @@
                 self.seen.broken.push(Broken { rule: "each job has its owner", at: self.now, text });
             }
         }
-        let wanted = if self.play.jobs > 0 { self.play.jobs + DONE.len() } else { 0 };
+        let wanted = if self.play.jobs > 0 { self.play.jobs + self.play.zones + 1 } else { 0 };
         if jobs.of.len() != wanted {
             let text = format!("{} of {wanted} jobs are there", jobs.of.len());
             self.seen.broken.push(Broken { rule: "each job has its owner", at: self.now, text });
--- a/src/net/fleet/messages.rs
+++ b/src/net/fleet/messages.rs
@@ -25,7 +25,9 @@
     fn take(&mut self, from: u64, message: Message) {
         match message {
             Message::Reply(reply) => self.take_reply(reply),
-            Message::Updates(updates) => self.hear_updates(from, updates),
+            Message::Updates(_) | Message::Delivery(_) | Message::Receipt(_) => {
+                self.hear_updates(from, message)
+            }
             Message::Stale(job, token) => self.take_stale(&job, token),
             Message::Answer(_, Answer::Token(job, token)) => {
                 if let Some((worker, _)) = &mut self.work {
@@ -71,6 +73,8 @@
             Message::Ask(number, ask) => voter.ask(now, from, number, ask),
             Message::Subscribe(subscribe) => voter.subscribe(now, from, subscribe),
             Message::Publish(publish) => voter.publish(now, from, publish),
+            Message::Poll(poll) => voter.poll(now, from, poll),
+            Message::Submission(submission) => voter.submit(now, from, submission),
             _ => {}
         }
     }
