--- a/src/logic.rs
+++ b/src/logic.rs
@@ -603,7 +603,7 @@
         let stay = list.first().filter(|_| self.planned() && self.late_share >= self.t.stay_from);
         let found =
             near.or(list[..homes].iter().find(fits)).or(far).or(stay).or(list.iter().find(fits)).copied();
-        // A group whose servers are told to be full waits: sent on blindly it costs one more, and feeds a jam.
+        // A group whose servers are told to be full waits: one more that pays for it would feed the jam.
         let told = list.iter().any(|&i| self.load(&self.servers[i]).is_some());
         let waits = told && p.request.group != 0 && !self.planned();
         found.or_else(|| if waits { None } else { self.fallback(own, p) })
