--- a/crates/control/src/jobs/worker.rs
+++ b/crates/control/src/jobs/worker.rs
@@ -59,7 +59,7 @@
 }
 
 enum Job {
-    LoadWatch(LoadWatch, SharedTable),
+    LoadWatch(Box<LoadWatch>, SharedTable),
     Mover(PacedMoves),
     /// Of a kind that this build does not do, or that is there to be owned only.
     Idle,
@@ -172,7 +172,7 @@
             let job = match kind_of(name) {
                 load_watch::KIND => {
                     let table = Table::after(own.token, self.subscriber.last_number());
-                    Job::LoadWatch(LoadWatch::default(), SharedTable { table, acknowledged: BTreeMap::new() })
+                    Job::LoadWatch(Box::default(), SharedTable { table, acknowledged: BTreeMap::new() })
                 }
                 moves::KIND => {
                     Job::Mover(PacedMoves { mover: Mover::resume(&own.checkpoint), saved: now, submitted: 0 })
--- a/crates/lab/src/faults/virtual_fleet.rs
+++ b/crates/lab/src/faults/virtual_fleet.rs
@@ -651,7 +651,7 @@
     /// A relay has taken changes of these tables: each is what its owner had at that version, and no older than the one
     /// before.
     fn check_tables(&mut self, n: usize, jobs: &[String]) {
-        if n % (1 + self.processes.len() / CHECKED) != 0 {
+        if !n.is_multiple_of(1 + self.processes.len() / CHECKED) {
             return;
         }
         let p = &mut self.processes[n];
