Take the time until a policy is in force at real relays from their logs

Cause: clients of a relay that the data path refuses made a policy seem in force later than it was.

Change: a relay with a process of its own is under a policy when its log says that it admits clients under it; hollow relays are looked at, as before. A client of the data path's measurements that is refused comes again: one 'BUSY' on a machine that others use ended a measurement at 8,000 connections.

--- a/crates/lab/src/bench/path/set_ups.rs
+++ b/crates/lab/src/bench/path/set_ups.rs
@@ -1,6 +1,6 @@
 //! What connections that are set up and ended cost the relay, and how long a set-up takes.
 
-use super::super::line::open;
+use super::listeners::open_again;
 use super::{Failure, Rig, MEASURED, SET_UPS};
 use crate::scale::record::{Record, SetUpRecord};
 use hdrhistogram::Histogram;
@@ -52,7 +52,7 @@
     let mut next = first;
     while next < first + MEASURED {
         thread::sleep(next.saturating_duration_since(Instant::now()));
-        let mut reader = open(addr)?;
+        let mut reader = open_again(addr)?;
         times.record(next.elapsed().as_micros() as u64).map_err(io::Error::other)?;
         reader.get_ref().shutdown(Shutdown::Write)?;
         // Until the backend has ended it, too.
--- a/crates/lab/src/scale/admissions.rs
+++ b/crates/lab/src/scale/admissions.rs
@@ -108,6 +108,18 @@
     pub admissions: AdmissionLog,
     /// The jobs that it acted on.
     pub tenures: Vec<Tenure>,
+    /// When its log said that it admits clients under the policy of each epoch; empty where it is looked at directly.
+    pub logged: BTreeMap<u64, Moment>,
+}
+
+impl RelayHistory {
+    /// When it was under the policy of that epoch: as it was seen directly, else as its log said.
+    pub fn under(&self, epoch: u64) -> Option<Moment> {
+        match self.is_direct {
+            true => self.admissions.spans.get(&epoch).map(|span| span.first_answered),
+            false => self.logged.get(&epoch).copied(),
+        }
+    }
 }
 
 /// Rules that did not hold, each in a sentence.
