--- a/src/net/fleet/jobs.rs
+++ b/src/net/fleet/jobs.rs
@@ -14,7 +14,7 @@
 use jaspermoor_control::jobs::moves::{self, Moving};
 use jaspermoor_control::jobs::owner::Owner;
 use jaspermoor_control::jobs::worker::{WorkContext, Worker, WorkerCommand};
-use jaspermoor_control::wire::message::{Skills, Updates};
+use jaspermoor_control::wire::message::{Message, Skills};
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 
@@ -84,8 +84,9 @@
         let owner = Owner::default();
         #[cfg(feature = "injected-bugs")]
         let owner = Owner::with_injected(super::injected());
+        let subscriber = Subscriber::new(self.lease_client.relay().clone()).in_zone(&skills.zone);
         self.lease_client.works(owner.skilled(skills));
-        let worker = Worker::new(Subscriber::new(self.lease_client.relay().clone()));
+        let worker = Worker::new(subscriber);
         #[cfg(feature = "injected-bugs")]
         let worker = worker.with_injected(super::injected());
         self.work = Some((worker, resources));
@@ -120,7 +121,8 @@
         self.carry_out_commands(commands);
     }
 
-    pub(super) fn hear_updates(&mut self, from: u64, updates: Updates) {
+    /// Takes what a voter tells of the jobs.
+    pub(super) fn hear_updates(&mut self, from: u64, message: Message) {
         let voter = if from == LOCAL {
             self.setup.fleet.voter
         } else {
@@ -128,7 +130,16 @@
         };
         let (Some(voter), Some((worker, resources))) = (voter, &mut self.work) else { return };
         let context = WorkContext { columns: &resources.columns, listed: &|_| Vec::new(), moves: &|| None };
-        let commands = worker.updates(boottime(), voter, &self.lease_client, context, updates);
+        let now = boottime();
+        let commands = match message {
+            Message::Updates(updates) => worker.updates(now, voter, &self.lease_client, context, updates),
+            Message::Delivery(delivery) => worker.delivery(now, voter, &self.lease_client, context, delivery),
+            Message::Receipt(receipt) => {
+                worker.receipt(now, voter, receipt);
+                return;
+            }
+            _ => return,
+        };
         self.carry_out_commands(commands);
     }
 
