--- a/crates/lab/src/scale/fit/tables.rs
+++ b/crates/lab/src/scale/fit/tables.rs
@@ -61,8 +61,8 @@
     table(text, &MEASURED_HEAD, runs.iter().map(|run| measured_row(run)));
     let jobs: BTreeSet<usize> = runs.iter().map(|run| run.plan.jobs).collect();
     for jobs in jobs {
-        let own: Vec<&ScaleRecord> = runs.iter().copied().filter(|run| run.plan.jobs == jobs).collect();
-        by_relays(text, jobs, &own);
+        let own = |run: &&ScaleRecord| run.plan.jobs == jobs && run.plan.relays as f64 <= target::RELAYS;
+        by_relays(text, jobs, &runs.iter().copied().filter(own).collect::<Vec<_>>());
     }
     by_jobs(text, runs);
     at_target(text, runs);
@@ -122,6 +122,7 @@
     Line::through(&points(runs, figure))
 }
 
+/// Lines through runs of up to the size to reckon for: larger ones stand among what was measured only.
 fn by_relays(text: &mut String, jobs: usize, runs: &[&ScaleRecord]) {
     let figures = STEADY.iter().chain(&TIMES);
     let rows: Vec<Vec<String>> = figures
@@ -233,7 +234,8 @@
 
 /// What one change adds, and all of it at the size to reckon for.
 fn at_target(text: &mut String, runs: &[&ScaleRecord]) {
-    let changing: Vec<&ScaleRecord> = runs.iter().copied().filter(|run| !run.changes.is_empty()).collect();
+    let own = |run: &&ScaleRecord| !run.changes.is_empty() && run.plan.relays as f64 <= target::RELAYS;
+    let changing: Vec<&ScaleRecord> = runs.iter().copied().filter(own).collect();
     let mut rows = Vec::new();
     for figure in &PER_CHANGE {
         let Some(line) = line_by_relays(&changing, figure) else { continue };
