Count a cold backend's room as the rate that the rule counts, in half by each relay

Cause: credited() took what a warm backend holds (size over `alone`, which also took each group's cost for room) for what it may be sent within the rule's time. The rule counts new connections, at a rate with which a backend that warms evenly is full at the end of its warm-up.

Change: cold_budget() is the rule's own formula, from what the reports of warm backends say fills one; half of it is earned per span of the rule's time, as what was kept is spent together with what is earned next. Where reports tell, the relay's own arrivals lift nothing. The relays' turns are spread evenly by their numbers. Debug logging tells each send's budget.

--- a/src/api.rs
+++ b/src/api.rs
@@ -87,6 +87,8 @@
 pub struct Settings {
     /// How many balancers share the work, this one included.
     pub balancers: u32,
+    /// Which of them this one is, from 0.
+    pub number: u32,
     /// The zone of this balancer.
     pub zone: u16,
     /// The least time between two batches of events.
@@ -129,6 +131,7 @@
     fn default() -> Self {
         Settings {
             balancers: 1,
+            number: 0,
             zone: 0,
             tick: 1_000,
             passes_through: false,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -740,6 +740,9 @@
     fn carry_out(&mut self, part: usize, action: Action, calls: &mut Vec<Call>) {
         match action {
             Action::Send { id, server, until } => {
+                let cold_budget = self.parts[part].balancer.cold_budget(server);
+                let listed = self.members.get(&server).map(|(member, _)| member);
+                tracing::debug!(server = server.0, ?cold_budget, ?listed, "send");
                 let Some(e) = self.entries.get_mut(&id) else { return };
                 let number = e.attempts;
                 e.attempts += 1;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,7 @@
     RequestId, ServerId, Settings, Unknown, Weights, SECOND,
 };
 use crate::random::Random;
-use crate::slots::{fraction, own_key, Ring};
+use crate::slots::{fraction, home_key, own_key, Ring};
 use std::collections::{BTreeMap, BTreeSet};
 
 crate::tuning! { Tuning {
@@ -19,8 +19,8 @@
 /// Fewer arrivals say nothing of shares: all go by the same jumps; a plan is made anew at such growth.
 /// Arrivals remembered, then all counts are halved; and those that count as seen before any.
 plan_least: u32 = 32; plan_growth: f32 = 1.15; seen_most: u32 = 1024; seen_prior: f32 = 8.0;
-/// Slow start: a cold server fills at this multiple of the mean load over the warm-up, or where reports tell
-/// more, within the rule's time, by this share of what the rule leaves beyond one capacity.
+/// Slow start: a cold server gets this share of what the rule allows; where no report tells how much that is,
+/// it fills at this multiple of the mean load over the warm-up.
 slow_start: f32 = 1.5; slow_fill: f32 = 0.8;
 /// Time in which a cap that was cut grows back to its whole (additive increase). Outlier ejection after so
 /// many failures in a row; the first time, doubled up to eight times, and jittered.
@@ -64,6 +64,7 @@
 const TIMER_ASK: u64 = 4 << 32;
 const TIMER_PROBE: u64 = 5 << 32;
 const SHED_SALT: u64 = 1;
+const GOLDEN_RATIO: f32 = 0.618_034;
 
 type Out = Vec<Action>;
 /// Each group's servers in the order of its jumps, with the share of all connections meant for each.
@@ -153,23 +154,17 @@
     retries: f32,
     watching: bool,
     ask_failures: u32,
-    /// Mean load of the servers, and the work of a connection there, with and without its group's.
+    /// Mean load of the servers, and the work of a connection there.
     mean_load: f32,
     unit: f32,
-    alone: f32,
     probes: usize,
 }
 
 impl Balancer {
     /// A balancer that knows nothing yet but its settings.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        Balancer {
-            settings,
-            rng: Random::new(seed),
-            admitted: 1.0,
-            retries: Tuning::default().retry_saved,
-            ..Balancer::default()
-        }
+        let balancer = Balancer { settings, rng: Random::new(seed), admitted: 1.0, ..Balancer::default() };
+        balancer.tuned(Tuning::default())
     }
 
     /// The same with other parameters: for experiments.
@@ -255,11 +250,12 @@
         if m.state == MemberState::Gone && !self.index.contains_key(&m.server) {
             return;
         }
-        let phase = self.rng.float();
         let i = self.entry(m.server);
         if m.started != self.servers[i].started {
-            // The same id with a new start is a cold process: its past says nothing.
-            self.forget(i, phase);
+            // The same id with a new start is a cold process: its past says nothing. The balancers' turns
+            // there are spread evenly: left to chance, many come at once.
+            let turn = self.settings.number as f32 * GOLDEN_RATIO + fraction(m.server.0, 0);
+            self.forget(i, turn.fract());
         }
         let listed = m.state == MemberState::Ready;
         let ready = listed && !self.by_hand.contains(&m.server);
@@ -432,13 +428,23 @@
         (start + (1.0 - start) * age / (self.settings.warm_within as f32).max(1.0)).min(1.0)
     }
 
+    /// What the rule lets all balancers send to a cold server within its time, if reports tell; two more are
+    /// left to chance. Capacity is a rate: with it a server that warms evenly is full at the end.
+    pub fn cold_budget(&self, id: ServerId) -> Option<f32> {
+        let s = self.index.get(&id).map(|&i| &self.servers[i])?;
+        let fills_in = self.settings.warm_within as f32 * (1.0 + self.settings.start_capacity) / 2.0;
+        let capacity = s.size / self.unit * self.warmth(s) * self.settings.fall as f32 / fills_in;
+        let allowed = self.settings.overload_factor * capacity;
+        (self.unit > 0.0 && self.warmth(s) < 1.0).then(|| allowed + 2.0 * allowed.sqrt())
+    }
+
     /// Whether its warm-up lets a server be sent something: each balancer earns its share.
     fn credited(&mut self, i: usize) -> bool {
         let (warmth, size) = (self.warmth(&self.servers[i]), self.servers[i].size);
-        let all = if self.alone > 0.0 { size / self.alone / self.settings.balancers as f32 } else { 0.0 };
-        let fill = self.t.slow_fill * (self.settings.overload_factor - 1.0).max(0.0) * all
-            / self.settings.fall as f32;
-        let pace = fill.max(self.t.slow_start * self.mean(size) / self.settings.warm_within as f32) * warmth;
+        // Half: what is kept from one span of the rule's time is spent together with what the next one earns.
+        let share = self.t.slow_fill / 2.0 / self.settings.balancers as f32 / self.settings.fall as f32;
+        let blind = self.t.slow_start * self.mean(size) * warmth / self.settings.warm_within as f32;
+        let pace = self.cold_budget(self.servers[i].id).map_or(blind, |budget| share * budget);
         let s = &mut self.servers[i];
         let (earned, keep) =
             (s.credit + self.now.saturating_sub(s.credit_at) as f32 * pace, pace * self.settings.fall as f32);
@@ -469,9 +475,7 @@
         let aims = self.settings.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > 0);
         let share = took as f32 / aims.min().unwrap_or(SECOND / 10) as f32;
         let i = *self.index.get(&server).ok_or(Unknown::Server(server))?;
-        if !self.pending.contains_key(&id) {
-            return Err(Unknown::Request(id));
-        }
+        self.pending.get(&id).ok_or(Unknown::Request(id))?;
         // Some are slow without much to do: while there is known to be room, only late messages count.
         let room = self.load(&self.servers[i]).is_some_and(|load| load < self.t.near_load);
         if share < if room { 1.0 } else { self.t.delay_sign } {
@@ -557,22 +561,23 @@
     }
 
     fn reported(&mut self, i: usize, report: &[f32], out: &mut Out) {
-        let column = |kind| self.settings.columns.iter().position(|&c| c == kind);
-        let value = |kind| column(kind).and_then(|c| report.get(c).copied());
+        let value = |kind| report.get(self.settings.columns.iter().position(|&c| c == kind)?).copied();
         let Some(load) = value(Column::Load) else { return };
         let s = &mut self.servers[i];
         let news = load != s.load || s.load_at.is_none();
         // A report was made some time ago: half of what was sent since the last one is not in it.
         s.since = if news { s.since / 2.0 } else { s.since };
         (s.load, s.active, s.load_at) = (load, value(Column::Active).unwrap_or(0.0), Some(self.now));
-        let (mut work, mut sizes, mut active, mut loads) = (0.0, f32::MIN_POSITIVE, f32::MIN_POSITIVE, 0.0);
+        let (mut work, mut sizes, mut warm_work, mut warm_active) = (0.0, f32::MIN_POSITIVE, 0.0, 0.0);
         for s in self.ready.iter().map(|&i| &self.servers[i]).filter(|s| s.load_at.is_some()) {
             let able = s.size * self.warmth(s);
-            (work, sizes, active) = (work + s.load * able, sizes + able, active + s.active);
-            loads += s.active + self.t.group_cost * s.active.min(self.seen.len() as f32);
+            (work, sizes) = (work + s.load * able, sizes + able);
+            // New connections have yet to show their load: by them a cold server bears far too many.
+            let warm = f32::from(self.warmth(s) >= 1.0);
+            (warm_work, warm_active) = (warm_work + warm * s.load * able, warm_active + warm * s.active);
         }
-        (self.unit, self.alone, self.mean_load) =
-            (work / active.max(1.0), work / loads.max(1.0), work / sizes);
+        self.mean_load = work / sizes;
+        self.unit = if warm_active > 0.0 { warm_work / warm_active.max(1.0) } else { self.unit };
         if news && load > self.t.move_from && self.mean_load < self.t.move_room {
             self.evacuate(self.servers[i].id, (load - self.t.move_to) / load, out);
         }
@@ -585,8 +590,7 @@
     }
 
     fn place(&mut self, p: &Pending) -> Option<usize> {
-        let own = own_key(&p.request);
-        let key = if p.request.group != 0 { p.request.group } else { own };
+        let (own, key) = (own_key(&p.request), home_key(&p.request));
         let mid_flow = p.request.mid_flow && p.tried.is_empty();
         let first = mid_flow.then(|| self.holder(key, own)).flatten().or_else(|| self.due(p));
         if first.is_some() {
@@ -612,8 +616,7 @@
 
     /// The servers that a request may use: its group's homes, so many, and then as its key jumps.
     fn jumps(&mut self, p: &Pending) -> (Vec<usize>, usize) {
-        let own = own_key(&p.request);
-        let key = if p.request.group != 0 { p.request.group } else { own };
+        let (own, key) = (own_key(&p.request), home_key(&p.request));
         let mut list = self.order(key, own);
         list.retain(|&i| self.usable(i, p));
         let homes = list.len();
@@ -648,11 +651,10 @@
     fn holder(&mut self, key: u64, own: u64) -> Option<usize> {
         let mut order = self.order(key, own);
         order.extend(self.known_ring.owner(key, 0).and_then(|id| self.index.get(&id)));
-        order.into_iter().find(|&i| match self.servers.get(i) {
+        order.into_iter().find(|&i| match &self.servers[i] {
             // Most of a burst is set up anew: a cold server takes its share only (one was pushed over).
-            Some(s) if s.ready => self.credited(i),
-            Some(s) => s.told > 0 && self.now < s.told + self.settings.drain_grace,
-            None => false,
+            s if s.ready => self.credited(i),
+            s => s.told > 0 && self.now < s.told + self.settings.drain_grace,
         })
     }
 
@@ -799,10 +801,9 @@
     }
 
     fn answer(&self, p: &mut Pending, out: &mut Out) {
-        if p.answered {
+        if std::mem::replace(&mut p.answered, true) {
             return;
         }
-        p.answered = true;
         let maybe_ran = p.ran.is_some() || p.phase == Phase::Out;
         let repeats = matches!(p.class.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let id = p.request.id;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -522,7 +522,7 @@
     let has = |key: &str| family.as_ref().filter(|f| f.map.contains_key(key));
 
     let balancers = top.whole("peers_total", 1, 1 << 20)? as u32;
-    top.whole("me", 0, u64::from(balancers) - 1)?;
+    let number = top.whole("me", 0, u64::from(balancers) - 1)? as u32;
     let zones = top.list("zones")?.len().max(1) as u64;
     let passes_through = match has("mode") {
         Some(f) => match f.word("mode")? {
@@ -586,6 +586,7 @@
     let ask_within = if list_on_request { rules.time("ask_within", 1.0)? } else { 0 };
     Ok(Settings {
         balancers,
+        number,
         zone: top.whole("az", 0, zones - 1)? as u16,
         tick: top.time("tick", 0.001)?,
         passes_through,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -112,3 +112,19 @@
     let timer = |a: &Action| if let Action::Timer(at, token) = a { Some((*at, *token)) } else { None };
     actions.iter().filter_map(timer).collect()
 }
+
+/// The share of its capacity that a server of this age has at least.
+pub fn share_of_capacity(settings: &Settings, age: Micros) -> f32 {
+    let start = settings.start_capacity;
+    (start + (1.0 - start) * age as f32 / settings.warm_within as f32).min(1.0)
+}
+
+/// How many connections the rule lets all relays together send to a cold server of this age within `fall`, by the
+/// bench's pages: N + 2 x root of N + 2, N being the multiple of its capacity in that time. Its capacity is a rate of
+/// new connections, and a cold server takes them no faster than fills it over its warm-up, in which it rises evenly.
+pub fn allowed_when_cold(settings: &Settings, filling: f32, age: Micros) -> f32 {
+    let fills_in = settings.warm_within as f32 * (1.0 + settings.start_capacity) / 2.0;
+    let capacity = filling * share_of_capacity(settings, age) / fills_in;
+    let allowed = settings.overload_factor * capacity * settings.fall as f32;
+    allowed + 2.0 * allowed.sqrt() + 2.0
+}
