--- a/src/logic.rs
+++ b/src/logic.rs
@@ -608,9 +608,8 @@
         let found =
             near.or(list[..homes].iter().find(fits)).or(far).or(stay).or(list.iter().find(fits)).copied();
         // A group whose servers are told to be full waits: one more that pays for it would feed the jam.
-        let told = list.iter().any(|&i| self.load(&self.servers[i]).is_some());
-        let waits = told && p.request.group != 0 && !self.planned();
-        found.or_else(|| if waits { None } else { self.fallback(own, p) })
+        let told = p.request.group != 0 && list.iter().any(|&i| self.load(&self.servers[i]).is_some());
+        found.or_else(|| if told && !self.planned() { None } else { self.fallback(own, p) })
     }
 
     /// Whether the own estimates of groups and loads are better than none.
