--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -119,9 +119,9 @@
     (start + (1.0 - start) * age as f32 / settings.warm_within as f32).min(1.0)
 }
 
-/// How many connections the rule lets all relays together send to a cold server of this age within `fall`, by the
-/// bench's pages: N + 2 x root of N + 2, N being the multiple of its capacity in that time. Its capacity is a rate of
-/// new connections, and a cold server takes them no faster than fills it over its warm-up, in which it rises evenly.
+/// How many connections the rule lets all relays together send to a cold server of this age within `fall`. The pages
+/// give N + 2 x root of N + 2. What N is they leave open: the rate here, which fills a server over a warm-up that rises
+/// evenly, was inferred from four falls. The decisions reckon with the same, so tests by it cannot show it to be wrong.
 pub fn allowed_when_cold(settings: &Settings, filling: f32, age: Micros) -> f32 {
     let fills_in = settings.warm_within as f32 * (1.0 + settings.start_capacity) / 2.0;
     let capacity = filling * share_of_capacity(settings, age) / fills_in;
