Review case 2: after an upgrade clients of a draining backend aren't moved

Cause: the second process takes connections over before its first list. A backend that it doesn't know yet is added as removed; when the list then names it as leaving it was never ready, so nobody is moved.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 
 mod endless_lines;
 mod kit;
+mod upgrade_drain;
 
 use std::path::PathBuf;
 
@@ -16,6 +17,7 @@
     let folder = PathBuf::from(folder);
     let result = match play.as_str() {
         "endless-lines" => endless_lines::play(&folder, trouble),
+        "upgrade-drain" => upgrade_drain::play(&folder, trouble),
         other => Err(std::io::Error::other(format!(
             "no play is called '{other}'"
         ))),
