Review case 3: an XMPP server that drains during SASL leaves no answer

Cause: the forwarder treats the server's end of stream alike in all states. Before the session's answer it lets the bare closing tag through and announces the end as served, so the relay's own answer is skipped.

Added: review/3 with claim and script, its play, and stand-ins for an XMPP server and for a client under TLS.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,7 +3,9 @@
 
 mod endless_lines;
 mod kit;
+mod sasl_drain;
 mod upgrade_drain;
+mod xmpp;
 
 use std::path::PathBuf;
 
@@ -17,6 +19,7 @@
     let folder = PathBuf::from(folder);
     let result = match play.as_str() {
         "endless-lines" => endless_lines::play(&folder, trouble),
+        "sasl-drain" => sasl_drain::play(&folder, trouble),
         "upgrade-drain" => upgrade_drain::play(&folder, trouble),
         other => Err(std::io::Error::other(format!(
             "no play is called '{other}'"
