The event loop is split by concern: accept, drain, health checks, adoption

src/net/event_loop.rs had a thousand lines and four concerns. Each is a module of its own now, with its constants beside it; the functions are moved unchanged.

--- /dev/null
+++ b/src/net/event_loop/accept.rs
@@ -0,0 +1,103 @@
+//! Accepting clients: the listeners, and the room that is made for new clients.
+
+use super::{other_token, EventLoop, ListenerProtocol, FIRST_LISTENER, MAX_PER_TURN, READ};
+use crate::decisions::api::Micros;
+use crate::log::log;
+use crate::net::connection::Connection;
+use crate::net::listen::Listener;
+use crate::sys::timed_out;
+use std::net::TcpStream;
+use std::sync::Arc;
+
+/// The pause before a relay without capacity accepts clients again, in microseconds.
+const FULL_PAUSE: Micros = 1_000;
+/// The pause after an accept failed, as for lack of descriptors, in microseconds.
+const ACCEPT_ERROR_PAUSE: Micros = 5_000;
+
+/// A listener for clients.
+pub(super) struct ListenerEntry {
+    pub(super) listener: Arc<Listener>,
+    pub(super) protocol: ListenerProtocol,
+    /// Whether the poller watches the socket now.
+    pub(super) watched: bool,
+    /// Whether this process accepts no more clients from it.
+    pub(super) closed: bool,
+}
+
+impl EventLoop {
+    /// Accepts clients that wait at a listener.
+    pub(super) fn accept_clients(&mut self, n: usize) {
+        for _ in 0..MAX_PER_TURN {
+            let Some(entry) = self.listeners.get(n).filter(|entry| !entry.closed) else {
+                return;
+            };
+            let (listener, protocol) = (entry.listener.clone(), entry.protocol);
+            // Clients that cannot be accepted now wait in the listener's queue.
+            if !self.make_room() {
+                return self.pause_accepting(FULL_PAUSE);
+            }
+            match listener.accept() {
+                Ok(client) => {
+                    self.accept_failed = false;
+                    self.add_client(client, protocol);
+                }
+                Err(e) if timed_out(&e) => return,
+                Err(e) => {
+                    if !std::mem::replace(&mut self.accept_failed, true) {
+                        log(&format!("accept: {e}"));
+                    }
+                    return self.pause_accepting(ACCEPT_ERROR_PAUSE);
+                }
+            }
+        }
+    }
+
+    /// Whether one more client can be accepted. If not, some connections without a request are
+    /// dismissed.
+    pub(super) fn make_room(&mut self) -> bool {
+        let dismissals = match self.shared.admission.check_capacity() {
+            Ok(()) => return true,
+            Err(dismissals) => dismissals,
+        };
+        dismissals
+            .into_iter()
+            .for_each(|number| self.update_connection(number, Connection::dismiss));
+        false
+    }
+
+    pub(super) fn add_client(&mut self, client: TcpStream, protocol: ListenerProtocol) {
+        let waiting = self.shared.admission.register(client);
+        if let Some(conn) = Connection::accept(&self.shared, waiting, protocol) {
+            self.add_connection(conn);
+        }
+    }
+
+    /// Accepts no clients for this time.
+    fn pause_accepting(&mut self, wait: Micros) {
+        self.paused_until = Some(self.shared.decisions.now() + wait);
+        self.watch_listeners(false);
+    }
+
+    pub(super) fn resume_accepting(&mut self, now: Micros) {
+        if self.paused_until.is_some_and(|until| now >= until) {
+            self.paused_until = None;
+            self.watch_listeners(true);
+        }
+    }
+
+    pub(super) fn watch_listeners(&mut self, on: bool) {
+        for (n, entry) in self.listeners.iter_mut().enumerate() {
+            let on = on && !entry.closed;
+            let of = |on: bool| on.then_some(READ);
+            match self.poller.watch(
+                &entry.listener,
+                other_token(FIRST_LISTENER + n as u64),
+                of(entry.watched),
+                of(on),
+            ) {
+                Ok(()) => entry.watched = on,
+                Err(e) => log(&format!("accept: a listener is not watched: {e}")),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/event_loop/adoption.rs
@@ -0,0 +1,115 @@
+//! Adoption of connections that another process of this relay hands over.
+
+use super::{other_token, EventLoop, MAX_PER_TURN, READ};
+use crate::config::endpoint_list::endpoint_id;
+use crate::log::log;
+use crate::net::connection::{BackendSide, Connection};
+use crate::net::link::Link;
+use crate::net::session::{ConnectionRecord, Session};
+use crate::platform::takeover::{HandedOver, LinkState};
+use crate::protocol::line::LineForwarder;
+use crate::sys::timed_out;
+use std::io;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+impl EventLoop {
+    /// Accepts a link from a process that hands over its connections.
+    pub(super) fn accept_predecessor(&mut self) {
+        let Some(takeover_listener) = &self.takeover_listener else {
+            return;
+        };
+        match takeover_listener.accept() {
+            Ok(predecessor) => {
+                let n = self.next_predecessor;
+                self.next_predecessor += 1;
+                if self
+                    .poller
+                    .watch(&predecessor, other_token(n), None, Some(READ))
+                    .is_ok()
+                {
+                    self.predecessors.insert(n, predecessor);
+                }
+            }
+            Err(e) if timed_out(&e) || e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => log(&format!("takeover: {e}")),
+        }
+    }
+
+    /// Takes over the connections that have arrived on a link.
+    pub(super) fn receive_handovers(&mut self, n: u64) {
+        let Some(mut predecessor) = self.predecessors.remove(&n) else {
+            return;
+        };
+        let mut handovers = Vec::new();
+        let state = predecessor.receive(MAX_PER_TURN, &mut |p| handovers.push(p));
+        if state == LinkState::Open {
+            self.predecessors.insert(n, predecessor);
+        }
+        handovers
+            .into_iter()
+            .for_each(|handover| self.adopt_connection(handover));
+    }
+
+    /// Takes over a connection that was established in another process of this relay.
+    fn adopt_connection(&mut self, (handover, client, backend): HandedOver) {
+        let shared = self.shared.clone();
+        let set = client
+            .set_nonblocking(true)
+            .and_then(|()| backend.set_nonblocking(true));
+        if let Err(e) = set {
+            return log(&format!("takeover: {e}"));
+        }
+        let waiting = shared.admission.register(client);
+        let mut conn = Connection::new(&shared, waiting.number(), waiting.stream.clone());
+        let record = ConnectionRecord {
+            front: "line",
+            id: handover.name.clone(),
+            class: handover.class.clone(),
+            backend: handover.backend.clone(),
+            attempts: handover.attempts,
+            started_at: Instant::now()
+                .checked_sub(Duration::from_millis(handover.age_ms))
+                .unwrap_or_else(Instant::now),
+            tally: Some(shared.metrics.begin_request(&handover.class)),
+        };
+        let Ok(slot) = waiting.admit_request(&handover.name) else {
+            let whole_lines = handover
+                .down
+                .iter()
+                .rposition(|&b| b == b'\n')
+                .map_or(0, |at| at + 1);
+            conn.last_bytes = [&handover.down[..whole_lines], b"MOVE\r\n"].concat();
+            conn.waiting = Some(waiting);
+            conn.close();
+            record.log_end("no-descriptors");
+            return self.add_connection(conn);
+        };
+        let (keys, backend) = ((handover.key, handover.group), Arc::new(backend));
+        let session = Session::new(&shared.wake_queue, keys, slot, false, Some(backend.clone()));
+        drop(waiting);
+        // Any class will do where this process does not know it: of an established connection the
+        // decisions use only the latency objectives of its class.
+        let class = shared
+            .settings()
+            .rules
+            .classes
+            .find_including_removed(&handover.class)
+            .unwrap_or(0);
+        let endpoint_id = endpoint_id(&handover.backend);
+        let id = shared.decisions.adopt_connection(
+            Connection::request_of_established(class, keys),
+            endpoint_id,
+            session.clone(),
+        );
+        // Only connections of the line protocol are handed over.
+        let backend = BackendSide {
+            link: Link::plain(backend),
+            id,
+            endpoint_id,
+            forwarder: Box::new(LineForwarder),
+        };
+        conn.take_over(record, session, backend, handover);
+        self.add_connection(conn);
+    }
+}
