Accept: a lack of capacity that lasts is logged with what occupies the places

Callers of a relay that accepts nobody wait without an answer, and no log line or metric told this from slow backends. A stall of 250 ms is logged once: how many connections without a request there are, how many of these are closing, and the limit.

--- a/src/net/event_loop/accept.rs
+++ b/src/net/event_loop/accept.rs
@@ -13,6 +13,9 @@
 const FULL_PAUSE: Micros = 1_000;
 /// The pause after an accept failed, as for lack of descriptors, in microseconds.
 const ACCEPT_ERROR_PAUSE: Micros = 5_000;
+/// A lack of capacity that lasts for this time is logged, in microseconds: clients that wait in the
+/// queue of the listener notice it.
+const LOGGED_STALL: Micros = 250_000;
 
 /// A listener for clients.
 pub(super) struct ListenerEntry {
@@ -34,8 +37,10 @@
             let (listener, protocol) = (entry.listener.clone(), entry.protocol);
             // Clients that cannot be accepted now wait in the listener's queue.
             if !self.make_room() {
+                self.log_stall();
                 return self.pause_accepting(FULL_PAUSE);
             }
+            self.stalled = None;
             match listener.accept() {
                 Ok(client) => {
                     self.accept_failed = false;
@@ -65,6 +70,25 @@
         false
     }
 
+    /// Logs what occupies the places of connections without a request, once for each stall.
+    fn log_stall(&mut self) {
+        let now = self.shared.decisions.now();
+        let (since, logged) = *self.stalled.get_or_insert((now, false));
+        if logged || now < since + LOGGED_STALL {
+            return;
+        }
+        self.stalled = Some((since, true));
+        let is_closing = |conn: &&Box<Connection>| conn.waiting.is_some();
+        let closing = self.connections.values().filter(is_closing).count();
+        let admission = &self.shared.admission;
+        let (waiting, (_, max_waiting)) = (admission.waiting_count(), admission.limits());
+        let ms = (now - since) / 1_000;
+        log(&format!(
+            "accept: no capacity for {ms} ms: waiting={waiting} closing={closing} \
+             limit={max_waiting}"
+        ));
+    }
+
     pub(super) fn add_client(&mut self, client: TcpStream, protocol: ListenerProtocol) {
         let waiting = self.shared.admission.register(client);
         if let Some(conn) = Connection::accept(&self.shared, waiting, protocol) {
--- a/src/net/event_loop/mod.rs
+++ b/src/net/event_loop/mod.rs
@@ -93,6 +93,8 @@
     paused_until: Option<Micros>,
     /// Whether the last accept failed: repeated failures are logged once.
     accept_failed: bool,
+    /// Since when no client can be accepted for lack of capacity, and whether that was logged.
+    stalled: Option<(Micros, bool)>,
     /// Accepts links from other processes of this relay that hand over their connections.
     takeover_listener: Option<HandoverListener>,
     predecessors: BTreeMap<u64, Predecessor>,
@@ -141,6 +143,7 @@
             listeners: Vec::new(),
             paused_until: None,
             accept_failed: false,
+            stalled: None,
             takeover_listener: None,
             predecessors: BTreeMap::new(),
             next_predecessor: FIRST_PREDECESSOR,
