Connections that are closing take no places from clients that come, and no ids

Cause: a rejected client lingers for up to a second and kept its place among the connections without a request. check_capacity counted it, chose it for dismissal, which does nothing for a connection that is closing, and dismissed nobody else until it was gone. So 16 clients were accepted a second. In the same way a request that had ended kept its capacity and its id until its client closed.

Change: admission counts closing connections apart. They need their descriptors, but cannot be dismissed and hold no id and no capacity of a request. While others wait, those that have lingered for MIN_LINGER (50 ms, what dismissed connections had) are closed at once. The clock is an argument, so that the tests need no sleeps.

--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -3,11 +3,16 @@
 //! Descriptors, memory and connection ids are assigned here. Connections without a request and
 //! connections with one have separate limits, so that clients which request nothing cannot exhaust
 //! the descriptors of those that do.
+//!
+//! A connection that was sent its last bytes lingers for a while, so that a reset does not destroy
+//! them. It is counted apart, as closing: it needs its descriptor, but cannot be dismissed, and its
+//! id is free. Guards against clients that never close: while others wait, the time for which
+//! closing connections linger is cut to [`MIN_LINGER`].
 
 use crate::config::Limits;
 use crate::ops::admin::MAX_CALLERS;
 use crate::platform::health_check::MAX_HEALTH_CHECKS;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -25,6 +30,13 @@
 /// A connection is not dismissed for this time after it was accepted: its first line may be on the
 /// way.
 pub const DISMISS_GRACE: Duration = Duration::from_millis(100);
+/// A closing connection lingers for at least this time, also while others wait for its descriptor.
+/// Longer than a round trip.
+pub const MIN_LINGER: Duration = Duration::from_millis(50);
+/// Descriptors of a request: those of its client and of its backend.
+const DESCRIPTORS_PER_REQUEST: usize = 2;
+/// The fraction of a limit that is freed at once, as a divisor.
+const BATCH_DIVISOR: usize = 8;
 
 /// The state of a connection without a request.
 struct WaitingState {
@@ -36,10 +48,96 @@
     dismissed: bool,
 }
 
+/// The limit that the descriptor of a closing connection counts against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pool {
+    /// Connections without a request.
+    Waiting,
+    /// Connections with a request.
+    Requests,
+}
+
+/// The state of a connection that is sent its last bytes, or lingers after them.
+struct ClosingState {
+    pool: Pool,
+    /// Whether it was dismissed.
+    dismissed: bool,
+    /// From when on it may be ended to make room; none while its last bytes are not sent yet.
+    expires_at: Option<Instant>,
+}
+
 #[derive(Default)]
 struct Inner {
     waiting: BTreeMap<u64, WaitingState>,
-    request_ids: BTreeSet<String>,
+    /// The numbers of the connections with a request, by the ids that their clients have chosen.
+    requests: BTreeMap<String, u64>,
+    closing: BTreeMap<u64, ClosingState>,
+}
+
+impl Inner {
+    fn closing_in(&self, pool: Pool) -> impl Iterator<Item = (u64, &ClosingState)> {
+        let closing = self
+            .closing
+            .iter()
+            .map(|(number, closing)| (*number, closing));
+        closing.filter(move |(_, closing)| closing.pool == pool)
+    }
+
+    /// Descriptors of connections without a request, closing ones included.
+    fn waiting_descriptors(&self) -> usize {
+        self.waiting.len() + self.closing_in(Pool::Waiting).count()
+    }
+
+    /// Descriptors of requests, and of connections that are closing after one.
+    fn request_descriptors(&self) -> usize {
+        DESCRIPTORS_PER_REQUEST * self.requests.len() + self.closing_in(Pool::Requests).count()
+    }
+
+    /// The closing connections of a pool that have lingered for long enough, at most `limit`, the
+    /// earliest first.
+    fn expired(&self, pool: Pool, now: Instant, limit: usize) -> Vec<u64> {
+        let expiry = |(number, closing): (u64, &ClosingState)| Some((closing.expires_at?, number));
+        let mut expired: Vec<(Instant, u64)> = self.closing_in(pool).filter_map(expiry).collect();
+        expired.retain(|(expires_at, _)| *expires_at <= now);
+        expired.sort_unstable();
+        let numbers = expired.into_iter().map(|(_, number)| number);
+        numbers.take(limit).collect()
+    }
+
+    /// Begins to count a connection as closing, from `now` on.
+    fn begin_closing(&mut self, number: u64, now: Instant) {
+        if let Some(waiting) = self.waiting.remove(&number) {
+            // Its last bytes are few. A client that does not read them may not keep the place.
+            let closing = ClosingState {
+                pool: Pool::Waiting,
+                dismissed: waiting.dismissed,
+                expires_at: Some(now + MIN_LINGER),
+            };
+            self.closing.insert(number, closing);
+        }
+    }
+
+    /// Frees a request's id and counts its connection as closing.
+    fn end_request(&mut self, id: &str, number: u64) {
+        if self.requests.get(id) == Some(&number) {
+            self.requests.remove(id);
+            let closing = ClosingState {
+                pool: Pool::Requests,
+                dismissed: false,
+                expires_at: None,
+            };
+            self.closing.insert(number, closing);
+        }
+    }
+}
+
+/// Connections that the event loop ends so that others can be accepted.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Eviction {
+    /// Closing connections that have lingered for long enough: they are closed at once.
+    pub close: Vec<u64>,
+    /// Connections without a request: they are dismissed, with an answer.
+    pub dismiss: Vec<u64>,
 }
 
 /// The limits of the process, and the connections and requests that count against them.
@@ -94,33 +192,69 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Checks whether one more connection can be accepted. The error lists connections to dismiss:
-    /// first those that never sent anything, and of these the longest waiting first. It is empty
-    /// while earlier dismissals are still in progress.
-    pub fn check_capacity(&self) -> Result<(), Vec<u64>> {
+    /// Whether one more connection can be accepted.
+    pub fn has_capacity(&self) -> bool {
+        self.lock().waiting_descriptors() < self.max_waiting
+    }
+
+    /// The connections to end so that one more can be accepted: closing ones whose linger is over,
+    /// or else connections that have sent no request, first those that never sent anything, and of
+    /// these the longest waiting first. Several at a time, so that a burst of silent connections
+    /// does not delay the clients that arrive with it. None are dismissed beyond that while earlier
+    /// dismissals are still in progress.
+    pub fn evict_waiting(&self, now: Instant) -> Eviction {
         let mut inner = self.lock();
-        if inner.waiting.len() < self.max_waiting {
-            return Ok(());
+        let batch = self.max_waiting.div_ceil(BATCH_DIVISOR);
+        let close = inner.expired(Pool::Waiting, now, batch);
+        if !close.is_empty() {
+            let dismiss = Vec::new();
+            return Eviction { close, dismiss };
         }
-        let now = Instant::now();
+        let is_dismissed = |(_, closing): &(u64, &ClosingState)| closing.dismissed;
+        let closing = inner.closing_in(Pool::Waiting).filter(is_dismissed).count();
+        let told = inner.waiting.values().filter(|w| w.dismissed).count();
         let mut waiting: Vec<_> = inner.waiting.iter_mut().collect();
-        if waiting.iter().any(|(_, w)| w.dismissed) {
-            return Err(Vec::new());
-        }
-        waiting.retain(|(_, w)| now.duration_since(w.since) >= DISMISS_GRACE);
+        waiting.retain(|(_, w)| !w.dismissed && now.duration_since(w.since) >= DISMISS_GRACE);
         waiting.sort_by_key(|(_, w)| (w.active, w.since));
-        // Several at a time, so that a burst of silent connections does not delay the clients that
-        // arrive with it.
-        let max_dismissed = self.max_waiting.div_ceil(8);
-        let dismiss = |(number, w): (&u64, &mut WaitingState)| {
-            w.dismissed = true;
-            *number
-        };
-        Err(waiting
+        let dismiss = waiting
             .into_iter()
-            .take(max_dismissed)
-            .map(dismiss)
-            .collect())
+            .take(batch.saturating_sub(closing + told));
+        let dismiss = dismiss.map(|(number, waiting)| {
+            waiting.dismissed = true;
+            *number
+        });
+        Eviction {
+            close,
+            dismiss: dismiss.collect(),
+        }
+    }
+
+    /// The connections to close so that the next requests can be admitted: those that are closing
+    /// after a request and whose linger is over, as long as they occupy descriptors of requests
+    /// that the limit allows.
+    pub fn evict_after_requests(&self, now: Instant) -> Vec<u64> {
+        let inner = self.lock();
+        inner.expired(
+            Pool::Requests,
+            now,
+            self.missing_request_descriptors(&inner),
+        )
+    }
+
+    /// Whether [`Admission::evict_after_requests`] would close connections whose linger is over.
+    pub fn is_short_of_request_descriptors(&self) -> bool {
+        self.missing_request_descriptors(&self.lock()) > 0
+    }
+
+    /// How many of the descriptors for the next requests closing connections occupy.
+    fn missing_request_descriptors(&self, inner: &Inner) -> usize {
+        let admissible = self.max_requests.saturating_sub(inner.requests.len());
+        let batch = admissible.min(self.max_requests.div_ceil(BATCH_DIVISOR));
+        (DESCRIPTORS_PER_REQUEST * batch).saturating_sub(self.request_descriptors_left(inner))
+    }
+
+    fn request_descriptors_left(&self, inner: &Inner) -> usize {
+        (DESCRIPTORS_PER_REQUEST * self.max_requests).saturating_sub(inner.request_descriptors())
     }
 
     /// Registers an accepted connection.
@@ -139,14 +273,14 @@
         }
     }
 
-    /// The number of connections without a request.
+    /// The number of connections without a request that are not closing.
     pub fn waiting_count(&self) -> usize {
         self.lock().waiting.len()
     }
 
-    /// The number of pending requests and established connections.
-    pub fn request_count(&self) -> usize {
-        self.lock().request_ids.len()
+    /// The number of closing connections that had no request.
+    pub fn closing_count(&self) -> usize {
+        self.lock().closing_in(Pool::Waiting).count()
     }
 
     /// The limit of requests, and that of connections without a request.
@@ -176,17 +310,22 @@
         }
     }
 
+    /// Counts the connection as closing from `now` on: it is sent its last bytes.
+    pub fn begin_closing(&self, now: Instant) {
+        self.admission.lock().begin_closing(self.number, now);
+    }
+
     /// Admits the connection's request under the id that the client has chosen.
     pub fn admit_request(&self, id: &str) -> Result<RequestSlot, AdmissionError> {
         let mut inner = self.admission.lock();
         // A backend could not tell two connections with the same id apart.
-        if inner.request_ids.contains(id) {
+        if inner.requests.contains_key(id) {
             return Err(AdmissionError::IdInUse);
         }
-        if inner.request_ids.len() >= self.admission.max_requests {
+        if self.admission.request_descriptors_left(&inner) < DESCRIPTORS_PER_REQUEST {
             return Err(AdmissionError::NoCapacity);
         }
-        inner.request_ids.insert(id.to_string());
+        inner.requests.insert(id.to_string(), self.number);
         inner.waiting.remove(&self.number);
         Ok(RequestSlot {
             admission: self.admission.clone(),
@@ -198,11 +337,17 @@
 
 impl Drop for WaitingConnection {
     fn drop(&mut self) {
-        self.admission.lock().waiting.remove(&self.number);
+        let mut inner = self.admission.lock();
+        inner.waiting.remove(&self.number);
+        // A connection whose request was admitted may be closing too: its request slot counts it.
+        let closing = inner.closing.get(&self.number);
+        if closing.is_some_and(|closing| closing.pool == Pool::Waiting) {
+            inner.closing.remove(&self.number);
+        }
     }
 }
 
-/// The capacity and the id that a request holds until this value is dropped.
+/// The capacity and the id that a request holds until it ends or this value is dropped.
 pub struct RequestSlot {
     admission: Arc<Admission>,
     /// The connection's number.
@@ -211,107 +356,28 @@
     pub id: String,
 }
 
-impl Drop for RequestSlot {
-    fn drop(&mut self) {
-        self.admission.lock().request_ids.remove(&self.id);
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::net::TcpListener;
-
-    fn admission(sockets: u64, memory_mb: u64) -> Arc<Admission> {
-        Admission::new(
-            &Limits {
-                cores: 1.0,
-                memory_mb,
-                sockets,
-            },
-            false,
-            false,
-        )
+impl RequestSlot {
+    /// Ends the request: it has its final answer, or its connection has ended, and its backend's
+    /// socket is closed. The id is free, and the connection counts as closing.
+    pub fn end_request(&self) {
+        self.admission.lock().end_request(&self.id, self.number);
     }
 
-    #[test]
-    fn the_limits_of_requests_and_connections_follow_those_of_the_process() {
-        for (sockets, memory_mb) in [(128, 16), (256, 32), (384, 48), (756, 48), (1024, 192)] {
-            let (requests, waiting) = admission(sockets, memory_mb).limits();
-            let case = format!("{sockets} sockets, {memory_mb} MB: {requests}, {waiting}");
-            assert!(
-                2 * requests + waiting + RESERVED_DESCRIPTORS <= sockets as usize,
-                "{case}"
-            );
-            assert!(
-                requests >= (sockets / 3) as usize && waiting >= MIN_WAITING,
-                "{case}"
-            );
-            let memory = requests * BYTES_PER_REQUEST + waiting * BYTES_PER_WAITING;
-            assert!(memory <= memory_mb as usize * 1024 * 1024 * 3 / 4, "{case}");
-        }
-    }
-
-    /// During an upgrade two processes share the limits, and callers of the admin address need
-    /// descriptors in both.
-    #[test]
-    fn two_processes_and_their_admin_callers_stay_within_the_limits() {
-        for (sockets, memory_mb) in [(256, 32), (384, 48), (1024, 192)] {
-            let limits = Limits {
-                cores: 1.0,
-                memory_mb,
-                sockets,
-            };
-            for (inherited, processes) in [(false, 1), (true, 2)] {
-                let (requests, waiting) = Admission::new(&limits, true, inherited).limits();
-                let all =
-                    2 * requests + processes * (waiting + RESERVED_DESCRIPTORS + MAX_CALLERS + 1);
-                assert!(
-                    all <= sockets as usize,
-                    "{sockets} sockets, inherited {inherited}: {requests}, {waiting}"
-                );
-                let memory = requests * BYTES_PER_REQUEST + processes * waiting * BYTES_PER_WAITING;
-                assert!(memory <= memory_mb as usize * 1024 * 1024 * 3 / 4);
-                assert!(requests >= sockets as usize * 3 / 10);
-            }
+    /// Records that the client was sent its last bytes by `now`.
+    pub fn last_bytes_sent(&self, now: Instant) {
+        if let Some(closing) = self.admission.lock().closing.get_mut(&self.number) {
+            closing.expires_at = Some(now + MIN_LINGER);
         }
     }
+}
 
-    /// Guards against silent connections that fill the relay, so that clients with requests are
-    /// refused.
-    #[test]
-    fn silent_connections_are_dismissed_before_those_that_sent_something() {
-        let admission = admission(128, 16);
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let (mut clients, mut waiting) = (Vec::new(), Vec::new());
-        for _ in 0..admission.limits().1 {
-            assert!(admission.check_capacity().is_ok());
-            clients.push(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
-            waiting.push(admission.register(listener.accept().unwrap().0));
-        }
-        waiting[0].record_activity();
-        std::thread::sleep(DISMISS_GRACE);
-        // The second one is dismissed; the first was active and the last waits for the shortest
-        // time.
-        let dismissed = admission.check_capacity().unwrap_err();
-        assert!(
-            dismissed.contains(&waiting[1].number()) && dismissed.len() < clients.len() / 2,
-            "{dismissed:?}"
-        );
-        for n in [0, clients.len() - 1] {
-            assert!(!dismissed.contains(&waiting[n].number()));
-        }
-        // No more are dismissed before those have gone.
-        assert_eq!(admission.check_capacity(), Err(Vec::new()));
-        waiting.remove(1);
-        assert!(admission.check_capacity().is_ok());
-        // A request does not count against the limit of connections without one.
-        let slot = waiting[0].admit_request("01").unwrap();
-        assert_eq!(
-            waiting[1].admit_request("01").err(),
-            Some(AdmissionError::IdInUse)
-        );
-        drop(slot);
-        assert!(waiting[1].admit_request("01").is_ok());
+impl Drop for RequestSlot {
+    fn drop(&mut self) {
+        let mut inner = self.admission.lock();
+        inner.end_request(&self.id, self.number);
+        inner.closing.remove(&self.number);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/admission/tests.rs
@@ -0,0 +1,188 @@
+//! Tests of the limits, and of what is ended to make room for new connections and requests.
+
+use super::*;
+use std::net::TcpListener;
+
+fn admission(sockets: u64, memory_mb: u64) -> Arc<Admission> {
+    Admission::new(
+        &Limits {
+            cores: 1.0,
+            memory_mb,
+            sockets,
+        },
+        false,
+        false,
+    )
+}
+
+#[test]
+fn the_limits_of_requests_and_connections_follow_those_of_the_process() {
+    for (sockets, memory_mb) in [(128, 16), (256, 32), (384, 48), (756, 48), (1024, 192)] {
+        let (requests, waiting) = admission(sockets, memory_mb).limits();
+        let case = format!("{sockets} sockets, {memory_mb} MB: {requests}, {waiting}");
+        assert!(
+            2 * requests + waiting + RESERVED_DESCRIPTORS <= sockets as usize,
+            "{case}"
+        );
+        assert!(
+            requests >= (sockets / 3) as usize && waiting >= MIN_WAITING,
+            "{case}"
+        );
+        let memory = requests * BYTES_PER_REQUEST + waiting * BYTES_PER_WAITING;
+        assert!(memory <= memory_mb as usize * 1024 * 1024 * 3 / 4, "{case}");
+    }
+}
+
+/// During an upgrade two processes share the limits, and callers of the admin address need
+/// descriptors in both.
+#[test]
+fn two_processes_and_their_admin_callers_stay_within_the_limits() {
+    for (sockets, memory_mb) in [(256, 32), (384, 48), (1024, 192)] {
+        let limits = Limits {
+            cores: 1.0,
+            memory_mb,
+            sockets,
+        };
+        for (inherited, processes) in [(false, 1), (true, 2)] {
+            let (requests, waiting) = Admission::new(&limits, true, inherited).limits();
+            let all = 2 * requests + processes * (waiting + RESERVED_DESCRIPTORS + MAX_CALLERS + 1);
+            assert!(
+                all <= sockets as usize,
+                "{sockets} sockets, inherited {inherited}: {requests}, {waiting}"
+            );
+            let memory = requests * BYTES_PER_REQUEST + processes * waiting * BYTES_PER_WAITING;
+            assert!(memory <= memory_mb as usize * 1024 * 1024 * 3 / 4);
+            assert!(requests >= sockets as usize * 3 / 10);
+        }
+    }
+}
+
+/// An admission whose places for connections without a request are all taken, with the sockets of
+/// its clients.
+fn full_admission() -> (Arc<Admission>, Vec<TcpStream>, Vec<WaitingConnection>) {
+    let admission = admission(128, 16);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut clients, mut waiting) = (Vec::new(), Vec::new());
+    for _ in 0..admission.limits().1 {
+        assert!(admission.has_capacity());
+        clients.push(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
+        waiting.push(admission.register(listener.accept().unwrap().0));
+    }
+    assert!(!admission.has_capacity());
+    (admission, clients, waiting)
+}
+
+/// Guards against silent connections that fill the relay, so that clients with requests are
+/// refused.
+#[test]
+fn silent_connections_are_dismissed_before_those_that_sent_something() {
+    let (admission, clients, mut waiting) = full_admission();
+    waiting[0].record_activity();
+    assert_eq!(
+        admission.evict_waiting(Instant::now() - DISMISS_GRACE),
+        Eviction::default(),
+        "their first lines may be on the way"
+    );
+    let now = Instant::now() + DISMISS_GRACE;
+    // The second one is dismissed; the first was active and the last waits for the shortest time.
+    let dismissed = admission.evict_waiting(now).dismiss;
+    assert!(
+        dismissed.contains(&waiting[1].number()) && dismissed.len() < clients.len() / 2,
+        "{dismissed:?}"
+    );
+    for n in [0, clients.len() - 1] {
+        assert!(!dismissed.contains(&waiting[n].number()));
+    }
+    // No more are dismissed before those have gone.
+    assert_eq!(admission.evict_waiting(now), Eviction::default());
+    waiting.remove(1);
+    assert!(admission.has_capacity());
+    // A request does not count against the limit of connections without one.
+    let slot = waiting[0].admit_request("01").unwrap();
+    assert_eq!(
+        waiting[1].admit_request("01").err(),
+        Some(AdmissionError::IdInUse)
+    );
+    drop(slot);
+    assert!(waiting[1].admit_request("01").is_ok());
+}
+
+/// Guards against connections that were rejected and stay open: they filled the places of
+/// connections without a request, were chosen for dismissal, which has no effect on them, and no
+/// client was accepted until they had lingered for a second.
+#[test]
+fn closing_connections_make_room_after_the_shortest_linger_and_are_not_dismissed() {
+    let (admission, _clients, mut waiting) = full_admission();
+    let (first, second) = (waiting[0].number(), waiting[1].number());
+    let rejected_at = Instant::now() + DISMISS_GRACE;
+    waiting[1].begin_closing(rejected_at);
+    waiting[0].begin_closing(rejected_at + Duration::from_millis(1));
+    assert!(!admission.has_capacity(), "they have their descriptors");
+    // Their answers may still be on the way, so silent ones are dismissed meanwhile.
+    let Eviction { close, dismiss } = admission.evict_waiting(rejected_at);
+    assert!(close.is_empty() && !dismiss.is_empty(), "{dismiss:?}");
+    assert!(!dismiss.contains(&first) && !dismiss.contains(&second));
+    let later = rejected_at + MIN_LINGER + Duration::from_millis(1);
+    let Eviction { close, dismiss } = admission.evict_waiting(later);
+    assert_eq!((close, dismiss), (vec![second, first], Vec::new()));
+    assert_eq!(admission.closing_count(), 2);
+    waiting.drain(..2);
+    assert!(admission.has_capacity() && admission.closing_count() == 0);
+}
+
+/// Guards against requests that are rejected, or whose ids are refused as in use, because of
+/// clients that have had their final answers and stay.
+#[test]
+fn an_ended_request_frees_its_id_and_capacity_and_keeps_one_descriptor() {
+    let admission = admission(128, 16);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let connect = || {
+        let client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        (client, admission.register(listener.accept().unwrap().0))
+    };
+    let max_requests = admission.limits().0;
+    let admit = |n: usize| {
+        let (client, waiting) = connect();
+        (client, waiting.admit_request(&format!("{n:x}")))
+    };
+    let mut open: Vec<_> = (0..max_requests).map(admit).collect();
+    assert_eq!(
+        admit(max_requests).1.err(),
+        Some(AdmissionError::NoCapacity)
+    );
+    let ended: Vec<_> = open.drain(..4).collect();
+    for (_, slot) in &ended {
+        slot.as_ref().unwrap().end_request();
+    }
+    // The backends' descriptors are free: two of the four ids are used again.
+    let again: Vec<_> = (0..2).map(admit).collect();
+    assert!(again.iter().all(|(_, slot)| slot.is_ok()));
+    assert_eq!(
+        admit(2).1.err(),
+        Some(AdmissionError::NoCapacity),
+        "four connections still have their descriptors"
+    );
+    assert!(admission.is_short_of_request_descriptors());
+    let now = Instant::now();
+    let evicted = |now: Instant| admission.evict_after_requests(now);
+    assert!(
+        evicted(now + MIN_LINGER).is_empty(),
+        "their last bytes are not sent"
+    );
+    let in_order = [&ended[1], &ended[0], &ended[3]];
+    let numbers: Vec<u64> = (0..)
+        .zip(in_order)
+        .map(|(ms, (_, slot))| {
+            let slot = slot.as_ref().unwrap();
+            slot.last_bytes_sent(now + Duration::from_millis(ms));
+            slot.number
+        })
+        .collect();
+    assert!(evicted(now).is_empty(), "their answers may be on the way");
+    assert_eq!(evicted(now + 2 * MIN_LINGER), numbers);
+    // The end of the first connections does not free the ids of the later ones.
+    drop(ended);
+    assert!(!admission.is_short_of_request_descriptors());
+    assert_eq!(admit(0).1.err(), Some(AdmissionError::IdInUse));
+    assert!((2..4).map(admit).all(|(_, slot)| slot.is_ok()));
+}
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -7,7 +7,7 @@
 
 use crate::decision_service::PendingDecision;
 use crate::decisions::api::{EndpointId, Micros, Outcome, Request, RequestId};
-use crate::net::admission::{WaitingConnection, DISMISS_GRACE};
+use crate::net::admission::{WaitingConnection, DISMISS_GRACE, MIN_LINGER};
 use crate::net::attempt::Attempt;
 use crate::net::link::Link;
 use crate::net::poll::{Interest, Poller, Ready};
@@ -17,13 +17,14 @@
 use crate::protocol::{ClientRequest, FailureCause, Forwarder, RequestReader};
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// How long a client that was sent its last bytes may keep the connection open, in microseconds.
 /// Closing a socket with unread input resets the connection, and the reset can destroy an answer
 /// that the client has not read yet.
 pub(super) const LINGER: Micros = 1_000_000;
-/// The same for a dismissed connection, whose room others wait for. Longer than a round trip.
-pub(super) const DISMISSED_LINGER: Micros = 50_000;
+/// The same for a dismissed connection, whose descriptor others wait for.
+pub(super) const DISMISSED_LINGER: Micros = MIN_LINGER.as_micros() as Micros;
 
 /// The backend's side of an established connection.
 pub(super) struct BackendSide {
@@ -109,7 +110,8 @@
     pub pending: Option<Box<PendingRequest>>,
     /// None before the request is admitted.
     pub session: Option<Arc<Session>>,
-    /// The slot of a client without a request that is being closed.
+    /// The slot of a client without a request that is being closed; see
+    /// [`Connection::hold_closing_slot`].
     pub waiting: Option<WaitingConnection>,
     /// The record for the log; none once its line was written.
     pub record: Option<ConnectionRecord>,
@@ -300,6 +302,13 @@
             })
     }
 
+    /// Holds the slot of a client without a request until the connection is closed. It counts as
+    /// closing from here on.
+    pub fn hold_closing_slot(&mut self, waiting: WaitingConnection) {
+        waiting.begin_closing(Instant::now());
+        self.waiting = Some(waiting);
+    }
+
     /// Logs that the connection ends with the process.
     pub fn log_cut_off(&mut self) {
         self.record
--- a/src/net/event_loop/accept.rs
+++ b/src/net/event_loop/accept.rs
@@ -3,11 +3,13 @@
 use super::{other_token, EventLoop, ListenerProtocol, FIRST_LISTENER, MAX_PER_TURN, READ};
 use crate::decisions::api::Micros;
 use crate::log::log;
+use crate::net::admission::Eviction;
 use crate::net::connection::Connection;
 use crate::net::listen::Listener;
 use crate::sys::timed_out;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// The pause before a relay without capacity accepts clients again, in microseconds.
 const FULL_PAUSE: Micros = 1_000;
@@ -58,16 +60,32 @@
     }
 
     /// Whether one more client can be accepted. If not, some connections without a request are
-    /// dismissed.
+    /// closed or dismissed first.
     pub(super) fn make_room(&mut self) -> bool {
-        let dismissals = match self.shared.admission.check_capacity() {
-            Ok(()) => return true,
-            Err(dismissals) => dismissals,
-        };
-        dismissals
+        if self.shared.admission.has_capacity() {
+            return true;
+        }
+        let Eviction { close, dismiss } = self.shared.admission.evict_waiting(Instant::now());
+        self.end_lingering(close);
+        dismiss
             .into_iter()
             .for_each(|number| self.update_connection(number, Connection::dismiss));
-        false
+        self.shared.admission.has_capacity()
+    }
+
+    /// Closes connections that linger after a request, as far as the next requests need their
+    /// descriptors.
+    pub(super) fn make_room_for_requests(&mut self) {
+        if self.shared.admission.is_short_of_request_descriptors() {
+            let close = self.shared.admission.evict_after_requests(Instant::now());
+            self.end_lingering(close);
+        }
+    }
+
+    fn end_lingering(&mut self, numbers: Vec<u64>) {
+        numbers
+            .into_iter()
+            .for_each(|number| self.update_connection(number, Connection::end_linger));
     }
 
     /// Logs what occupies the places of connections without a request, once for each stall.
@@ -78,10 +96,9 @@
             return;
         }
         self.stalled = Some((since, true));
-        let is_closing = |conn: &&Box<Connection>| conn.waiting.is_some();
-        let closing = self.connections.values().filter(is_closing).count();
         let admission = &self.shared.admission;
-        let (waiting, (_, max_waiting)) = (admission.waiting_count(), admission.limits());
+        let (waiting, closing) = (admission.waiting_count(), admission.closing_count());
+        let (_, max_waiting) = admission.limits();
         let ms = (now - since) / 1_000;
         log(&format!(
             "accept: no capacity for {ms} ms: waiting={waiting} closing={closing} \
--- a/src/net/event_loop/adoption.rs
+++ b/src/net/event_loop/adoption.rs
@@ -80,7 +80,7 @@
                 .rposition(|&b| b == b'\n')
                 .map_or(0, |at| at + 1);
             conn.last_bytes = [&handover.down[..whole_lines], b"MOVE\r\n"].concat();
-            conn.waiting = Some(waiting);
+            conn.hold_closing_slot(waiting);
             conn.close();
             record.log_end("no-descriptors");
             return self.add_connection(conn);
--- a/src/net/event_loop/mod.rs
+++ b/src/net/event_loop/mod.rs
@@ -230,6 +230,7 @@
                 self.next_wait(timer, now)
             };
             self.poller.wait(limit, &mut events, &mut ready);
+            self.make_room_for_requests();
             for ready in ready.drain(..) {
                 self.handle_ready(ready);
             }
--- a/src/net/fleet/job_driver.rs
+++ b/src/net/fleet/job_driver.rs
@@ -151,10 +151,11 @@
         let Some(JobRunner { worker, resources }) = &mut self.jobs else {
             return;
         };
-        let now = boottime();
         for result in resources.load_reports.take_results() {
             worker.health_checked(result.checked_at, result.endpoint.0, result.report);
         }
+        // After the results were taken: none of them is of a later time.
+        let now = boottime();
         let decisions = &self.decisions;
         let paced_moves = self.settings.fleet.jobs.paced_moves;
         let context = WorkContext {
--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -331,6 +331,9 @@
                     if !blocked {
                         self.client.shutdown_write();
                         self.phase = Phase::Closing(self.now(), true);
+                        self.session
+                            .iter()
+                            .for_each(|session| session.last_bytes_sent());
                     }
                 }
                 Err(_) => self.phase = Phase::Closed,
@@ -509,9 +512,13 @@
         self.close();
     }
 
-    /// Sends the client its last bytes and closes the connection.
+    /// Sends the client its last bytes and closes the connection. From here on its request is not
+    /// open any more.
     pub fn close(&mut self) {
         self.phase = Phase::Closing(self.now(), false);
+        self.session
+            .iter()
+            .for_each(|session| session.end_request());
         if self.client_ended_at.is_some() && self.last_bytes.is_empty() {
             self.phase = Phase::Closed;
         } else {
@@ -519,6 +526,13 @@
         }
     }
 
+    /// Closes a lingering connection now, because others wait for its descriptor.
+    pub fn end_linger(&mut self) {
+        if matches!(self.phase, Phase::Closing(..)) {
+            self.phase = Phase::Closed;
+        }
+    }
+
     /// Closes both sides by a reset.
     fn reset_both(&mut self, end: ConnectionEnd) {
         reset_on_close(&self.client.socket);
--- a/src/net/handshake.rs
+++ b/src/net/handshake.rs
@@ -140,7 +140,7 @@
         let (last_bytes, reason) = handshake
             .reader
             .interrupt(&self.to_backend, Interruption::Dismissed);
-        self.waiting = Some(handshake.waiting);
+        self.hold_closing_slot(handshake.waiting);
         self.linger = DISMISSED_LINGER;
         // Where earlier bytes were sent in part, or TLS is not established, an answer would be
         // garbled, so none is sent.
@@ -164,8 +164,7 @@
         if self.advance_handshake(&mut handshake) {
             self.handshake = Some(handshake);
         } else if self.phase != Phase::Closed && self.session.is_none() {
-            // A rejected client keeps its slot until the connection is closed.
-            self.waiting = Some(handshake.waiting);
+            self.hold_closing_slot(handshake.waiting);
         }
     }
 
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -216,6 +216,17 @@
         state.request_id
     }
 
+    /// Frees the request's id and capacity: its client has its final answer, or its connection has
+    /// ended.
+    pub fn end_request(&self) {
+        self.slot.end_request();
+    }
+
+    /// Records that the client was sent its last bytes.
+    pub fn last_bytes_sent(&self) {
+        self.slot.last_bytes_sent(Instant::now());
+    }
+
     /// Sets whether the connection is established.
     pub fn set_established(&self, established: bool) {
         lock(&self.state).established = established;
