Load watch: a report newer than the tick has age zero, and does not end the relay

Seen in one run of the suite: a relay of an_owner_stopped_between_its_lease_check_and_its_order ended with "the fleet thread ended unexpectedly", its fleet thread panicked at load_watch.rs:185 (subtract with overflow), and the test waited in vain for it. In a release build the age would be about 2^64 us.

Cause: the fleet thread read its clock, then took the results of health checks, which the serving thread stamps. A check that ended in between is later than that clock.

The new test panicked before.

--- a/crates/control/src/jobs/load_watch.rs
+++ b/crates/control/src/jobs/load_watch.rs
@@ -166,7 +166,8 @@
     }
 
     /// Returns the reports to publish, once per round: when all endpoints have answered, or after
-    /// the timeout.
+    /// the timeout. A health check of another thread may have ended after the caller read `now`: its
+    /// report has age 0.
     pub fn take_reports(&mut self, now: Micros, columns: &[String]) -> Option<LoadReports> {
         let started_at = self.round_started_at?;
         let is_complete = self.waiting.is_empty() && self.in_flight.is_empty();
@@ -182,7 +183,7 @@
         }
         let report = |(endpoint, result): (&u64, &HealthCheckResult)| LoadReport {
             endpoint: *endpoint,
-            age: now - result.received_at,
+            age: now.saturating_sub(result.received_at),
             values: result.values.clone(),
         };
         Some(LoadReports {
--- a/crates/control/src/jobs/load_watch/tests.rs
+++ b/crates/control/src/jobs/load_watch/tests.rs
@@ -111,3 +111,14 @@
     assert_eq!(current.encode(), wire::encode(&older));
     assert_eq!(LoadReports::decode(&wire::encode(&older)), Some(current));
 }
+
+/// Guards against an owner that ends: a health check that ended after the tick had read its clock
+/// had a negative age.
+#[test]
+fn a_report_that_is_newer_than_the_tick_has_age_zero() {
+    let mut watch = LoadWatch::default();
+    assert_eq!(watch.tick(0, || 0..1), [0]);
+    watch.health_checked(1_001, 0, Some(vec![0.5]));
+    let published = watch.take_reports(1_000, &columns(&["x0"])).unwrap();
+    assert_eq!(published.reports[0].age, 0);
+}
