A connection is migrated whether its takeover or the news of its endpoint comes first

Callers saw: a backend drains and the relay is upgraded 0.1 s later.

Cause: the new process takes connections over before its first list. Their endpoint is then one that no list has named; when the list names it as draining, it was not ready before and after, so make_unavailable did not return it and migrate_all was never called. Evidence: the new process logged "takeover: 39 connections taken over", then "version 43, 1 entries: s-3 Draining", and moved nobody. The same held where the backend was out by hand before a list named it, where it was absent from the first complete list, and for an attempt that came up at an endpoint which had been removed meanwhile.

Change: EndpointTable::is_leaving is the one rule, and each update of the list migrates the connections of endpoints for which it becomes true.

Tests: the new ones in tests/decisions.rs and tests/takeover.rs fail on the code before: no migration at "0 of [List(Full, s-2 draining)]", no MOVE within 30 s.

--- a/src/decisions/endpoints.rs
+++ b/src/decisions/endpoints.rs
@@ -53,6 +53,8 @@
     pub ready: bool,
     /// Removed from the list, or never in it.
     pub removed: bool,
+    /// Whether a list has told its state: one that names it, or a complete one that does not.
+    pub is_told: bool,
     /// When it last ceased to be ready; 0 if it never did.
     pub unavailable_since: Micros,
     /// When its process started, according to the list.
@@ -169,15 +171,22 @@
         self.in_flight -= 1;
     }
 
-    /// Marks an endpoint as not ready. Returns its id if it was ready.
-    fn make_unavailable(&mut self, index: EndpointIndex, now: Micros) -> Option<EndpointId> {
-        let endpoint = &mut self.entries[index];
-        if !endpoint.availability.ready {
-            return None;
+    /// Whether the connections of an endpoint have to be migrated: a list has told that it takes no
+    /// new requests, or an operator has ejected it.
+    pub(super) fn is_leaving(&self, index: EndpointIndex) -> bool {
+        let endpoint = &self.entries[index];
+        let availability = &endpoint.availability;
+        (availability.is_told && !availability.ready)
+            || self.manually_ejected.contains(&endpoint.id)
+    }
+
+    /// Marks an endpoint as not ready.
+    fn make_unavailable(&mut self, index: EndpointIndex, now: Micros) {
+        let availability = &mut self.entries[index].availability;
+        if availability.ready {
+            availability.ready = false;
+            availability.unavailable_since = now;
         }
-        endpoint.availability.ready = false;
-        endpoint.availability.unavailable_since = now;
-        Some(endpoint.id)
     }
 
     /// Resets the state that was kept of an endpoint's former process. The slow start of the new
@@ -271,35 +280,48 @@
             return;
         }
         self.continue_discovery(kind, endpoints.is_empty(), actions);
-        let mut unavailable = Vec::new();
+        let mut leaving = Vec::new();
         if matches!(kind, EndpointListKind::Full | EndpointListKind::Cached) {
-            unavailable.extend(self.remove_unlisted(&endpoints));
+            leaving.extend(self.remove_unlisted(kind, &endpoints));
         }
         for listed in endpoints {
-            unavailable.extend(self.apply_listed(listed));
+            leaving.extend(self.apply_listed(listed));
         }
         self.rebuild_endpoints();
-        for endpoint in unavailable {
+        for endpoint in leaving {
             self.migrate_all(endpoint, actions);
         }
         self.start_health_checks(actions);
     }
 
-    /// Marks as removed the endpoints that a complete list does not name. Returns those that were
-    /// ready before.
-    fn remove_unlisted(&mut self, endpoints: &[ListedEndpoint]) -> Vec<EndpointId> {
+    /// Marks as removed the endpoints that a complete list does not name. Returns those that leave
+    /// by that. A cached list may be stale: an endpoint that no list has named yet may exist.
+    fn remove_unlisted(
+        &mut self,
+        kind: EndpointListKind,
+        endpoints: &[ListedEndpoint],
+    ) -> Vec<EndpointId> {
         let listed: BTreeSet<EndpointId> = endpoints.iter().map(|endpoint| endpoint.id).collect();
-        let mut unavailable = Vec::new();
+        let mut leaving = Vec::new();
         for index in 0..self.endpoints.entries.len() {
-            if !listed.contains(&self.endpoints[index].id) {
-                unavailable.extend(self.endpoints.make_unavailable(index, self.now));
-                self.endpoints[index].availability.removed = true;
+            let id = self.endpoints[index].id;
+            if listed.contains(&id) {
+                continue;
+            }
+            let was_leaving = self.endpoints.is_leaving(index);
+            self.endpoints.make_unavailable(index, self.now);
+            let availability = &mut self.endpoints[index].availability;
+            availability.removed = true;
+            availability.is_told |= kind == EndpointListKind::Full;
+            if !was_leaving && self.endpoints.is_leaving(index) {
+                leaving.push(id);
             }
         }
-        unavailable
+        leaving
     }
 
-    /// Applies one entry of a list. Returns the endpoint if it was ready and is no longer.
+    /// Applies one entry of a list. Returns the endpoint if it leaves and did not before. It may
+    /// have connections although no list has named it: another process established them.
     fn apply_listed(&mut self, listed: ListedEndpoint) -> Option<EndpointId> {
         let removed = listed.state == EndpointState::Removed;
         if removed && self.endpoints.find(listed.id).is_none() {
@@ -315,14 +337,18 @@
             self.endpoints
                 .reset_process(index, spread.fract(), self.now);
         }
+        let was_leaving = self.endpoints.is_leaving(index);
         let listed_ready = listed.state == EndpointState::Ready;
         let ready = listed_ready && !self.endpoints.manually_ejected.contains(&listed.id);
-        let unavailable = if ready {
-            None
-        } else {
-            self.endpoints.make_unavailable(index, self.now)
-        };
+        if !ready {
+            self.endpoints.make_unavailable(index, self.now);
+        }
         let endpoint = &mut self.endpoints[index];
+        if listed_ready && !ready && !endpoint.availability.is_told {
+            // It was ejected before any list named it.
+            endpoint.availability.unavailable_since = self.now;
+        }
+        endpoint.availability.is_told = true;
         endpoint.availability.listed_ready = listed_ready;
         endpoint.availability.ready = ready;
         endpoint.availability.removed = removed;
@@ -334,7 +360,8 @@
         } else {
             1.0
         };
-        unavailable
+        let leaves = !was_leaving && self.endpoints.is_leaving(index);
+        leaves.then_some(listed.id)
     }
 
     /// Begins or ends a manual ejection. Repeating it changes nothing.
--- a/src/decisions/migration.rs
+++ b/src/decisions/migration.rs
@@ -14,7 +14,7 @@
 use super::Balancer;
 
 impl Balancer {
-    /// Migrates all connections of an endpoint that takes no new requests any more.
+    /// Migrates all connections of an endpoint that leaves.
     pub(super) fn migrate_all(&mut self, id: EndpointId, actions: &mut Vec<Action>) {
         for (request, at) in self.draw_migration_times(id) {
             self.set_timer(at, Timer::Migration(request), actions);
@@ -58,16 +58,14 @@
             .collect()
     }
 
-    /// Migrates a new connection, like the others there, if its endpoint has begun to drain.
-    pub(super) fn migrate_if_draining(
+    /// Migrates a connection that is new here, like the others at its endpoint, if that leaves.
+    pub(super) fn migrate_if_leaving(
         &mut self,
         index: EndpointIndex,
         request: RequestId,
         actions: &mut Vec<Action>,
     ) {
-        let availability = &self.endpoints[index].availability;
-        let is_draining = !availability.ready && !availability.removed;
-        if is_draining && !self.settings.forwards_packets {
+        if self.endpoints.is_leaving(index) && !self.settings.forwards_packets {
             let spread = self.parameters.migration_spread_us;
             let at = self.now + self.random.range(0..spread);
             self.set_timer(at, Timer::Migration(request), actions);
--- a/src/decisions/requests.rs
+++ b/src/decisions/requests.rs
@@ -79,7 +79,7 @@
         self.record_arrival(request.group);
         let index = self.endpoints.find_or_insert(endpoint);
         self.endpoints.add_in_flight(index);
-        self.migrate_if_draining(index, request.id, actions);
+        self.migrate_if_leaving(index, request.id, actions);
         let id = request.id;
         let pending = PendingRequest {
             class: self.class_of(&request),
@@ -223,7 +223,7 @@
         let endpoint = pending.endpoint;
         let index = self.endpoints.find_or_insert(endpoint);
         self.endpoints[index].health.record_success();
-        self.migrate_if_draining(index, id, actions);
+        self.migrate_if_leaving(index, id, actions);
         Ok(())
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1761,6 +1761,123 @@
     .is_empty());
 }
 
+/// Something that a process learns about endpoint 2 before or after it takes over a connection
+/// there.
+#[derive(Clone, Debug)]
+enum Learned {
+    List(EndpointListKind, Vec<ListedEndpoint>),
+    ManualEjection,
+}
+
+impl Learned {
+    fn event(&self) -> Event {
+        match self.clone() {
+            Learned::List(kind, endpoints) => Event::EndpointList { kind, endpoints },
+            Learned::ManualEjection => Event::ManualEjection {
+                endpoint: EndpointId(2),
+                ejected: true,
+            },
+        }
+    }
+}
+
+/// The connections that are migrated if a process whose list does not name endpoint 2 takes over
+/// request 1 there after the first `before` of these events.
+fn migrated_after_takeover(learned: &[Learned], before: usize) -> Vec<RequestId> {
+    let mut harness = BalancerHarness::new(Settings::default(), 7);
+    harness.update_endpoints(EndpointListKind::Cached, vec![ready_endpoint(1)]);
+    let adopted = Event::Adopted {
+        request: request(1, 1, 0),
+        endpoint: EndpointId(2),
+    };
+    let mut events: Vec<Event> = learned.iter().map(Learned::event).collect();
+    events.insert(before, adopted);
+    let mut due = Vec::new();
+    for event in events {
+        due.extend(timers(&harness.handle(event)));
+    }
+    let migrated = due
+        .iter()
+        .flat_map(|(_, token)| migrated_connections(&harness.fire_timer(*token)));
+    migrated.collect()
+}
+
+/// Guards against clients that are cut off because their process took them over before it learned
+/// that their backend leaves: only connections to endpoints that were ready before were migrated.
+#[test]
+fn a_connection_is_migrated_whether_its_takeover_or_the_news_of_its_endpoint_comes_first() {
+    use EndpointListKind::{Cached, Delta, Full};
+    let draining = endpoint_in_state(2, EndpointState::Draining);
+    let list = |kind, entry: &ListedEndpoint| Learned::List(kind, vec![entry.clone()]);
+    let leaving = [
+        vec![list(Full, &draining)],
+        vec![list(Delta, &draining)],
+        vec![list(Cached, &draining), list(Full, &draining)],
+        vec![Learned::ManualEjection],
+        vec![Learned::ManualEjection, list(Full, &ready_endpoint(2))],
+        vec![list(Full, &ready_endpoint(2)), Learned::ManualEjection],
+        vec![list(Delta, &ready_endpoint(2)), list(Delta, &draining)],
+    ];
+    for learned in leaving {
+        for before in 0..=learned.len() {
+            assert_eq!(
+                migrated_after_takeover(&learned, before),
+                [RequestId(1)],
+                "{before} of {learned:?}"
+            );
+        }
+    }
+    // An endpoint that is absent from a complete list is removed; the cached list may be stale.
+    let unlisted = |kind| [list(kind, &ready_endpoint(1))];
+    assert_eq!(migrated_after_takeover(&unlisted(Full), 0), [RequestId(1)]);
+    assert_eq!(migrated_after_takeover(&unlisted(Cached), 0), []);
+    for before in 0..=1 {
+        let ready = [list(Full, &ready_endpoint(2))];
+        assert_eq!(migrated_after_takeover(&ready, before), []);
+    }
+}
+
+/// Guards against a burst at a backend that was restarted while it was out of use: a process that
+/// had learned of the ejection before the endpoint took it for one that started long ago.
+#[test]
+fn an_endpoint_that_was_ejected_before_it_was_listed_returns_as_a_cold_one() {
+    const REQUESTS: u32 = 60;
+    let endpoints = || {
+        let started_at = Some(SECOND);
+        [ready_endpoint(1), ready_endpoint(2)].map(|endpoint| ListedEndpoint {
+            started_at,
+            ..endpoint
+        })
+    };
+    let list = || Learned::List(EndpointListKind::Full, endpoints().to_vec());
+    // The requests that the endpoint gets in 600 ms after its return.
+    let requests_after_return = |learned: [Learned; 2]| {
+        let mut harness = BalancerHarness::new(Settings::default(), 7);
+        for learned in learned {
+            harness.handle(learned.event());
+        }
+        harness.now += SECOND;
+        harness.handle(Event::ManualEjection {
+            endpoint: EndpointId(2),
+            ejected: false,
+        });
+        let mut place = |n: u32| {
+            harness.now += 10 * MS;
+            harness.connect(request(n, u64::from(n), 0))
+        };
+        (1..=REQUESTS)
+            .filter(|n| place(*n) == Some(EndpointId(2)))
+            .count()
+    };
+    let known_before = requests_after_return([list(), Learned::ManualEjection]);
+    assert!(
+        known_before < 10,
+        "{known_before} requests to a cold endpoint"
+    );
+    let ejected_before = requests_after_return([Learned::ManualEjection, list()]);
+    assert_eq!(ejected_before, known_before);
+}
+
 /// The number of endpoints, of forty, that get a request of this group if all others report to be
 /// full and their own load is unknown. A request that is placed nowhere is rejected at its
 /// deadline.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -32,7 +32,7 @@
 }
 
 impl Peer {
-    fn new(stream: TcpStream) -> Peer {
+    pub fn new(stream: TcpStream) -> Peer {
         stream.set_nonblocking(false).unwrap();
         stream.set_read_timeout(Some(TIMEOUT)).unwrap();
         let reader = BufReader::new(stream.try_clone().unwrap());
--- /dev/null
+++ b/tests/takeover.rs
@@ -0,0 +1,105 @@
+//! Connections that another process of the relay has established, on real sockets: what the process
+//! that takes them over learns late applies to them, too.
+
+#[allow(dead_code)]
+mod peers;
+
+use jaspermoor::platform::takeover::{Handover, Successor};
+use peers::*;
+use std::net::{TcpListener, TcpStream};
+
+/// The processes of an upgrade: what they share, and the configuration of both.
+struct Upgrade {
+    fleet: Fleet,
+    shared: tempfile::TempDir,
+    held: TcpListener,
+    config: String,
+}
+
+impl Upgrade {
+    /// Backends s-1 and s-2, of which the configuration knows the first.
+    fn new() -> Upgrade {
+        let fleet = Fleet::new(&["s-1", "s-2"]);
+        let config = config(fleet.discovery.addr(), &[fleet.entry("s-1", "active")]);
+        Upgrade {
+            fleet,
+            shared: tempfile::tempdir().unwrap(),
+            held: TcpListener::bind("127.0.0.1:0").unwrap(),
+            config,
+        }
+    }
+
+    fn start(&self) -> Relay {
+        Relay::start_shared(&self.config, &self.held, self.shared.path())
+    }
+
+    /// Starts a process that learns of s-2 from discovery and has a connection there.
+    fn start_with_connection_at_s2(&self) -> (Relay, Peer, Peer) {
+        let relay = self.start();
+        let mut watch = self.fleet.accept_watch();
+        watch.send_list(2, true, &[self.fleet.entry("s-2", "active")]);
+        relay.wait_for_log("discovery: version 2");
+        let (client, backend) = self.fleet.pair(&relay, "01");
+        (relay, client, backend)
+    }
+
+    /// Stops a process, whose connection the other one takes over.
+    fn hand_over(&self, from: &mut Relay, to: &Relay) {
+        from.signal("TERM");
+        to.wait_for_log("1 connections taken over");
+        assert!(from.exit().success());
+    }
+}
+
+/// Guards against clients that are cut off when their backend leaves: the process that took them
+/// over read only later that it drains.
+#[test]
+fn the_client_of_a_draining_backend_is_migrated_if_the_list_arrives_after_the_takeover() {
+    for full in [true, false] {
+        let upgrade = Upgrade::new();
+        let (mut old, mut client, mut backend) = upgrade.start_with_connection_at_s2();
+        let new = upgrade.start();
+        upgrade.hand_over(&mut old, &new);
+        let mut watch = upgrade.fleet.accept_watch();
+        let entries = ["s-1", "s-2"].map(|name| {
+            let state = if name == "s-2" { "leaving" } else { "active" };
+            upgrade.fleet.entry(name, state)
+        });
+        watch.send_list(3, full, &entries);
+        assert_eq!(client.line(), "MOVE", "full: {full}");
+        assert!(client.ended() && backend.ended());
+    }
+}
+
+/// A client's and a backend's connection that can be handed over, with the test's sides.
+fn connection() -> [(TcpStream, TcpStream); 2] {
+    [(); 2].map(|()| {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let relay_side = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        (relay_side, listener.accept().unwrap().0)
+    })
+}
+
+/// Guards against clients that stay at a manually ejected backend: the process that took them over
+/// knew of the ejection before it knew the backend.
+#[test]
+fn the_client_of_an_ejected_backend_is_migrated_before_a_list_names_it() {
+    let upgrade = Upgrade::new();
+    // Another process has made the ejection.
+    let ejections = upgrade.shared.path().join("jaspermoor-offline");
+    std::fs::create_dir(&ejections).unwrap();
+    std::fs::write(ejections.join("s%2D2"), b"").unwrap();
+    let relay = upgrade.start();
+    relay.wait_for_log("backend s-2 is ejected manually");
+    let [(client, own_client), (backend, _own_backend)] = connection();
+    let handover = Handover {
+        name: "01".into(),
+        class: "chat".into(),
+        backend: "s-2".into(),
+        ..Handover::default()
+    };
+    let successor = Successor::find(upgrade.shared.path()).unwrap();
+    successor.send(&handover, &client, &backend).unwrap();
+    drop((client, backend));
+    assert_eq!(Peer::new(own_client).rest(), "MOVE\r\n");
+}
