Manual ejection: a request is applied after what other processes have changed

Cause: each process reads the files of the other every 50 ms. Until then it took a request that repeats its own last one for a repetition, changed nothing and wrote no file.

Change: set_ejection reads the files first.

--- a/src/ops/admin.rs
+++ b/src/ops/admin.rs
@@ -259,7 +259,11 @@
     }
 
     /// Ejects a backend, or ends its manual ejection. Repeated requests have no further effect.
+    ///
+    /// What other processes have changed before is applied first: a request that repeats one of
+    /// this process may undo one of theirs.
     fn set_ejection(&mut self, id: &str, ejected: bool) -> Response {
+        self.apply_shared_changes();
         if !self.ejections.contains(id)
             && self
                 .context
