Cells: a connection is settled whether it, its endpoint or the map comes first

Cause: a change of the map looks only at connections that are up and at endpoints that are listed, and nothing looked again when they came up or were listed.

Change: requests carry the version of the map under which they were registered; connected() settles those of an older one, and a list settles the connections at endpoints that it names for the first time. All ejections follow a change of the map, also those of unlisted endpoints. A new cell gets the list as complete only if one has arrived: a cached one may be stale.

Tests: four in tests/decision_service.rs, each seen to fail before (two by an assertion, two had no migration within 60 s; they wait for 30 s now, as does the test beside them, which had no limit).

--- a/src/decision_service/cell_map.rs
+++ b/src/decision_service/cell_map.rs
@@ -13,6 +13,7 @@
 use crate::decisions::api::{
     EndpointId, EndpointListKind, EndpointState, Event, ListedEndpoint, Micros, Outcome, RequestId,
 };
+use std::collections::BTreeSet;
 
 /// A connection that changes its balancer but not its endpoint.
 struct Reassignment {
@@ -20,8 +21,8 @@
     new_balancer: usize,
 }
 
-/// A manual ejection that is left in the balancer of an endpoint's former cell.
-struct StaleEjection {
+/// A manual ejection, and the balancer that it was given to.
+struct AppliedEjection {
     balancer: usize,
     endpoint: EndpointId,
 }
@@ -34,13 +35,15 @@
             return;
         }
         let known_balancers = self.balancers.len();
+        let ejections = self.balancers_of_ejections();
         self.balancer_of_cell = (0..cells.map.cell_count())
             .map(|cell| self.find_or_add_balancer(cells.map.name(cell)))
             .collect();
         self.cells = cells;
+        self.map_version += 1;
         let reassigned = self.release_reassigned_connections(now, callbacks);
-        let stale_ejections = self.reassign_endpoints(known_balancers, now, callbacks);
-        self.reapply_manual_ejections(stale_ejections, now, callbacks);
+        self.reassign_endpoints(known_balancers, now, callbacks);
+        self.reapply_manual_ejections(ejections, now, callbacks);
         for id in reassigned {
             self.adopt_connection(id, now, callbacks);
         }
@@ -135,9 +138,8 @@
         known_balancers: usize,
         now: Micros,
         callbacks: &mut Vec<Callback>,
-    ) -> Vec<StaleEjection> {
+    ) {
         let mut updates = self.empty_updates();
-        let mut stale_ejections = Vec::new();
         let endpoints: Vec<EndpointId> = self.endpoints.keys().copied().collect();
         for endpoint in endpoints {
             let new_balancer = self.mapped_balancer(endpoint);
@@ -148,12 +150,6 @@
                 continue;
             }
             let old_balancer = std::mem::replace(&mut known.balancer, new_balancer);
-            if self.manually_ejected.contains(&endpoint) {
-                stale_ejections.push(StaleEjection {
-                    balancer: old_balancer,
-                    endpoint,
-                });
-            }
             // A cell without connections has nothing to drain.
             let state = if self.balancers[old_balancer].metrics.in_flight > 0 {
                 EndpointState::Draining
@@ -170,13 +166,24 @@
         for (balancer, endpoints) in updates.into_iter().enumerate() {
             let kind = if balancer < known_balancers {
                 EndpointListKind::Delta
-            } else {
+            } else if self.has_complete_list {
                 EndpointListKind::Full
+            } else {
+                EndpointListKind::Cached
             };
             let event = Event::EndpointList { kind, endpoints };
             self.dispatch(balancer, now, event, callbacks);
         }
-        stale_ejections
+    }
+
+    /// The manual ejections in force, also of endpoints that are not listed, with their balancers.
+    fn balancers_of_ejections(&self) -> Vec<AppliedEjection> {
+        let ejected = self.manually_ejected.iter();
+        let applied = ejected.map(|&endpoint| AppliedEjection {
+            balancer: self.balancer_of_endpoint(endpoint),
+            endpoint,
+        });
+        applied.collect()
     }
 
     /// Moves manual ejections to the new cells of their endpoints. The old cell is not notified
@@ -184,16 +191,18 @@
     /// assigned to it again.
     fn reapply_manual_ejections(
         &mut self,
-        stale_ejections: Vec<StaleEjection>,
+        ejections: Vec<AppliedEjection>,
         now: Micros,
         callbacks: &mut Vec<Callback>,
     ) {
-        for StaleEjection { balancer, endpoint } in stale_ejections {
-            let event = Event::ManualEjection {
-                endpoint,
-                ejected: false,
-            };
-            self.dispatch(balancer, now, event, callbacks);
+        for AppliedEjection { balancer, endpoint } in ejections {
+            if balancer != self.balancer_of_endpoint(endpoint) {
+                let event = Event::ManualEjection {
+                    endpoint,
+                    ejected: false,
+                };
+                self.dispatch(balancer, now, event, callbacks);
+            }
         }
         for endpoint in self.manually_ejected.clone() {
             let balancer = self.balancer_of_endpoint(endpoint);
@@ -205,6 +214,85 @@
         }
     }
 
+    /// Reassigns a connection that has come up after a change of the map, or queues it for
+    /// migration, as the change did with those that were up then.
+    pub(super) fn settle_connection(
+        &mut self,
+        id: RequestId,
+        now: Micros,
+        callbacks: &mut Vec<Callback>,
+    ) {
+        let Some(entry) = self.in_flight.get(id) else {
+            return;
+        };
+        if let Some(new_balancer) = self.reassignment_target(entry) {
+            self.release_connection(&Reassignment { id, new_balancer }, now, callbacks);
+            self.adopt_connection(id, now, callbacks);
+        } else if self.home_balancer(entry.request.group) != entry.balancer {
+            self.migrations.push(id);
+            self.schedule_migration(now);
+        }
+    }
+
+    /// Settles the connections at endpoints that a list names for the first time. They were taken
+    /// over from another process, and the map may have changed meanwhile: then the balancer that
+    /// has such a connection is not the one that gets the endpoint.
+    pub(super) fn settle_connections_at(
+        &mut self,
+        newly_listed: &BTreeSet<EndpointId>,
+        now: Micros,
+        callbacks: &mut Vec<Callback>,
+    ) {
+        if self.map_version == 0 || newly_listed.is_empty() {
+            return;
+        }
+        let is_apart = |entry: &InFlight| {
+            entry.answered
+                && newly_listed.contains(&entry.endpoint)
+                && entry.balancer != self.balancer_of_endpoint(entry.endpoint)
+        };
+        let apart: Vec<RequestId> = self
+            .in_flight
+            .iter()
+            .filter(|(_, entry)| is_apart(entry))
+            .map(|(id, _)| id)
+            .collect();
+        for id in apart {
+            let Some(entry) = self.in_flight.get(id) else {
+                continue;
+            };
+            if let Some(new_balancer) = self.reassignment_target(entry) {
+                self.release_connection(&Reassignment { id, new_balancer }, now, callbacks);
+                self.adopt_connection(id, now, callbacks);
+            } else {
+                self.drain_in_balancer(entry.balancer, entry.endpoint, now, callbacks);
+            }
+        }
+    }
+
+    /// Tells a balancer that an endpoint of another cell drains, so that it migrates the
+    /// connections that it has there.
+    fn drain_in_balancer(
+        &mut self,
+        balancer: usize,
+        endpoint: EndpointId,
+        now: Micros,
+        callbacks: &mut Vec<Callback>,
+    ) {
+        let Some(known) = self.endpoints.get(&endpoint) else {
+            return;
+        };
+        let draining = ListedEndpoint {
+            state: EndpointState::Draining,
+            ..known.listed.clone()
+        };
+        let event = Event::EndpointList {
+            kind: EndpointListKind::Delta,
+            endpoints: vec![draining],
+        };
+        self.dispatch(balancer, now, event, callbacks);
+    }
+
     /// Notifies the new balancer of a connection that has been reassigned.
     fn adopt_connection(&mut self, id: RequestId, now: Micros, callbacks: &mut Vec<Callback>) {
         let Some(entry) = self.in_flight.get(id) else {
--- a/src/decision_service/endpoint_list.rs
+++ b/src/decision_service/endpoint_list.rs
@@ -5,6 +5,7 @@
 use crate::decisions::api::{
     EndpointId, EndpointListKind, EndpointState, Event, ListedEndpoint, Micros, Settings,
 };
+use std::collections::BTreeSet;
 
 impl ServiceState {
     /// Applies an update of the endpoint list. Every balancer gets its part, even if that is empty,
@@ -16,9 +17,11 @@
         now: Micros,
         callbacks: &mut Vec<Callback>,
     ) {
+        let newly_listed = self.newly_listed(&listed);
         if matches!(kind, EndpointListKind::Full | EndpointListKind::Cached) {
             self.endpoints.clear();
         }
+        self.has_complete_list |= kind == EndpointListKind::Full;
         let mut updates = self.empty_updates();
         for endpoint in listed {
             let balancer = self.balancer_of_endpoint(endpoint.id);
@@ -30,6 +33,15 @@
             let event = Event::EndpointList { kind, endpoints };
             self.dispatch(balancer, now, event, callbacks);
         }
+        self.settle_connections_at(&newly_listed, now, callbacks);
+    }
+
+    /// The endpoints of an update that were not listed before.
+    fn newly_listed(&self, listed: &[ListedEndpoint]) -> BTreeSet<EndpointId> {
+        let new = listed.iter().filter(|endpoint| {
+            endpoint.state != EndpointState::Removed && !self.endpoints.contains_key(&endpoint.id)
+        });
+        new.map(|endpoint| endpoint.id).collect()
     }
 
     /// An empty list of changes for each balancer.
--- a/src/decision_service/in_flight.rs
+++ b/src/decision_service/in_flight.rs
@@ -48,6 +48,8 @@
     pub request: Request,
     /// Whether it belongs to the group of another cell and is borrowed by this one.
     pub borrowed: bool,
+    /// The version of the cell map under which it was registered.
+    pub map_version: u64,
     /// The endpoint of its last attempt or of its connection.
     pub endpoint: EndpointId,
     /// Attempts so far.
@@ -71,6 +73,7 @@
             balancer,
             request: request.clone(),
             borrowed: false,
+            map_version: 0,
             endpoint: EndpointId::default(),
             attempts: 0,
             answered: false,
--- a/src/decision_service/requests.rs
+++ b/src/decision_service/requests.rs
@@ -89,13 +89,19 @@
         entry.answered = true;
         let balancer = entry.balancer;
         let endpoint = entry.endpoint;
+        let map_has_changed = entry.map_version != state.map_version;
         state.balancers[balancer].metrics.connected += 1;
         let event = Event::Connected {
             id,
             endpoint,
             elapsed,
         };
-        self.dispatch(state, balancer, event);
+        self.update(state, |state, now, callbacks| {
+            state.dispatch(balancer, now, event, callbacks);
+            if map_has_changed {
+                state.settle_connection(id, now, callbacks);
+            }
+        });
         true
     }
 
--- a/src/decision_service/state.rs
+++ b/src/decision_service/state.rs
@@ -39,8 +39,12 @@
     pub settings: Settings,
     /// Parameters of all balancers.
     pub parameters: Parameters,
+    /// Number of changes of the cell map so far.
+    pub map_version: u64,
     /// The endpoint list.
     pub endpoints: BTreeMap<EndpointId, KnownEndpoint>,
+    /// Whether a complete list has arrived since the start; the cached one may be stale.
+    pub has_complete_list: bool,
     /// Endpoints that an operator has ejected, listed or not.
     pub manually_ejected: BTreeSet<EndpointId>,
     /// Connections that are not in the cell of their group.
@@ -70,7 +74,9 @@
             seed,
             settings,
             parameters,
+            map_version: 0,
             endpoints: BTreeMap::new(),
+            has_complete_list: false,
             manually_ejected: BTreeSet::new(),
             migrations: MigrationQueue::default(),
             last_event_at: 0,
@@ -82,7 +88,8 @@
     }
 
     /// Adds a request or connection and counts it.
-    pub(super) fn register(&mut self, entry: InFlight) -> RequestId {
+    pub(super) fn register(&mut self, mut entry: InFlight) -> RequestId {
+        entry.map_version = self.map_version;
         let metrics = &mut self.balancers[entry.balancer].metrics;
         metrics.in_flight += 1;
         metrics.borrowed += u32::from(entry.borrowed);
--- a/tests/decision_service.rs
+++ b/tests/decision_service.rs
@@ -12,6 +12,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 /// A call of the service to a request or connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -103,6 +104,12 @@
     }
 }
 
+/// The next call of the service to a request or connection. The limit is far longer than any test
+/// takes.
+fn next_call(bench: &Bench) -> Call {
+    bench.calls.recv_timeout(Duration::from_secs(30)).unwrap()
+}
+
 /// The endpoint and the number of the attempt that is to be made.
 fn expect_attempt(decision: Decision) -> (EndpointId, u16) {
     match decision {
@@ -164,7 +171,7 @@
         EndpointListKind::Delta,
         vec![listed(endpoint, EndpointState::Draining)],
     );
-    assert_eq!(bench.calls.recv().unwrap(), Call::Migrate);
+    assert_eq!(next_call(&bench), Call::Migrate);
     bench
         .service
         .connection_ended(pending.id, Outcome::Cancelled, vec![]);
@@ -175,7 +182,7 @@
     bench
         .service
         .record_sample(id, ConnectionSample::Delay(60 * SECOND));
-    assert_eq!(bench.calls.recv().unwrap(), Call::Migrate);
+    assert_eq!(next_call(&bench), Call::Migrate);
 }
 
 #[test]
@@ -197,6 +204,26 @@
     Cells::from_operator_file(&OperatorFile::parse(Path::new("cells"), text).unwrap()).unwrap()
 }
 
+/// One cell `a` with both endpoints, and group 2a; cell `b` is empty.
+fn both_endpoints_in_a() -> Cells {
+    let text = "[cells]\nmoves_per_second = 1000\n[[cells.cell]]\nname = 'a'\n\
+        servers = ['s-1', 's-2']\n[[cells.cell]]\nname = 'b'\nservers = ['s-3']\n\
+        [[cells.site]]\nkey = '2a'\ncell = 'a'\n";
+    Cells::from_operator_file(&OperatorFile::parse(Path::new("cells"), text.into()).unwrap())
+        .unwrap()
+}
+
+fn request_of_group_42() -> Request {
+    Request {
+        group: 42,
+        ..request(SECOND)
+    }
+}
+
+fn ready(name: &str) -> ListedEndpoint {
+    listed(endpoint_id(name), EndpointState::Ready)
+}
+
 /// The numbers of connections in flight in each cell, and of connections that wait for migration.
 fn in_flight(bench: &Bench) -> (Vec<u32>, usize) {
     let (cells, waiting) = bench.service.cell_metrics();
@@ -212,11 +239,7 @@
     bench
         .service
         .update_endpoints(EndpointListKind::Full, endpoints.to_vec());
-    let request_of_group = Request {
-        group: 42,
-        ..request(SECOND)
-    };
-    let id = bench.adopt(request_of_group, endpoint_id("s-1"));
+    let id = bench.adopt(request_of_group_42(), endpoint_id("s-1"));
     bench.service.update_cells(cells_with_group_in("a"));
     assert_eq!(in_flight(&bench), (vec![1, 0], 0));
     assert!(
@@ -226,9 +249,82 @@
     // Its new balancer knows the connection: it is migrated when its group gets another cell, and
     // no longer counted when it ends.
     bench.service.update_cells(cells_with_group_in("b"));
-    assert_eq!(bench.calls.recv().unwrap(), Call::Migrate);
+    assert_eq!(next_call(&bench), Call::Migrate);
     bench
         .service
         .connection_ended(id, Outcome::Success, Vec::new());
     assert_eq!(in_flight(&bench), (vec![0, 0], 0));
 }
+
+/// Guards against connections that stay in the cell that their group has left: only those that
+/// were up at the change of the map were migrated.
+#[test]
+fn a_connection_that_comes_up_after_its_group_changed_its_cell_is_migrated() {
+    let bench = Bench::with_endpoints(0);
+    bench
+        .service
+        .update_endpoints(EndpointListKind::Full, ["s-1", "s-2"].map(ready).to_vec());
+    bench.service.update_cells(cells_with_group_in("a"));
+    let pending = bench.submit(request_of_group_42());
+    let (endpoint, _) = expect_attempt(pending.wait());
+    assert_eq!(endpoint, endpoint_id("s-1"));
+    bench.service.update_cells(cells_with_group_in("b"));
+    assert!(bench.calls.is_empty(), "it is not up yet");
+    assert!(bench.service.connected(pending.id, 0));
+    assert_eq!(next_call(&bench), Call::Migrate);
+}
+
+/// Guards against connections that are migrated although they are in their group's cell: they were
+/// taken over before a list named their endpoint, and before the process knew the cells.
+#[test]
+fn a_connection_stays_if_the_cells_are_known_before_the_list_that_names_its_endpoint() {
+    let bench = Bench::with_endpoints(0);
+    let id = bench.adopt(request_of_group_42(), endpoint_id("s-2"));
+    bench.service.update_cells(cells_with_group_in("b"));
+    bench
+        .service
+        .update_endpoints(EndpointListKind::Full, ["s-1", "s-2"].map(ready).to_vec());
+    // The connection was queued while its endpoint was unknown; the queue is empty once it has been
+    // looked at.
+    while in_flight(&bench).1 > 0 {
+        thread::yield_now();
+    }
+    assert_eq!(in_flight(&bench), (vec![0, 1], 0));
+    assert!(bench.calls.is_empty(), "migrated out of its group's cell");
+    bench
+        .service
+        .connection_ended(id, Outcome::Success, Vec::new());
+    assert_eq!(in_flight(&bench), (vec![0, 0], 0));
+}
+
+/// Guards against connections that are never migrated from an endpoint that now belongs to another
+/// cell: the list named it only after the change of the map.
+#[test]
+fn a_connection_is_migrated_if_its_endpoint_is_listed_after_it_changed_its_cell() {
+    let bench = Bench::with_endpoints(0);
+    bench.service.update_cells(both_endpoints_in_a());
+    bench.adopt(request_of_group_42(), endpoint_id("s-2"));
+    bench.service.update_cells(cells_with_group_in("a"));
+    assert!(bench.calls.is_empty(), "nothing is known of its endpoint");
+    bench
+        .service
+        .update_endpoints(EndpointListKind::Delta, vec![ready("s-1"), ready("s-2")]);
+    assert_eq!(next_call(&bench), Call::Migrate);
+}
+
+/// Guards against a backend that stays out of use after its manual ejection has ended: the ejection
+/// was left in a cell to which the backend was assigned before a list named it.
+#[test]
+fn an_ejection_from_before_the_list_does_not_stay_in_the_cell_that_the_endpoint_left() {
+    let bench = Bench::with_endpoints(0);
+    bench.service.update_cells(both_endpoints_in_a());
+    bench.service.set_manual_ejection(endpoint_id("s-2"), true);
+    bench.service.update_cells(cells_with_group_in("a"));
+    bench
+        .service
+        .update_endpoints(EndpointListKind::Full, ["s-1", "s-2"].map(ready).to_vec());
+    assert_eq!(bench.service.unavailable_endpoints(), 1);
+    bench.service.set_manual_ejection(endpoint_id("s-2"), false);
+    bench.service.update_cells(both_endpoints_in_a());
+    assert_eq!(bench.service.unavailable_endpoints(), 0);
+}
