Takeover: the new process knows when a backend last sent something

Cause: the handover packet does not have that time; the time of the oldest unanswered line stood in.

Change: an optional field, heard_ms. An older build ignores it, and without it all is as before. The packets of the older build are still decoded and encoded alike.

Tests: two in tests/takeover.rs, which failed before (no time in the packet; the connection whose backend had been silent for longest ended last).

--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -96,6 +96,7 @@
             asked_ms: self
                 .unanswered_since
                 .map(|at| now.saturating_sub(at) / 1_000),
+            heard_ms: Some(now.saturating_sub(self.last_heard) / 1_000),
             seen: self.to_client_ready,
             up: self.to_backend.unread().to_vec(),
             down: self.to_client.unread().to_vec(),
@@ -124,8 +125,10 @@
         handover: Handover,
     ) {
         let now = self.now();
-        self.unanswered_since = handover.asked_ms.map(|ms| now.saturating_sub(ms * 1_000));
-        self.last_heard = self.unanswered_since.unwrap_or(now);
+        let ago = |ms: u64| now.saturating_sub(ms.saturating_mul(1_000));
+        self.unanswered_since = handover.asked_ms.map(ago);
+        let heard_at = handover.heard_ms.map(ago);
+        self.last_heard = heard_at.or(self.unanswered_since).unwrap_or(now);
         self.to_backend = Buffer::from_bytes(handover.up);
         (self.to_client, self.to_client_ready) = (Buffer::from_bytes(handover.down), handover.seen);
         (self.session, self.record) = (Some(session), Some(record));
--- a/src/platform/takeover.rs
+++ b/src/platform/takeover.rs
@@ -47,6 +47,9 @@
     pub age_ms: u64,
     /// How long ago its oldest unanswered line was forwarded, in milliseconds.
     pub asked_ms: Option<u64>,
+    /// How long ago its backend last sent something, in milliseconds; none from a build that does
+    /// not tell.
+    pub heard_ms: Option<u64>,
     /// How many bytes of `down` have been parsed.
     pub seen: usize,
     /// Bytes from the client that have not been forwarded yet.
@@ -58,12 +61,15 @@
 impl Handover {
     /// Encodes the packet: a line of JSON, then the bytes of both directions.
     pub fn encode(&self) -> Vec<u8> {
-        let header = simd_json::json!({
+        let mut header = simd_json::json!({
             "name": self.name.clone(), "class": self.class.clone(), "backend": self.backend.clone(),
             "key": self.key, "group": self.group,
             "attempts": self.attempts, "age_ms": self.age_ms, "asked_ms": self.asked_ms,
             "seen": self.seen as u64, "up": self.up.len() as u64
         });
+        if let Some(heard_ms) = self.heard_ms {
+            let _ = header.insert("heard_ms", heard_ms);
+        }
         [header.encode().as_bytes(), b"\n", &self.up, &self.down].concat()
     }
 
@@ -102,6 +108,7 @@
             attempts: number("attempts")? as u16,
             age_ms: number("age_ms")?,
             asked_ms: number("asked_ms").ok(),
+            heard_ms: number("heard_ms").ok(),
             seen,
             up: bytes[..up].to_vec(),
             down: bytes[up..].to_vec(),
@@ -326,6 +333,7 @@
             attempts: 2,
             age_ms: 7,
             asked_ms: Some(3),
+            heard_ms: Some(4),
             seen: 2,
             up: b"half\xff\n".to_vec(),
             down: b"M\r\n\n".to_vec(),
@@ -333,6 +341,7 @@
         assert_eq!(Handover::decode(&handover.encode()), Ok(handover.clone()));
         let never_asked = Handover {
             asked_ms: None,
+            heard_ms: None,
             up: Vec::new(),
             down: Vec::new(),
             seen: 0,
--- a/tests/older_build/takeover.rs
+++ b/tests/older_build/takeover.rs
@@ -18,6 +18,7 @@
         attempts: 2,
         age_ms: 7_000,
         asked_ms,
+        heard_ms: None,
         seen: 3,
         up: b"half\xff\n".to_vec(),
         down: b"M\r\n\nrest".to_vec(),
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -585,6 +585,13 @@
         self.times_logged(part) > 0
     }
 
+    /// The one of these texts that was logged first.
+    pub fn first_logged<'a>(&self, parts: &[&'a str]) -> Option<&'a str> {
+        let log = self.log.lock().unwrap();
+        let logged = |line: &String| parts.iter().copied().find(|part| line.contains(part));
+        log.iter().find_map(logged)
+    }
+
     pub fn times_logged(&self, part: &str) -> usize {
         self.log
             .lock()
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -7,6 +7,7 @@
 use jaspermoor::platform::takeover::{Handover, Successor};
 use peers::*;
 use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
 
 /// The processes of an upgrade: what they share, and the configuration of both.
 struct Upgrade {
@@ -103,3 +104,66 @@
     drop((client, backend));
     assert_eq!(Peer::new(own_client).rest(), "MOVE\r\n");
 }
+
+/// Guards against connections that are kept for too long after an upgrade: the process that took
+/// them over did not know when their backends had last sent something.
+#[test]
+fn a_silent_backend_is_given_up_by_the_time_of_its_last_line_in_the_earlier_process() {
+    let upgrade = Upgrade::new();
+    let relay = upgrade.start();
+    let successor = Successor::find(upgrade.shared.path()).unwrap();
+    let handover = |name: &str, asked_ms, heard_ms| Handover {
+        name: name.into(),
+        class: "chat".into(),
+        backend: "s-1".into(),
+        asked_ms: Some(asked_ms),
+        heard_ms,
+        ..Handover::default()
+    };
+    // An older build does not tell. Its connection ends later, although its line has waited for
+    // longer.
+    let cases = [("told", 4_100, Some(6_500)), ("untold", 4_500, None)];
+    let _sides = cases.map(|(name, asked_ms, heard_ms)| {
+        let [(client, own_client), (backend, own_backend)] = connection();
+        let handover = handover(name, asked_ms, heard_ms);
+        successor.send(&handover, &client, &backend).unwrap();
+        (own_client, own_backend)
+    });
+    relay.wait_for_log("end id=untold ");
+    let order = relay.first_logged(&["end id=told ", "end id=untold "]);
+    assert_eq!(order, Some("end id=told "));
+}
+
+/// The process that stops tells how long ago the backend last sent something.
+#[test]
+fn a_handover_tells_when_the_backend_last_sent_something() {
+    let upgrade = Upgrade::new();
+    let (relay, mut client, mut backend) = upgrade.start_with_connection_at_s2();
+    backend.send("M 1");
+    assert_eq!(client.line(), "M 1");
+    let heard_by = Instant::now();
+    until("some time without a line", || {
+        (heard_by.elapsed() > Duration::from_millis(50)).then_some(())
+    });
+    client.send("M 2");
+    assert_eq!(backend.line(), "M 2");
+    let asked_by = Instant::now();
+    let listener =
+        jaspermoor::platform::takeover::HandoverListener::open(upgrade.shared.path()).unwrap();
+    relay.signal("TERM");
+    let mut predecessor = until("the link", || listener.accept().ok());
+    let mut handovers = Vec::new();
+    until("the connection", || {
+        predecessor.receive(1, &mut |handed_over| handovers.push(handed_over.0));
+        (!handovers.is_empty()).then_some(())
+    });
+    let Handover {
+        asked_ms, heard_ms, ..
+    } = &handovers[0];
+    let between = asked_by.duration_since(heard_by).as_millis() as u64;
+    let (asked_ms, heard_ms) = (asked_ms.unwrap(), heard_ms.unwrap());
+    assert!(
+        heard_ms + 1 >= asked_ms + between.min(50),
+        "{heard_ms} {asked_ms} {between}"
+    );
+}
