Upgrade: the second process starts with the endpoint list of the first

Cause: the second process knows only `known` of its configuration until discovery answers it, and nothing passed on what the first one knew.

Change: a process that starts asks the running one, over the socket of the takeover, for its list, which comes in a memory file in discovery's form, since it may be longer than a packet. It stands in for an older `known`, with its version, so that the watch asks for what has changed since. Rejected: a file that each update writes, since it outlives its process and costs a write of the whole list each time. What sends packets and descriptors is a module of its own, shared by both uses.

Test: a_second_process_sends_nothing_to_a_backend_that_the_first_knows_to_drain; without the change the first connection goes to s-1.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -19,10 +19,11 @@
 use jaspermoor::ops::manual_ejections::ManualEjections;
 use jaspermoor::platform::directory::Directory;
 use jaspermoor::platform::discovery::{WatchControl, WatchMode, Watcher};
+use jaspermoor::platform::list_transfer::{self, ReceivedList};
 use jaspermoor::sys::{spawn, SMALL_STACK_BYTES};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::{Handle, Signals};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 use tracing::level_filters::LevelFilter;
@@ -87,7 +88,11 @@
     let request_watch = Box::new(move |on| watch_requests.request_watch(on));
     let (health_checks, health_check_requests) = bounded(64);
     let directory = Arc::new(Directory::default());
+    if let (true, Some(dir)) = (listener.inherited, config.shared_directory.clone()) {
+        adopt_list_of_running_process(&mut config, &dir);
+    }
     directory.update(true, &config.known);
+    directory.set_source(config.known_version, config.discovery);
     for problem in &config.known_problems {
         log(&format!("known: an entry was left out: {problem}"));
     }
@@ -278,6 +283,36 @@
     Ok(())
 }
 
+/// Uses the endpoint list of the process that serves in this directory, if there is one, in place
+/// of an older one in the configuration.
+fn adopt_list_of_running_process(config: &mut Config, dir: &Path) {
+    let received = match list_transfer::request(dir) {
+        Ok(Some(list)) => list_transfer::decode(list, &config.names.zones),
+        Ok(None) => return,
+        Err(e) => Err(e.to_string()),
+    };
+    let ReceivedList { update, discovery } = match received {
+        Ok(received) => received,
+        Err(e) => {
+            return log(&format!(
+                "takeover: the list of the running process is not used: {e}"
+            ))
+        }
+    };
+    let same_discovery = discovery == Some(config.discovery);
+    if same_discovery && update.version < config.known_version {
+        return;
+    }
+    log(&format!(
+        "takeover: the list of the running process is used: version {}, {} entries",
+        update.version,
+        update.entries.len()
+    ));
+    // Versions of one address mean nothing at another: the whole list is requested there.
+    config.known_version = if same_discovery { update.version } else { 0 };
+    config.known = update.entries;
+}
+
 /// Stack of the event loop thread, which parses list updates and does TLS handshakes. The kernel
 /// commits only the pages that are used.
 const EVENT_LOOP_STACK_BYTES: usize = 1024 * 1024;
--- a/src/net/event_loop/adoption.rs
+++ b/src/net/event_loop/adoption.rs
@@ -6,7 +6,8 @@
 use crate::net::connection::{BackendSide, Connection};
 use crate::net::link::Link;
 use crate::net::session::{ConnectionRecord, Session};
-use crate::platform::takeover::{HandedOver, LinkState};
+use crate::platform::list_transfer;
+use crate::platform::takeover::{HandedOver, LinkState, Message, Predecessor};
 use crate::protocol::line::LineForwarder;
 use crate::sys::timed_out;
 use std::io;
@@ -41,8 +42,14 @@
         let Some(mut predecessor) = self.predecessors.remove(&n) else {
             return;
         };
-        let mut handovers = Vec::new();
-        let state = predecessor.receive(MAX_PER_TURN, &mut |p| handovers.push(p));
+        let (mut handovers, mut list_requested) = (Vec::new(), false);
+        let state = predecessor.receive(MAX_PER_TURN, &mut |message| match message {
+            Message::Connection(handover) => handovers.push(handover),
+            Message::ListRequest => list_requested = true,
+        });
+        if list_requested {
+            self.send_list(&predecessor);
+        }
         if state == LinkState::Open {
             self.predecessors.insert(n, predecessor);
         }
@@ -51,6 +58,15 @@
             .for_each(|handover| self.adopt_connection(handover));
     }
 
+    /// Sends the endpoint list to a process that has started beside this one.
+    fn send_list(&self, to: &Predecessor) {
+        let snapshot = self.shared.directory.snapshot();
+        let list = list_transfer::encode(&snapshot, &self.names.zones);
+        if let Err(e) = to.send_list(&list) {
+            log(&format!("takeover: the endpoint list was not sent: {e}"));
+        }
+    }
+
     /// Takes over a connection that was established in another process of this relay.
     fn adopt_connection(&mut self, (handover, client, backend): HandedOver) {
         let shared = self.shared.clone();
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -2,13 +2,32 @@
 
 use crate::config::endpoint_list::BackendAddress;
 use crate::decisions::api::{EndpointId, EndpointState, ListedEndpoint};
-use crate::sys::Wake;
+use crate::sys::{lock, Wake};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 
-/// A listed backend: its address, its state, and the index of its zone in the settings.
-type Entry = (BackendAddress, EndpointState, u16);
+/// A listed backend: its address, and its entry in the list.
+type Entry = (BackendAddress, ListedEndpoint);
+
+/// The endpoint list, for another process of this relay.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ListSnapshot {
+    /// The version of the list; 0 if it has none.
+    pub version: u64,
+    /// The discovery address that the version is of.
+    pub discovery: Option<SocketAddr>,
+    /// All listed backends.
+    pub entries: Vec<(BackendAddress, ListedEndpoint)>,
+}
+
+/// Where the list is from.
+#[derive(Clone, Copy, Default)]
+struct ListSource {
+    version: u64,
+    discovery: Option<SocketAddr>,
+}
 
 /// The listed backends, and which of them accept new requests.
 #[derive(Default)]
@@ -18,6 +37,7 @@
     manually_ejected: Mutex<BTreeSet<EndpointId>>,
     /// The number of list updates so far.
     version: AtomicU64,
+    source: Mutex<ListSource>,
     on_change: OnceLock<Wake>,
 }
 
@@ -50,7 +70,7 @@
         for (address, listed) in entries {
             match listed.state {
                 EndpointState::Removed => drop(backends.remove(&listed.id)),
-                state => drop(backends.insert(listed.id, (address.clone(), state, listed.zone))),
+                _ => drop(backends.insert(listed.id, (address.clone(), listed.clone()))),
             }
         }
         drop(backends);
@@ -58,6 +78,24 @@
         self.on_change.get().iter().for_each(|wake| wake());
     }
 
+    /// Records the version of the list after an update, and the discovery address that it is of.
+    pub fn set_source(&self, version: u64, discovery: SocketAddr) {
+        *lock(&self.source) = ListSource {
+            version,
+            discovery: Some(discovery),
+        };
+    }
+
+    /// The list. The version is read first: entries may be newer, and are then updated twice.
+    pub fn snapshot(&self) -> ListSnapshot {
+        let ListSource { version, discovery } = *lock(&self.source);
+        ListSnapshot {
+            version,
+            discovery,
+            entries: self.lock_backends().values().cloned().collect(),
+        }
+    }
+
     /// The name and address of a listed backend.
     pub fn backend_address(&self, endpoint: EndpointId) -> Option<BackendAddress> {
         self.lock_backends()
@@ -75,16 +113,15 @@
         let ready = self
             .lock_backends()
             .get(&endpoint)
-            .is_some_and(|&(_, state, _)| state == EndpointState::Ready);
+            .is_some_and(|(_, listed)| listed.state == EndpointState::Ready);
         ready && !self.lock_manually_ejected().contains(&endpoint)
     }
 
     /// The available backends of a zone, given by its index in the settings.
     pub fn available_in_zone(&self, zone: u16) -> Vec<EndpointId> {
         let ejected = self.lock_manually_ejected().clone();
-        let is_ready_in_zone = |(_, state, backend_zone): &Entry| {
-            *state == EndpointState::Ready && *backend_zone == zone
-        };
+        let is_ready_in_zone =
+            |(_, listed): &Entry| listed.state == EndpointState::Ready && listed.zone == zone;
         let backends = self.lock_backends();
         let available = backends
             .iter()
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -338,7 +338,7 @@
             while let Some(item) = response.next_item()? {
                 item_received = true;
                 if let ResponseItem::Object(mut object) = item {
-                    self.apply_object(&mut object)?;
+                    self.apply_object(&mut object, call.addr)?;
                 }
             }
             if item_received {
@@ -358,7 +358,7 @@
     }
 
     /// Applies one JSON object of the response.
-    fn apply_object(&mut self, object: &mut [u8]) -> Result<(), String> {
+    fn apply_object(&mut self, object: &mut [u8], discovery: SocketAddr) -> Result<(), String> {
         let parsed = check_nesting(object).and_then(|()| {
             let value = simd_json::to_owned_value(object).map_err(|e| format!("not JSON: {e}"))?;
             parse_list_update(&value, &self.names.zones)
@@ -389,6 +389,7 @@
         // The directory first: the network code checks it again right before it sends the first
         // byte to a backend.
         self.directory.update(update.full, &update.entries);
+        self.directory.set_source(version, discovery);
         let kind = if update.full {
             EndpointListKind::Full
         } else {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,4 +6,6 @@
 pub mod discovery_response;
 pub mod health_check;
 pub mod ledger;
+pub mod list_transfer;
+mod packet_socket;
 pub mod takeover;
--- a/src/platform/takeover.rs
+++ b/src/platform/takeover.rs
@@ -1,27 +1,22 @@
 //! Takeover of established connections by the next process of this relay.
 //!
 //! A process that stops sends its successor, for each connection, both sockets and one packet with
-//! the connection's state. All processes of a relay share a directory; the one that started last
+//! the connection's state. A process that starts asks the one before for its endpoint list
+//! ([`list_transfer`]). All processes of a relay share a directory; the one that started last
 //! listens on a Unix socket there, where a process that stops looks for its successor.
 
+use super::list_transfer::{self, LIST_REQUEST};
+use super::packet_socket::{connect, receive_packet, send_packet, seqpacket_socket, SOCKET_NAME};
 use crate::log::log;
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::net::sockopt::get_socket_peercred;
-use rustix::net::{
-    accept_with, bind_unix, connect_unix, listen, recvmsg, sendmsg, socket_with, AddressFamily,
-    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
-    SendAncillaryMessage, SendFlags, SocketAddrUnix, SocketFlags, SocketType,
-};
+use rustix::net::{accept_with, bind_unix, listen, SocketAddrUnix, SocketFlags};
 use simd_json::prelude::*;
 use std::fs;
-use std::io::{self, IoSlice, IoSliceMut};
+use std::io;
 use std::net::TcpStream;
 use std::path::Path;
 
-/// The file name of the socket. Its number is the version of the packet format: a release with
-/// another format uses another name, so the two do not find each other, and established connections
-/// are migrated instead.
-const SOCKET_NAME: &str = "jaspermoor-takeover-1";
 /// The longest packet.
 const MAX_PACKET_BYTES: usize = 64 * 1024;
 /// The most buffered bytes with which a connection can be handed over. One with more has a client
@@ -116,24 +111,13 @@
     }
 }
 
-/// A Unix socket that keeps packet boundaries.
-fn seqpacket_socket(flags: SocketFlags) -> io::Result<OwnedFd> {
-    Ok(socket_with(
-        AddressFamily::UNIX,
-        SocketType::SEQPACKET,
-        flags | SocketFlags::CLOEXEC,
-        None,
-    )?)
-}
-
 /// The link to the process that takes over this one's connections.
 pub struct Successor(OwnedFd);
 
 impl Successor {
     /// Connects to the process that started last, unless it is gone or is this one.
     pub fn find(dir: &Path) -> Option<Successor> {
-        let link = seqpacket_socket(SocketFlags::NONBLOCK).ok()?;
-        connect_unix(&link, &SocketAddrUnix::new(dir.join(SOCKET_NAME)).ok()?).ok()?;
+        let link = connect(dir)?;
         let pid = get_socket_peercred(&link).ok()?.pid.as_raw_nonzero().get();
         (pid as u32 != std::process::id()).then_some(Successor(link))
     }
@@ -145,18 +129,11 @@
         client: &TcpStream,
         backend: &TcpStream,
     ) -> io::Result<()> {
-        let fds = [client.as_fd(), backend.as_fd()];
-        let mut space = [0; rustix::cmsg_space!(ScmRights(2))];
-        let mut control = SendAncillaryBuffer::new(&mut space);
-        control.push(SendAncillaryMessage::ScmRights(&fds));
-        let packet = handover.encode();
-        sendmsg(
+        send_packet(
             &self.0,
-            &[IoSlice::new(&packet)],
-            &mut control,
-            SendFlags::NOSIGNAL,
-        )?;
-        Ok(())
+            &handover.encode(),
+            &[client.as_fd(), backend.as_fd()],
+        )
     }
 }
 
@@ -215,64 +192,77 @@
     Closed,
 }
 
+/// A message of another process of this relay.
+pub enum Message {
+    /// A connection that it hands over.
+    Connection(HandedOver),
+    /// It asks for the endpoint list.
+    ListRequest,
+}
+
 impl Predecessor {
-    /// Receives the connections that have arrived, at most `limit` of them.
-    pub fn receive(&mut self, limit: usize, adopt: &mut dyn FnMut(HandedOver)) -> LinkState {
+    /// Receives the messages that have arrived, at most `limit` of them.
+    pub fn receive(&mut self, limit: usize, handle: &mut dyn FnMut(Message)) -> LinkState {
         let mut packet = vec![0; MAX_PACKET_BYTES];
         for _ in 0..limit {
-            let mut space = [0; rustix::cmsg_space!(ScmRights(2))];
-            let mut control = RecvAncillaryBuffer::new(&mut space);
-            let mut parts = [IoSliceMut::new(&mut packet)];
-            let n = match recvmsg(
-                &self.link,
-                &mut parts,
-                &mut control,
-                RecvFlags::CMSG_CLOEXEC,
-            ) {
-                Ok(message) => message.bytes,
+            let (n, descriptors) = match receive_packet(&self.link, &mut packet) {
+                Ok(received) => received,
                 Err(rustix::io::Errno::INTR) => continue,
                 Err(rustix::io::Errno::AGAIN) => return LinkState::Open,
                 Err(e) => {
                     log(&format!("takeover: {e}"));
-                    0
+                    (0, Vec::new())
                 }
             };
             if n == 0 {
-                // A process without a successor finds its own socket when it stops, and connects to
-                // itself: that is not worth a log line.
-                if self.received > 0 {
-                    log(&format!(
-                        "takeover: {} connections taken over",
-                        self.received
-                    ));
-                }
+                self.log_received();
                 return LinkState::Closed;
             }
-            let mut fds = Vec::new();
-            for message in control.drain() {
-                if let RecvAncillaryMessage::ScmRights(rights) = message {
-                    fds.extend(rights.map(TcpStream::from));
+            match parse_message(&packet[..n], descriptors) {
+                Ok(message) => {
+                    self.received += usize::from(matches!(message, Message::Connection(_)));
+                    handle(message);
                 }
-            }
-            match (Handover::decode(&packet[..n]), fds.pop(), fds.pop()) {
-                (Ok(handover), Some(backend), Some(client)) => {
-                    self.received += 1;
-                    adopt((handover, client, backend));
-                }
-                (Ok(_), ..) => {
-                    log("takeover: a packet without its sockets: no file descriptors are left")
-                }
-                (Err(e), ..) => log(&format!("takeover: {e}")),
+                Err(e) => log(&format!("takeover: {e}")),
             }
         }
         LinkState::Open
     }
+
+    /// Sends the endpoint list, encoded by [`list_transfer::encode`].
+    pub fn send_list(&self, list: &[u8]) -> io::Result<()> {
+        list_transfer::send(&self.link, list)
+    }
+
+    /// Logs how many connections were taken over. A process without a successor finds its own
+    /// socket when it stops, and connects to itself: that is not worth a log line.
+    fn log_received(&self) {
+        if self.received > 0 {
+            log(&format!(
+                "takeover: {} connections taken over",
+                self.received
+            ));
+        }
+    }
+}
+
+/// Parses a packet with its descriptors; the error tells what is wrong with it.
+fn parse_message(packet: &[u8], descriptors: Vec<OwnedFd>) -> Result<Message, String> {
+    if packet == LIST_REQUEST {
+        return Ok(Message::ListRequest);
+    }
+    let handover = Handover::decode(packet)?;
+    let mut sockets = descriptors.into_iter().map(TcpStream::from);
+    match (sockets.next(), sockets.next()) {
+        (Some(client), Some(backend)) => Ok(Message::Connection((handover, client, backend))),
+        _ => Err("a packet without its sockets: no file descriptors are left".into()),
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use rustix::net::socketpair;
+    use rustix::net::{socketpair, AddressFamily, SocketType};
 
     /// Both sockets arrive with their packet. A successor that reads nothing must not block the
     /// sender: a full queue is an error.
@@ -301,7 +291,10 @@
         assert!(sent > 0 && crate::sys::timed_out(&error), "{sent}: {error}");
         drop(successor);
         let (mut adopted, mut predecessor) = (0, Predecessor { link, received: 0 });
-        let mut adopt = |(received, received_client, received_backend): HandedOver| {
+        let mut adopt = |message: Message| {
+            let Message::Connection((received, received_client, received_backend)) = message else {
+                panic!("a list request")
+            };
             assert_eq!(received, handover);
             assert_eq!(
                 received_client.local_addr().unwrap(),
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod peers;
 
-use jaspermoor::platform::takeover::{Handover, Successor};
+use jaspermoor::platform::takeover::{Handover, HandoverListener, Message, Successor};
 use peers::*;
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -72,6 +72,39 @@
     }
 }
 
+/// Guards against new connections to a backend that drains: the second process knew only the list
+/// of its configuration for as long as discovery did not answer.
+#[test]
+fn a_second_process_sends_nothing_to_a_backend_that_the_first_knows_to_drain() {
+    let upgrade = Upgrade::new();
+    let mut old = upgrade.start();
+    let mut watch = upgrade.fleet.accept_watch();
+    let entry = |name, state| upgrade.fleet.entry(name, state);
+    watch.send_list(2, false, &[entry("s-1", "leaving"), entry("s-2", "active")]);
+    old.wait_for_log("discovery: version 2");
+    let new = upgrade.start();
+    // Its call is not answered. It asks for what has changed since the list of the first process.
+    let (_call, line) = upgrade.fleet.discovery.accept_call();
+    assert!(
+        line.starts_with("GET /v1/endpoints?watch=1&after=2 "),
+        "{line}"
+    );
+    old.signal("TERM");
+    assert!(old.exit().success());
+    let pairs: Vec<_> = (0..10)
+        .map(|n| {
+            let mut client = new.client();
+            client.send(&format!("OPEN 0{n} {n}f c=chat,d=60000"));
+            let (name, mut backend) = upgrade.fleet.accept_any();
+            backend.line();
+            backend.send("UP r");
+            assert_eq!((client.line().as_str(), name.as_str()), ("UP r", "s-2"));
+            (client, backend)
+        })
+        .collect();
+    assert_eq!(pairs.len(), 10);
+}
+
 /// A client's and a backend's connection that can be handed over, with the test's sides.
 fn connection() -> [(TcpStream, TcpStream); 2] {
     [(); 2].map(|()| {
@@ -148,13 +181,15 @@
     client.send("M 2");
     assert_eq!(backend.line(), "M 2");
     let asked_by = Instant::now();
-    let listener =
-        jaspermoor::platform::takeover::HandoverListener::open(upgrade.shared.path()).unwrap();
+    let listener = HandoverListener::open(upgrade.shared.path()).unwrap();
     relay.signal("TERM");
     let mut predecessor = until("the link", || listener.accept().ok());
     let mut handovers = Vec::new();
     until("the connection", || {
-        predecessor.receive(1, &mut |handed_over| handovers.push(handed_over.0));
+        predecessor.receive(1, &mut |message| match message {
+            Message::Connection((handover, ..)) => handovers.push(handover),
+            Message::ListRequest => panic!("a process that stops asks for nothing"),
+        });
         (!handovers.is_empty()).then_some(())
     });
     let Handover {
