Upgrade: the second process asks discovery where a reload has moved it

Cause: at a start BALANCER_DISCOVERY wins over the file, though the first process knows that the file is newer.

Change: the list that the running process passes on tells which address it is of. Where that is the file's, it wins over the variable. Nothing changes without a running process, or where it goes elsewhere.

Test: a_second_process_asks_discovery_where_a_new_configuration_has_moved_it failed before (first call at the old address, for the whole list). Its first form passed without the change, by the renewal of the first process's watch, and was replaced.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -78,6 +78,9 @@
             .map_err(|e| format!("listen: cannot listen on {}: {e}", config.listen))?,
     };
     let (address, listener) = (listener.addr()?, Arc::new(listener));
+    if let (true, Some(dir)) = (listener.inherited, config.shared_directory.clone()) {
+        adopt_list_of_running_process(&mut config, &dir);
+    }
     let mode = if config.settings.polls_endpoint_list {
         WatchMode::OnRequest
     } else {
@@ -88,9 +91,6 @@
     let request_watch = Box::new(move |on| watch_requests.request_watch(on));
     let (health_checks, health_check_requests) = bounded(64);
     let directory = Arc::new(Directory::default());
-    if let (true, Some(dir)) = (listener.inherited, config.shared_directory.clone()) {
-        adopt_list_of_running_process(&mut config, &dir);
-    }
     directory.update(true, &config.known);
     directory.set_source(config.known_version, config.discovery);
     for problem in &config.known_problems {
@@ -285,6 +285,9 @@
 
 /// Uses the endpoint list of the process that serves in this directory, if there is one, in place
 /// of an older one in the configuration.
+///
+/// That process may have moved its watch to the address in the file since the start. The variable,
+/// which wins over the file at a start, is older then.
 fn adopt_list_of_running_process(config: &mut Config, dir: &Path) {
     let received = match list_transfer::request(dir) {
         Ok(Some(list)) => list_transfer::decode(list, &config.names.zones),
@@ -299,6 +302,10 @@
             ))
         }
     };
+    let address_of_file = config.discovery_of_file();
+    if let Some(address) = discovery.filter(|address| Some(*address) == address_of_file) {
+        config.discovery = address;
+    }
     let same_discovery = discovery == Some(config.discovery);
     if same_discovery && update.version < config.known_version {
         return;
@@ -389,6 +396,10 @@
     }
     *config = new;
     let relocated = watch_control.relocate(config.discovery);
+    if relocated {
+        // Versions of one address mean nothing at another.
+        shared_state.directory.set_source(0, config.discovery);
+    }
     if relocated && config.settings.polls_endpoint_list {
         shared_state
             .decisions
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -244,6 +244,11 @@
         Ok((new, needs_restart))
     }
 
+    /// The discovery address of the file, which may differ from the one that a variable has given.
+    pub fn discovery_of_file(&self) -> Option<SocketAddr> {
+        self.template.get("discovery")?.as_str()?.parse().ok()
+    }
+
     /// Parses the text of a configuration file.
     pub fn parse(mut text: Vec<u8>, env: Env<'_>) -> Result<Config, ConfigError> {
         endpoint_list::check_nesting(&text)
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -233,12 +233,15 @@
 
     /// Accepts the relay's next call and reads its request line; the test sends the response.
     pub fn accept_call(&self) -> (Peer, String) {
-        let mut peer = until("a call", || {
-            self.0.accept().ok().map(|(stream, _)| Peer::new(stream))
-        });
+        until("a call", || self.try_accept_call())
+    }
+
+    /// The same, if a call is waiting.
+    pub fn try_accept_call(&self) -> Option<(Peer, String)> {
+        let mut peer = self.0.accept().ok().map(|(stream, _)| Peer::new(stream))?;
         let line = peer.line();
         while !peer.line().is_empty() {}
-        (peer, line)
+        Some((peer, line))
     }
 
     /// Accepts the relay's watch, whose request line must begin with `request`.
@@ -457,8 +460,21 @@
     /// Starts a relay with an admin address, as one of the processes that share a listening socket
     /// and a directory for files.
     pub fn start_shared(config: &str, listener: &TcpListener, shared: &Path) -> Relay {
+        Relay::start_shared_with(config, listener, shared, None)
+    }
+
+    /// The same with, if given, this value of `BALANCER_DISCOVERY`.
+    pub fn start_shared_with(
+        config: &str,
+        listener: &TcpListener,
+        shared: &Path,
+        discovery: Option<SocketAddr>,
+    ) -> Relay {
         let path = file(config);
-        let relay = program("serve", &path);
+        let mut relay = program("serve", &path);
+        if let Some(discovery) = discovery {
+            relay.env("BALANCER_DISCOVERY", discovery.to_string());
+        }
         // The shell moves the socket to the descriptor at which the platform passes it.
         let mut command = Command::new("sh");
         command
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -105,6 +105,35 @@
     assert_eq!(pairs.len(), 10);
 }
 
+/// Guards against a second process that asks an address which a new configuration has replaced: the
+/// variable that it is started with is as old as the first process.
+#[test]
+fn a_second_process_asks_discovery_where_a_new_configuration_has_moved_it() {
+    let upgrade = Upgrade::new();
+    let (earlier, discovery) = (Discovery::new(), &upgrade.fleet.discovery);
+    let start = |config: &str| {
+        let shared = upgrade.shared.path();
+        Relay::start_shared_with(config, &upgrade.held, shared, Some(earlier.addr()))
+    };
+    let moved = upgrade.config.as_str();
+    let old = start(&moved.replace(&discovery.addr().to_string(), &earlier.addr().to_string()));
+    let _earlier_watch = earlier.accept_watch("GET /v1/endpoints?watch=1&after=1 ");
+    old.reload(moved);
+    let mut watch = upgrade.fleet.accept_watch();
+    watch.send_list(9, true, &[upgrade.fleet.entry("s-2", "active")]);
+    old.wait_for_log("discovery: version 9");
+    let _new = start(moved);
+    let (is_moved, (_call, line)) = until("a call of the second process", || {
+        let at_earlier = earlier.try_accept_call().map(|call| (false, call));
+        at_earlier.or_else(|| Some((true, discovery.try_accept_call()?)))
+    });
+    // The version is that of the new address, too.
+    assert!(
+        line.starts_with("GET /v1/endpoints?watch=1&after=9 ") && is_moved,
+        "{line}"
+    );
+}
+
 /// A client's and a backend's connection that can be handed over, with the test's sides.
 fn connection() -> [(TcpStream, TcpStream); 2] {
     [(); 2].map(|()| {
