--- a/src/decisions/endpoints.rs
+++ b/src/decisions/endpoints.rs
@@ -53,8 +53,8 @@
     pub ready: bool,
     /// Removed from the list, or never in it.
     pub removed: bool,
-    /// Whether a list has told its state: one that names it, or a complete one that does not.
-    pub is_told: bool,
+    /// Whether a list has reported its state: one that names it, or a complete one that does not.
+    pub is_reported: bool,
     /// When it last ceased to be ready; 0 if it never did.
     pub unavailable_since: Micros,
     /// When its process started, according to the list.
@@ -171,12 +171,12 @@
         self.in_flight -= 1;
     }
 
-    /// Whether the connections of an endpoint have to be migrated: a list has told that it takes no
-    /// new requests, or an operator has ejected it.
+    /// Whether the connections of an endpoint have to be migrated: a list has reported that it
+    /// takes no new requests, or an operator has ejected it.
     pub(super) fn is_leaving(&self, index: EndpointIndex) -> bool {
         let endpoint = &self.entries[index];
         let availability = &endpoint.availability;
-        (availability.is_told && !availability.ready)
+        (availability.is_reported && !availability.ready)
             || self.manually_ejected.contains(&endpoint.id)
     }
 
@@ -312,7 +312,7 @@
             self.endpoints.make_unavailable(index, self.now);
             let availability = &mut self.endpoints[index].availability;
             availability.removed = true;
-            availability.is_told |= kind == EndpointListKind::Full;
+            availability.is_reported |= kind == EndpointListKind::Full;
             if !was_leaving && self.endpoints.is_leaving(index) {
                 leaving.push(id);
             }
@@ -344,11 +344,11 @@
             self.endpoints.make_unavailable(index, self.now);
         }
         let endpoint = &mut self.endpoints[index];
-        if listed_ready && !ready && !endpoint.availability.is_told {
+        if listed_ready && !ready && !endpoint.availability.is_reported {
             // It was ejected before any list named it.
             endpoint.availability.unavailable_since = self.now;
         }
-        endpoint.availability.is_told = true;
+        endpoint.availability.is_reported = true;
         endpoint.availability.listed_ready = listed_ready;
         endpoint.availability.ready = ready;
         endpoint.availability.removed = removed;
--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -44,7 +44,7 @@
     active: bool,
     /// Time of the last such message, or of the accept.
     since: Instant,
-    /// Whether the connection was told to end, to make room for others.
+    /// Whether the connection was dismissed, so that others can be accepted.
     dismissed: bool,
 }
 
@@ -104,6 +104,25 @@
         numbers.take(limit).collect()
     }
 
+    /// Dismissed connections that are not closed yet.
+    fn dismissals_in_progress(&self) -> usize {
+        let closing = self.closing.values().filter(|c| c.dismissed).count();
+        closing + self.waiting.values().filter(|w| w.dismissed).count()
+    }
+
+    /// Marks connections whose grace is over as dismissed, at most `limit`: first those that never
+    /// sent anything, and of these the longest waiting first.
+    fn dismiss(&mut self, now: Instant, limit: usize) -> Vec<u64> {
+        let mut waiting: Vec<_> = self.waiting.iter_mut().collect();
+        waiting.retain(|(_, w)| !w.dismissed && now.duration_since(w.since) >= DISMISS_GRACE);
+        waiting.sort_by_key(|(_, w)| (w.active, w.since));
+        let dismissed = waiting.into_iter().take(limit).map(|(number, waiting)| {
+            waiting.dismissed = true;
+            *number
+        });
+        dismissed.collect()
+    }
+
     /// Begins to count a connection as closing, from `now` on.
     fn begin_closing(&mut self, number: u64, now: Instant) {
         if let Some(waiting) = self.waiting.remove(&number) {
@@ -198,35 +217,22 @@
     }
 
     /// The connections to end so that one more can be accepted: closing ones whose linger is over,
-    /// or else connections that have sent no request, first those that never sent anything, and of
-    /// these the longest waiting first. Several at a time, so that a burst of silent connections
-    /// does not delay the clients that arrive with it. None are dismissed beyond that while earlier
-    /// dismissals are still in progress.
+    /// or else connections that have sent no request. Several at a time, so that a burst of silent
+    /// connections does not delay the clients that arrive with it, and no more than that are
+    /// dismissed at once.
     pub fn evict_waiting(&self, now: Instant) -> Eviction {
         let mut inner = self.lock();
         let batch = self.max_waiting.div_ceil(BATCH_DIVISOR);
         let close = inner.expired(Pool::Waiting, now, batch);
         if !close.is_empty() {
-            let dismiss = Vec::new();
-            return Eviction { close, dismiss };
-        }
-        let is_dismissed = |(_, closing): &(u64, &ClosingState)| closing.dismissed;
-        let closing = inner.closing_in(Pool::Waiting).filter(is_dismissed).count();
-        let told = inner.waiting.values().filter(|w| w.dismissed).count();
-        let mut waiting: Vec<_> = inner.waiting.iter_mut().collect();
-        waiting.retain(|(_, w)| !w.dismissed && now.duration_since(w.since) >= DISMISS_GRACE);
-        waiting.sort_by_key(|(_, w)| (w.active, w.since));
-        let dismiss = waiting
-            .into_iter()
-            .take(batch.saturating_sub(closing + told));
-        let dismiss = dismiss.map(|(number, waiting)| {
-            waiting.dismissed = true;
-            *number
-        });
-        Eviction {
-            close,
-            dismiss: dismiss.collect(),
+            return Eviction {
+                close,
+                ..Eviction::default()
+            };
         }
+        let limit = batch.saturating_sub(inner.dismissals_in_progress());
+        let dismiss = inner.dismiss(now, limit);
+        Eviction { close, dismiss }
     }
 
     /// The connections to close so that the next requests can be admitted: those that are closing
