Upgrade: a list without a version or without entries does not stand in for a comparable one

The running process's list has version 0 right after a reload has moved discovery; its entries are newer than known all the same. An empty one never replaces known.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -306,8 +306,10 @@
     if let Some(address) = discovery.filter(|address| Some(*address) == address_of_file) {
         config.discovery = address;
     }
-    let same_discovery = discovery == Some(config.discovery);
-    if same_discovery && update.version < config.known_version {
+    // Versions of one address mean nothing at another, and 0 is that of a list from before a move.
+    let is_comparable = discovery == Some(config.discovery) && update.version > 0;
+    let is_older = is_comparable && update.version < config.known_version;
+    if is_older || update.entries.is_empty() {
         return;
     }
     log(&format!(
@@ -315,8 +317,8 @@
         update.version,
         update.entries.len()
     ));
-    // Versions of one address mean nothing at another: the whole list is requested there.
-    config.known_version = if same_discovery { update.version } else { 0 };
+    // With version 0 the watch requests the whole list.
+    config.known_version = if is_comparable { update.version } else { 0 };
     config.known = update.entries;
 }
 
