A migration takes effect whether it or the establishment comes first

Callers would see (by reading): the client of a restarted relay names its earlier backend, which drains, is out by hand or has another cell. The decisions count such a connection as established from its request on, and request the migration within 2 s. Where its backend had not accepted it by then (up to 35 s are waited for a list and for the backend), Session::migrate did nothing, the decisions asked once only, and the client got no MOVE.

Change: the request is kept, and the migration begins with the establishment. The test has both orders and fails without it.

--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -21,6 +21,8 @@
     established: bool,
     /// Whether the client is to be migrated.
     migrating: bool,
+    /// Whether it is to be migrated once it is established.
+    migration_requested: bool,
     /// Whether the client left before its answer.
     client_gone: bool,
     /// The request's id for the decisions; none until it is submitted.
@@ -81,16 +83,12 @@
         self.notify();
     }
 
+    /// A connection of a client that names its earlier backend counts as established for the
+    /// decisions from its request on, so that this may come before its backend has accepted it.
     fn migrate(&self) {
         let mut state = lock(&self.state);
-        if let (true, Some(backend)) = (state.established && !state.migrating, &state.backend) {
-            if !self.backend_finishes_first {
-                // Wakes the event loop with an end of stream, behind the bytes that were received:
-                // they are forwarded first.
-                let _ = backend.shutdown(Shutdown::Read);
-            }
-            state.migrating = true;
-        }
+        state.migration_requested = true;
+        self.migrate_if_established(&mut state);
     }
 }
 
@@ -121,6 +119,18 @@
         })
     }
 
+    /// Begins the migration of an established connection, once.
+    fn migrate_if_established(&self, state: &mut State) {
+        if let (true, Some(backend)) = (state.established && !state.migrating, &state.backend) {
+            if !self.backend_finishes_first {
+                // Wakes the event loop with an end of stream, behind the bytes that were received:
+                // they are forwarded first.
+                let _ = backend.shutdown(Shutdown::Read);
+            }
+            state.migrating = true;
+        }
+    }
+
     fn notify(&self) {
         if !self.notified.swap(true, AcqRel) {
             self.wake_queue.push(self.number());
@@ -227,9 +237,13 @@
         self.slot.last_bytes_sent(Instant::now());
     }
 
-    /// Sets whether the connection is established.
+    /// Sets whether the connection is established. A migration that was requested before begins.
     pub fn set_established(&self, established: bool) {
-        lock(&self.state).established = established;
+        let mut state = lock(&self.state);
+        state.established = established;
+        if state.migration_requested {
+            self.migrate_if_established(&mut state);
+        }
     }
 }
 
@@ -281,3 +295,6 @@
         tracing::info!(id = %id, class, backend, attempts, ms, reason, front, "end");
     }
 }
+
+#[cfg(test)]
+mod tests;
