List transfer: whether a received list replaces the known one is a rule with a test

It stands in platform/list_transfer.rs now. The table fails where version 0 counts as older, as it did before.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -19,7 +19,7 @@
 use jaspermoor::ops::manual_ejections::ManualEjections;
 use jaspermoor::platform::directory::Directory;
 use jaspermoor::platform::discovery::{WatchControl, WatchMode, Watcher};
-use jaspermoor::platform::list_transfer::{self, ReceivedList};
+use jaspermoor::platform::list_transfer;
 use jaspermoor::sys::{spawn, SMALL_STACK_BYTES};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::{Handle, Signals};
@@ -294,7 +294,7 @@
         Ok(None) => return,
         Err(e) => Err(e.to_string()),
     };
-    let ReceivedList { update, discovery } = match received {
+    let received = match received {
         Ok(received) => received,
         Err(e) => {
             return log(&format!(
@@ -303,23 +303,23 @@
         }
     };
     let address_of_file = config.discovery_of_file();
-    if let Some(address) = discovery.filter(|address| Some(*address) == address_of_file) {
+    if let Some(address) = received
+        .discovery
+        .filter(|address| Some(*address) == address_of_file)
+    {
         config.discovery = address;
     }
-    // Versions of one address mean nothing at another, and 0 is that of a list from before a move.
-    let is_comparable = discovery == Some(config.discovery) && update.version > 0;
-    let is_older = is_comparable && update.version < config.known_version;
-    if is_older || update.entries.is_empty() {
+    let Some(version) = received.replacing_version(config.known_version, config.discovery) else {
         return;
-    }
+    };
+    let entries = received.update.entries;
     log(&format!(
         "takeover: the list of the running process is used: version {}, {} entries",
-        update.version,
-        update.entries.len()
+        received.update.version,
+        entries.len()
     ));
-    // With version 0 the watch requests the whole list.
-    config.known_version = if is_comparable { update.version } else { 0 };
-    config.known = update.entries;
+    config.known_version = version;
+    config.known = entries;
 }
 
 /// Stack of the event loop thread, which parses list updates and does TLS handshakes. The kernel
--- a/src/platform/list_transfer.rs
+++ b/src/platform/list_transfer.rs
@@ -39,6 +39,24 @@
     pub discovery: Option<SocketAddr>,
 }
 
+impl ReceivedList {
+    /// The version with which this list replaces one of `known_version`, which is of this discovery
+    /// address; none if it does not replace it. With version 0 the watch requests the whole list.
+    pub fn replacing_version(&self, known_version: u64, discovery: SocketAddr) -> Option<u64> {
+        if self.update.entries.is_empty() {
+            return None;
+        }
+        // Versions of one address mean nothing at another, and 0 is that of a list from before a
+        // move.
+        let is_comparable = self.discovery == Some(discovery) && self.update.version > 0;
+        match is_comparable {
+            true if self.update.version < known_version => None,
+            true => Some(self.update.version),
+            false => Some(0),
+        }
+    }
+}
+
 /// Encodes a list in the form of discovery. `zones` are the names by which the indices of zones
 /// stand.
 pub fn encode(snapshot: &ListSnapshot, zones: &[String]) -> Vec<u8> {
--- a/src/platform/list_transfer/tests.rs
+++ b/src/platform/list_transfer/tests.rs
@@ -88,3 +88,31 @@
     assert!(since.elapsed() >= REPLY_TIMEOUT);
     assert!(Handover::decode(LIST_REQUEST).is_err());
 }
+
+/// Guards against a list that is lost at the upgrade right after a move of discovery, against one of
+/// an earlier time, and against an empty one.
+#[test]
+fn a_received_list_replaces_the_known_one_unless_it_is_older_or_empty() {
+    let discovery: SocketAddr = "127.0.0.1:8500".parse().unwrap();
+    let elsewhere: SocketAddr = "127.0.0.1:8501".parse().unwrap();
+    // (version, of which address, entries, version with which it replaces version 41)
+    let cases = [
+        (43, Some(discovery), 2, Some(43)),
+        (41, Some(discovery), 2, Some(41)),
+        (40, Some(discovery), 2, None),
+        (0, Some(discovery), 2, Some(0)),
+        (7, Some(elsewhere), 2, Some(0)),
+        (43, None, 2, Some(0)),
+        (43, Some(discovery), 0, None),
+    ];
+    for (version, address, entries, replacing) in cases {
+        let list = ListSnapshot {
+            version,
+            discovery: address,
+            ..snapshot(entries)
+        };
+        let received = decode(encode(&list, &zones()), &zones()).unwrap();
+        let found = received.replacing_version(41, discovery);
+        assert_eq!(found, replacing, "{version} of {address:?}, {entries}");
+    }
+}
