Accept: the log line of a lasting lack of capacity has a test

What is logged is a function of the time now: nothing before 250 ms, once after that, and again in the next stall. The test fails where a stall is reported again and again.

--- a/src/net/event_loop/accept.rs
+++ b/src/net/event_loop/accept.rs
@@ -88,22 +88,27 @@
             .for_each(|number| self.update_connection(number, Connection::end_linger));
     }
 
-    /// Logs what occupies the places of connections without a request, once for each stall.
     fn log_stall(&mut self) {
         let now = self.shared.decisions.now();
+        self.stall_report(now).iter().for_each(|line| log(line));
+    }
+
+    /// The log line on what occupies the places of connections without a request, once for each
+    /// stall that lasts.
+    pub(super) fn stall_report(&mut self, now: Micros) -> Option<String> {
         let (since, logged) = *self.stalled.get_or_insert((now, false));
         if logged || now < since + LOGGED_STALL {
-            return;
+            return None;
         }
         self.stalled = Some((since, true));
         let admission = &self.shared.admission;
         let (waiting, closing) = (admission.waiting_count(), admission.closing_count());
         let (_, max_waiting) = admission.limits();
         let ms = (now - since) / 1_000;
-        log(&format!(
+        Some(format!(
             "accept: no capacity for {ms} ms: waiting={waiting} closing={closing} \
              limit={max_waiting}"
-        ));
+        ))
     }
 
     pub(super) fn add_client(&mut self, client: TcpStream, protocol: ListenerProtocol) {
--- a/src/net/event_loop/tests.rs
+++ b/src/net/event_loop/tests.rs
@@ -176,3 +176,28 @@
     handle.stop();
     serving.join().unwrap();
 }
+
+/// A stall shows in the log, once, with what occupies the places: without that line, a relay that
+/// accepted nobody could not be told from one with slow backends.
+#[test]
+fn a_lack_of_capacity_that_lasts_is_reported_once_with_what_occupies_the_places() {
+    let (mut event_loop, listeners, _requests) = event_loop_with_backends(1);
+    let admission = event_loop.shared.admission.clone();
+    let connect = || {
+        let stream = TcpStream::connect(listeners[0].local_addr().unwrap()).unwrap();
+        admission.register(stream)
+    };
+    let connections = [connect(), connect(), connect()];
+    connections[0].begin_closing(Instant::now());
+    let limit = admission.limits().1;
+    let text = format!("accept: no capacity for 250 ms: waiting=2 closing=1 limit={limit}");
+    for since in [1_000_000, 9_000_000] {
+        assert_eq!(event_loop.stall_report(since), None);
+        assert_eq!(event_loop.stall_report(since + 249_999), None);
+        let report = event_loop.stall_report(since + 250_000);
+        assert_eq!(report.as_ref(), Some(&text));
+        assert_eq!(event_loop.stall_report(since + 500_000), None);
+        // A client is accepted, which ends the stall.
+        event_loop.stalled = None;
+    }
+}
