--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -103,7 +103,7 @@
         loop {
             let mut line = String::new();
             if reader.read_line(&mut line)? == 0 {
-                return Ok(());
+                return stream.shutdown(std::net::Shutdown::Both);
             }
             (&stream).write_all(format!("echo {}\r\n", line.trim_end()).as_bytes())?;
         }
