--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -44,28 +44,6 @@
         Ok(server)
     }
 
-    /// A server with so many workers, each of which serves one connection at a time: for many short
-    /// connections.
-    pub fn start_with_workers(name: &str, workers: usize, record: &Record) -> io::Result<Server> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let server = Server {
-            name: name.into(),
-            addr: listener.local_addr()?,
-            arrivals: Arc::default(),
-            open: Arc::default(),
-            record: record.clone(),
-        };
-        for _ in 0..workers {
-            let (own, listener) = (server.clone(), listener.try_clone()?);
-            thread::spawn(move || {
-                for stream in listener.incoming().flatten() {
-                    let _ = own.serve(stream);
-                }
-            });
-        }
-        Ok(server)
-    }
-
     /// Ends its connections, as a process that is restarted does.
     pub fn restart(&self) -> Instant {
         for stream in lock(&self.open).drain(..) {
