A client that sends on before its answer cannot overflow the relay's stack

What callers saw: one client sent a sound request and, without a pause, more behind it.

Cause: check_client_waits read the client of a pending request once, and where it read anything withdraw_request called advance_request, which calls check_client_waits again before anything else. Each call read one chunk and nested the next, for as long as the client had more to read.

Change: check_client_waits reads once and marks the request as withdrawn; it starts nothing. advance_request goes on in its loop, where the attempt of a withdrawn request ends as cancelled, and an event of the client's socket calls advance_request after the check.

Looked for on related paths: a connection from before the start (its address or its next dial awaited) and XMPP during the negotiation with the server overflowed too, and have a test; behind the last byte of a request, before a request and on established connections each event reads once (by reading).

Evidence: the three new tests failed before the change (the relay ends: connection reset, or the log line of the end never comes) and pass with it.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -277,7 +277,7 @@
             (Phase::Handshake, _) => self.continue_handshake(),
             (Phase::Pending, BACKEND) => self.advance_request(true),
             (_, BACKEND) => self.backend_ready(read, write),
-            (Phase::Pending, _) => self.check_client_waits(),
+            (Phase::Pending, _) => self.pending_client_ready(),
             _ => self.client_ready(read, write),
         }
     }
--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -174,7 +174,8 @@
         }
     }
 
-    /// Stops working on a request. The attempt in progress is ended and reported.
+    /// Withdraws a request: nothing more begins for it, and the attempt in progress is cancelled.
+    /// [`Connection::advance_request`] then ends it.
     fn withdraw_request(&mut self, why: Withdrawal) {
         tracing::debug!(id = %self.connection_id(), ?why, "withdrawn");
         if let Some(pending) = &mut self.pending {
@@ -187,14 +188,21 @@
         {
             self.shared.decisions.client_disconnected(id);
         }
+    }
+
+    /// Handles an event of the socket of a client whose request is pending.
+    pub fn pending_client_ready(&mut self) {
+        self.check_client_waits();
         self.advance_request(false);
     }
 
-    /// Checks whether the client of a pending request is there and waits. Called when its socket is
-    /// ready, and right before anything is sent on its behalf: its end or its input may be later in
-    /// the same batch of events, or behind the timer that woke this connection.
+    /// Checks whether the client of a pending request is there and waits, and withdraws its request
+    /// otherwise. Called when its socket is ready, and right before anything is sent on its behalf:
+    /// its end or its input may be later in the same batch of events, or behind the timer that woke
+    /// this connection.
     ///
     /// Input is never left unread meanwhile, since the end of the client would be hidden behind it.
+    /// Each call reads once, so that a client that sends without pause cannot occupy the thread.
     pub fn check_client_waits(&mut self) {
         if self.client_ended_at.is_some() {
             return;
--- a/src/net/placement.rs
+++ b/src/net/placement.rs
@@ -161,6 +161,7 @@
                 .and_then(|p| p.attempt.as_ref())
                 .is_some_and(|a| a.may_dial_or_send(ready))
             {
+                // Where the client does not wait, the attempt below ends as cancelled.
                 self.check_client_waits();
             }
             let Some(mut p) = self.pending.take() else {
--- a/tests/departed_clients.rs
+++ b/tests/departed_clients.rs
@@ -112,6 +112,53 @@
     assert_eq!(client.line(), "UP r");
 }
 
+/// A request line of the length at which a read of the relay ends: what follows is in the next read.
+fn request_of_one_read(fields: &str) -> String {
+    const READ_BYTES: usize = 512;
+    let line = format!("OPEN 01 7f c=chat,d=60000{fields},x=");
+    let padding = READ_BYTES - line.len() - "\r\n".len();
+    line + &"1".repeat(padding) + "\r\n"
+}
+
+/// Guards against a process that ends by a stack overflow: a client has sent more behind its request
+/// than the sockets hold, and each read of it was nested in the one before.
+#[test]
+fn a_client_that_floods_behind_its_request_gets_its_error_and_the_relay_goes_on() {
+    let fleet = Fleet::new(&["s-1"]);
+    let relay = fleet.relay();
+    // A new request; one of a client that names its earlier backend, which no list names yet.
+    for fields in ["", ",at=s-9"] {
+        relay.signal("STOP");
+        let mut client = relay.client();
+        client.write(request_of_one_read(fields).as_bytes());
+        fill_sockets(&mut client);
+        relay.signal("CONT");
+        client.stream.set_nonblocking(false).unwrap();
+        assert_eq!(client.line(), "ERR sent-on", "{fields:?}");
+    }
+    let _pair = fleet.pair(&relay, "02");
+}
+
+/// The same where the flood comes while the request waits for its next attempt.
+#[test]
+fn a_client_that_floods_while_it_waits_for_an_attempt_gets_its_error_and_the_relay_goes_on() {
+    let mut fleet = Fleet::new(&["s-1"]);
+    let port = RefusingPort::new();
+    fleet.set_backend_addr("s-1", port.addr());
+    let relay = fleet.relay();
+    let mut client = relay.client();
+    client.send("OPEN 01 7f c=chat,d=60000,at=s-1");
+    relay.wait_for_log("dialled again");
+    relay.signal("STOP");
+    fill_sockets(&mut client);
+    relay.signal("CONT");
+    client.stream.set_nonblocking(false).unwrap();
+    assert_eq!(client.line(), "ERR sent-on");
+    let mut next = relay.client();
+    next.send("PING");
+    assert_eq!(next.line(), "PONG");
+}
+
 /// A site whose only class may not be run twice.
 fn unsafe_class(fleet: &Fleet) -> String {
     let config = fleet.config(fleet.discovery.addr());
--- a/tests/departed_xmpp_clients.rs
+++ b/tests/departed_xmpp_clients.rs
@@ -37,6 +37,7 @@
 struct Site {
     servers: [ScriptedServer; 2],
     relay: Relay,
+    login: Login,
     client: Stream,
     _discovery: Discovery,
 }
@@ -69,6 +70,7 @@
         Site {
             servers,
             relay,
+            login,
             client,
             _discovery: discovery,
         }
@@ -115,6 +117,24 @@
     }
 }
 
+/// Sends white space in short TLS records until the sockets are full, or the relay has closed the
+/// connection.
+fn fill_sockets(stream: &mut Stream) {
+    let client: TcpStream = stream.socket().try_clone().unwrap();
+    client.set_nonblocking(true).unwrap();
+    let mut full = 0;
+    while full < 20 {
+        match stream.send_bytes(&[b' '; 512]) {
+            Ok(()) => full = 0,
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
+                full += 1;
+                std::thread::sleep(std::time::Duration::from_millis(2));
+            }
+            Err(_) => break,
+        }
+    }
+}
+
 /// A server's stream header, and its features.
 fn offer_of_sasl() -> String {
     let mechanisms = format!(
@@ -151,20 +171,8 @@
     let mut site = Site::start("much");
     site.request();
     let (first, mut attempt) = site.accept_request();
-    // Until the sockets are full, or the relay has closed the connection.
-    let client: TcpStream = site.client.socket().try_clone().unwrap();
-    client.set_nonblocking(true).unwrap();
-    let mut full = 0;
-    while full < 20 {
-        match site.client.send_bytes(&[b' '; 64 * 1024]) {
-            Ok(()) => full = 0,
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
-                full += 1;
-                std::thread::sleep(std::time::Duration::from_millis(2));
-            }
-            Err(_) => break,
-        }
-    }
+    fill_sockets(&mut site.client);
+    let client = site.client.socket();
     let _ = client.shutdown(std::net::Shutdown::Both);
     // The answer that makes the relay try elsewhere comes after the client has left.
     let failure = format!("<failure xmlns='{NS_SASL}'><temporary-auth-failure/></failure>");
@@ -180,6 +188,22 @@
     );
 }
 
+/// Guards against a process that ends by a stack overflow: a client sends on at full speed while its
+/// server negotiates, and each read of it was nested in the one before.
+#[test]
+fn an_xmpp_client_that_floods_during_the_negotiation_is_refused_and_the_relay_goes_on() {
+    let mut site = Site::start("flood");
+    site.request();
+    let (_, mut attempt) = site.accept_attempt();
+    site.stop_process();
+    fill_sockets(&mut site.client);
+    site.relay.signal("CONT").unwrap();
+    site.relay.wait_for("reason=policy-violation front=xmpp");
+    assert!(attempt.unit().is_err(), "the attempt goes on");
+    let next = site.login.connect();
+    assert!(next.is_ok(), "the relay has ended");
+}
+
 /// Guards against a client that is served in place of its error, as it does not wait for its answer:
 /// whether it was refused depended on where the network cut its bytes.
 #[test]
