What connections without a request buffer is counted and limited, TLS included

Cause: what a connection buffers was counted for established sessions only, and there without TLS. A connection without a request was taken for 24 KiB whatever it held, while the TLS library keeps up to 64 KiB of an unfinished handshake message and tells no size.

Connections without a request report TLS, buffer and the unit in parts to Admission; all together may hold 8 KiB times the limit of their number, and beyond that those that hold the most are ended, after each event. The same count goes into the budget of long stanzas for sessions, both sides, and for attempts beyond 8 KiB. Buffers are freed when a connection begins to close, and where a long record was read.

--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -226,9 +226,19 @@
 
     /// Its memory in KiB, as the system counts what it holds now.
     pub fn memory_kib(&self) -> u64 {
+        self.status_kib("VmRSS:")
+    }
+
+    /// The most memory in KiB that it has held at once.
+    pub fn peak_memory_kib(&self) -> u64 {
+        self.status_kib("VmHWM:")
+    }
+
+    /// A size in the system's status of its process, in KiB.
+    fn status_kib(&self, key: &str) -> u64 {
         let status =
             std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let line = status.lines().find_map(|l| l.strip_prefix(key));
         line.and_then(|l| l.trim().split(' ').next()?.parse().ok())
             .unwrap_or(0)
     }
--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -2,7 +2,8 @@
 //!
 //! Descriptors, memory and connection ids are assigned here. Connections without a request and
 //! connections with one have separate limits, so that clients which request nothing cannot exhaust
-//! the descriptors of those that do.
+//! the descriptors of those that do. The same holds for memory: what connections without a request
+//! buffer is limited, and those that buffer the most are ended where it is exceeded.
 //!
 //! A connection that was sent its last bytes lingers for a while, so that a reset does not destroy
 //! them. It is counted apart, as closing: it needs its descriptor, but cannot be dismissed, and its
@@ -18,6 +19,7 @@
 use crate::platform::id_exchange::IdChange;
 use repeated_ids::RepeatedIds;
 use shared_ids::SharedIds;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -29,8 +31,11 @@
 const RESERVED_DESCRIPTORS: usize = 15 + MAX_HEALTH_CHECKS;
 /// Memory for a connection with a request: the used part of two stacks, and two buffers.
 const BYTES_PER_REQUEST: usize = 48 * 1024;
-/// Memory for a connection without a request: the used part of one stack, and one buffer.
+/// Memory for a connection without a request, in the mean.
 const BYTES_PER_WAITING: usize = 24 * 1024;
+/// The part of it that the connection may buffer: a request, or a TLS handshake message. The rest is
+/// the state of the connection and of TLS.
+const BUFFERED_BYTES_PER_WAITING: usize = 8 * 1024;
 /// The lowest limit of connections without a request.
 const MIN_WAITING: usize = 16;
 /// A connection is not dismissed for this time after it was accepted: its first line may be on the
@@ -52,6 +57,8 @@
     since: Instant,
     /// Whether the connection was dismissed, so that others can be accepted.
     dismissed: bool,
+    /// The memory that it buffers input in, in bytes.
+    buffered_bytes: usize,
 }
 
 /// The limit that the descriptor of a closing connection counts against.
@@ -75,6 +82,8 @@
 #[derive(Default)]
 struct Inner {
     waiting: BTreeMap<u64, WaitingState>,
+    /// The sum of what these buffer.
+    buffered_bytes: usize,
     /// The numbers of the connections with a request, by the ids that their clients have chosen.
     requests: BTreeMap<String, u64>,
     closing: BTreeMap<u64, ClosingState>,
@@ -114,6 +123,13 @@
         numbers.take(limit).collect()
     }
 
+    /// Forgets a connection without a request: it has one now, is closing, or is closed.
+    fn remove_waiting(&mut self, number: u64) -> Option<WaitingState> {
+        let waiting = self.waiting.remove(&number)?;
+        self.buffered_bytes -= waiting.buffered_bytes;
+        Some(waiting)
+    }
+
     /// Dismissed connections that are not closed yet.
     fn dismissals_in_progress(&self) -> usize {
         let closing = self.closing.values().filter(|c| c.dismissed).count();
@@ -135,7 +151,7 @@
 
     /// Begins to count a connection as closing, from `now` on.
     fn begin_closing(&mut self, number: u64, now: Instant) {
-        if let Some(waiting) = self.waiting.remove(&number) {
+        if let Some(waiting) = self.remove_waiting(number) {
             // Its last bytes are few. A client that does not read them may not keep the place.
             let closing = ClosingState {
                 pool: Pool::Waiting,
@@ -283,6 +299,26 @@
         (DESCRIPTORS_PER_REQUEST * self.max_requests).saturating_sub(inner.request_descriptors())
     }
 
+    /// The connections to end because those without a request buffer more than they may: the fewest
+    /// that make up for it, so that a client that buffers little is never among them.
+    pub fn evict_for_memory(&self) -> Vec<u64> {
+        let inner = self.lock();
+        let max_buffered = self.max_waiting * BUFFERED_BYTES_PER_WAITING;
+        let mut excess = inner.buffered_bytes.saturating_sub(max_buffered);
+        if excess == 0 {
+            return Vec::new();
+        }
+        let sizes = inner.waiting.iter();
+        let mut largest: Vec<_> = sizes.map(|(n, w)| (w.buffered_bytes, *n)).collect();
+        largest.sort_unstable_by_key(|&(bytes, number)| (Reverse(bytes), number));
+        let evicted = largest.into_iter().take_while(|(bytes, _)| {
+            let evict = excess > 0;
+            excess = excess.saturating_sub(*bytes);
+            evict
+        });
+        evicted.map(|(_, number)| number).collect()
+    }
+
     /// Registers an accepted connection.
     pub fn register(self: &Arc<Self>, stream: TcpStream) -> WaitingConnection {
         let (number, stream) = (self.next.fetch_add(1, Ordering::Relaxed), Arc::new(stream));
@@ -290,6 +326,7 @@
             active: false,
             since: Instant::now(),
             dismissed: false,
+            buffered_bytes: 0,
         };
         self.lock().waiting.insert(number, waiting);
         WaitingConnection {
@@ -336,6 +373,16 @@
         }
     }
 
+    /// Sets the memory that the connection buffers input in, in bytes.
+    pub fn set_buffered_bytes(&self, bytes: usize) {
+        let mut inner = self.admission.lock();
+        let Some(waiting) = inner.waiting.get_mut(&self.number) else {
+            return;
+        };
+        let before = std::mem::replace(&mut waiting.buffered_bytes, bytes);
+        inner.buffered_bytes = inner.buffered_bytes - before + bytes;
+    }
+
     /// Counts the connection as closing from `now` on: it is sent its last bytes.
     pub fn begin_closing(&self, now: Instant) {
         self.admission.lock().begin_closing(self.number, now);
@@ -360,7 +407,7 @@
             return Err(AdmissionError::NoCapacity);
         }
         inner.requests.insert(id.to_string(), self.number);
-        inner.waiting.remove(&self.number);
+        inner.remove_waiting(self.number);
         inner.shared_ids.record(|| IdChange::Opened(id.to_string()));
         Ok(RequestSlot {
             admission: self.admission.clone(),
@@ -375,7 +422,7 @@
 impl Drop for WaitingConnection {
     fn drop(&mut self) {
         let mut inner = self.admission.lock();
-        inner.waiting.remove(&self.number);
+        inner.remove_waiting(self.number);
         // A connection whose request was admitted may be closing too: its request slot counts it.
         let closing = inner.closing.get(&self.number);
         if closing.is_some_and(|closing| closing.pool == Pool::Waiting) {
--- a/src/net/admission/tests.rs
+++ b/src/net/admission/tests.rs
@@ -235,3 +235,40 @@
     let accept = |_| admission.register(listener.accept().unwrap().0);
     ((0..count).map(accept).collect(), clients)
 }
+
+/// Guards against a process that is killed for its memory, and against a client that is ended for
+/// what others buffer.
+#[test]
+fn connections_that_buffer_the_most_are_ended_once_all_buffer_more_than_they_may() {
+    const LITTLE: usize = 600;
+    const MUCH: usize = 64 * 1024;
+    let admission = admission(256, 32);
+    let (_, max_waiting) = admission.limits();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let register = |bytes: usize| {
+        let client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let waiting = admission.register(client);
+        waiting.set_buffered_bytes(bytes);
+        waiting
+    };
+    let usual: Vec<_> = (0..8).map(|_| register(LITTLE)).collect();
+    let left = max_waiting * BUFFERED_BYTES_PER_WAITING - 8 * LITTLE;
+    let mut large: Vec<_> = (0..left / MUCH).map(|_| register(MUCH)).collect();
+    assert!(admission.evict_for_memory().is_empty());
+    // One more than fits: the largest has to go, the others stay.
+    large.push(register(MUCH + 1));
+    let last = large.pop().unwrap();
+    assert_eq!(admission.evict_for_memory(), [last.number()]);
+    // Each way out of the count gives the memory back.
+    last.begin_closing(Instant::now());
+    assert!(admission.evict_for_memory().is_empty());
+    let admitted = register(MUCH);
+    assert_eq!(admission.evict_for_memory().len(), 1);
+    let _slot = admitted.admit_request("01").unwrap();
+    assert!(admission.evict_for_memory().is_empty());
+    let shrunk = register(MUCH);
+    shrunk.set_buffered_bytes(0);
+    assert!(admission.evict_for_memory().is_empty());
+    drop((usual, large, last, admitted, shrunk));
+    assert_eq!(admission.lock().buffered_bytes, 0);
+}
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -30,6 +30,10 @@
 /// The longest such pause.
 const MAX_ADOPT_BACKOFF: Micros = 2_000_000;
 
+/// The memory in which an attempt may buffer what its backend sends without being counted, in bytes:
+/// more than any line, or the features of a usual XMPP server.
+const USUAL_BUFFERED_BYTES: usize = 8 * 1024;
+
 /// The outcome of a failed attempt, and the load report that the backend sent with it; empty if
 /// none.
 pub type AttemptFailure = (Outcome, Vec<f32>);
@@ -102,6 +106,8 @@
     request_sent: bool,
     /// Whether anything was sent.
     anything_sent: bool,
+    /// Whether it is to end because its buffers exceed the memory budget.
+    out_of_memory: bool,
 }
 
 impl Attempt {
@@ -128,6 +134,7 @@
             sending_request: false,
             request_sent: false,
             anything_sent: false,
+            out_of_memory: false,
         }
     }
 
@@ -186,6 +193,19 @@
         self.request_sent && !failure.is_some_and(Outcome::proves_not_executed)
     }
 
+    /// The memory in which it buffers what its backend sends, in bytes, beyond that of a usual answer.
+    /// A backend that sends little is thus not affected by what others send.
+    pub fn excess_buffered_bytes(&self) -> usize {
+        let tls = self.link.as_ref().map_or(0, Link::buffered_tls_bytes);
+        let protocol = self.protocol.as_ref().map_or(0, |p| p.buffered_bytes());
+        (self.inbox.allocated() + tls + protocol).saturating_sub(USUAL_BUFFERED_BYTES)
+    }
+
+    /// Ends it at the next call of [`Attempt::advance`], as where its connection breaks.
+    pub fn end_out_of_memory(&mut self) {
+        self.out_of_memory = true;
+    }
+
     /// Lowers the deadline to this time.
     pub fn shorten_deadline(&mut self, by: Micros) {
         self.deadline = self.deadline.min(by);
@@ -244,6 +264,15 @@
                 Outcome::Cancelled
             });
         }
+        if self.out_of_memory {
+            log(&format!(
+                "attempt {} of {}: no memory for what {} sends",
+                self.number,
+                context.session.connection_id(),
+                self.backend_name()
+            ));
+            return self.link_broken(context);
+        }
         let now = context.shared.decisions.now();
         match self.state {
             AttemptState::Over => None,
--- a/src/net/attempt/tests.rs
+++ b/src/net/attempt/tests.rs
@@ -308,3 +308,39 @@
         assert_eq!(retry(0, outcome, MINUTE), None, "{outcome:?}");
     }
 }
+
+/// An attempt whose backend made it buffer too much ends as where its connection breaks: before the
+/// request's last byte was sent it cannot have run, after that it may have.
+#[test]
+fn an_attempt_out_of_memory_closes_its_socket_and_ends_like_a_broken_connection() {
+    for (sent, expected) in [(false, Outcome::ConnectFailed), (true, Outcome::Reset)] {
+        let (listener, addr) = listener();
+        let setup = setup(addr, EndpointState::Ready, "", 1_000.0);
+        let request = setup.client_request.request().clone();
+        let decision = setup
+            .shared
+            .decisions
+            .submit(request, setup.session.clone(), |_| {});
+        let id = decision.id;
+        let mut attempt = setup.attempt(MINUTE);
+        assert!(attempt.advance(setup.context(id), false).is_none());
+        let mut backend = listener.accept().unwrap().0;
+        if sent {
+            while !attempt.request_sent {
+                assert!(attempt.advance(setup.context(id), true).is_none());
+            }
+        }
+        assert_eq!(attempt.excess_buffered_bytes(), 0);
+        attempt.end_out_of_memory();
+        let result = attempt.advance(setup.context(id), false);
+        let outcome = result.and_then(Result::err).map(|(outcome, _)| outcome);
+        assert_eq!(outcome, Some(expected), "request sent: {sent}");
+        // The end of the stream, or a reset.
+        backend
+            .set_read_timeout(Some(Duration::from_secs(30)))
+            .unwrap();
+        let mut rest = Vec::new();
+        let _ = backend.read_to_end(&mut rest);
+        assert_eq!(rest.is_empty(), !sent);
+    }
+}
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -344,6 +344,7 @@
     /// Updates the events that its sockets are watched for, and its timer. Returns false once the
     /// connection is closed.
     pub fn update_interest(&mut self, poller: &Poller) -> bool {
+        self.update_handshake_memory();
         self.update_memory_budget();
         let (client, backend) = self.wanted_interest();
         let attempt = self.pending.as_ref().and_then(|p| p.attempt.as_ref());
--- a/src/net/event_loop/accept.rs
+++ b/src/net/event_loop/accept.rs
@@ -109,6 +109,14 @@
         }
     }
 
+    /// Ends the connections without a request that buffer the most, where all of them buffer more
+    /// than they may. Called after each event that may have added to it, since one turn has hundreds.
+    pub(super) fn make_room_in_memory(&mut self) {
+        for number in self.shared.admission.evict_for_memory() {
+            self.update_connection(number, Connection::end_for_memory);
+        }
+    }
+
     fn end_lingering(&mut self, numbers: Vec<u64>) {
         numbers
             .into_iter()
@@ -142,6 +150,7 @@
         let waiting = self.shared.admission.register(client);
         if let Some(conn) = Connection::accept(&self.shared, waiting, protocol) {
             self.add_connection(conn);
+            self.make_room_in_memory();
         }
     }
 
--- a/src/net/event_loop/mod.rs
+++ b/src/net/event_loop/mod.rs
@@ -279,7 +279,10 @@
             OTHER if number == TAKEOVER_LISTENER => self.accept_predecessor(),
             OTHER if number >= FIRST_PREDECESSOR => self.receive_handovers(number),
             OTHER => self.accept_clients((number - FIRST_LISTENER) as usize),
-            _ => self.update_connection(number, |conn| conn.handle_ready(ready)),
+            _ => {
+                self.update_connection(number, |conn| conn.handle_ready(ready));
+                self.make_room_in_memory();
+            }
         }
     }
 
--- a/src/net/forward.rs
+++ b/src/net/forward.rs
@@ -30,29 +30,60 @@
 const DISCARD_BYTES: usize = 8192;
 
 impl Connection {
-    /// Updates the memory that its buffers hold in the budget of all connections. A connection that
-    /// exceeds the budget is ended. Buffers of the line protocol are small and not counted.
+    /// The memory that its buffers hold, in bytes, as far as the budget of all connections counts it:
+    /// those of the line protocol are small and not counted.
+    fn budgeted_bytes(&self) -> usize {
+        if let Some(attempt) = self.pending.as_ref().and_then(|p| p.attempt.as_ref()) {
+            return attempt.excess_buffered_bytes();
+        }
+        match &self.backend {
+            Some(backend) if !backend.forwarder.supports_takeover() => {
+                self.to_backend.allocated()
+                    + self.to_client.allocated()
+                    + self.client.buffered_tls_bytes()
+                    + backend.link.buffered_tls_bytes()
+            }
+            _ => 0,
+        }
+    }
+
+    /// Updates the memory that its buffers hold in the budget of all connections. An established
+    /// connection that exceeds the budget is ended, and so is an attempt.
     pub fn update_memory_budget(&mut self) {
-        let is_uncounted = self
+        if self.count_memory() {
+            return;
+        }
+        match self.phase {
+            Phase::Established => self.close_out_of_memory(),
+            Phase::Pending => self.fail_attempt_out_of_memory(),
+            Phase::Handshake | Phase::Closing(..) | Phase::Closed => return,
+        }
+        self.count_memory();
+    }
+
+    /// Updates its part of the budget; false where the budget is exceeded.
+    fn count_memory(&mut self) -> bool {
+        let now = self.budgeted_bytes();
+        let before = std::mem::replace(&mut self.counted_memory, now);
+        self.shared.long_unit_memory.replace(before, now)
+    }
+
+    fn close_out_of_memory(&mut self) {
+        let message = self
             .backend
             .as_ref()
-            .is_none_or(|b| b.forwarder.supports_takeover());
-        let now = if is_uncounted {
-            0
-        } else {
-            self.to_backend.allocated() + self.to_client.allocated()
-        };
-        let before = std::mem::replace(&mut self.counted_memory, now);
-        if !self.shared.long_unit_memory.replace(before, now) && self.phase == Phase::Established {
-            let message = self
-                .backend
-                .as_ref()
-                .map(|b| b.forwarder.closing_message(CloseReason::OutOfMemory));
-            self.close_with(
-                message.unwrap_or_default(),
-                ConnectionEnd::new(Outcome::Cancelled, "no-memory"),
-            );
-            self.update_memory_budget();
+            .map(|b| b.forwarder.closing_message(CloseReason::OutOfMemory));
+        self.close_with(
+            message.unwrap_or_default(),
+            ConnectionEnd::new(Outcome::Cancelled, "no-memory"),
+        );
+    }
+
+    fn fail_attempt_out_of_memory(&mut self) {
+        let attempt = self.pending.as_mut().and_then(|p| p.attempt.as_mut());
+        if let Some(attempt) = attempt {
+            attempt.end_out_of_memory();
+            self.advance_request(false);
         }
     }
 
@@ -524,6 +555,8 @@
     /// open any more.
     pub fn close(&mut self) {
         self.phase = Phase::Closing(self.now(), false);
+        // Nothing but the last bytes is sent from here on.
+        (self.to_backend, self.to_client) = (Buffer::default(), Buffer::default());
         self.session
             .iter()
             .for_each(|session| session.end_request());
--- a/src/net/handshake.rs
+++ b/src/net/handshake.rs
@@ -73,6 +73,32 @@
 }
 
 impl Connection {
+    /// The memory in which a connection without a request buffers input, in bytes.
+    fn handshake_bytes(&self, handshake: &Handshake) -> usize {
+        self.to_backend.allocated()
+            + self.client.buffered_tls_bytes()
+            + handshake.reader.buffered_bytes()
+    }
+
+    /// Updates the memory that a connection without a request counts with.
+    pub fn update_handshake_memory(&self) {
+        if let Some(handshake) = &self.handshake {
+            let bytes = self.handshake_bytes(handshake);
+            handshake.waiting.set_buffered_bytes(bytes);
+        }
+    }
+
+    /// Ends a connection without a request because of the memory that it takes. The client is sent
+    /// an answer where it can read one.
+    pub fn end_for_memory(&mut self) {
+        let in_tls_handshake = self.handshake.as_ref().is_some_and(|h| h.in_tls_handshake);
+        if in_tls_handshake {
+            self.handshake = None;
+            return self.close_silently("no-memory");
+        }
+        self.dismiss();
+    }
+
     /// Begins the connection of a client that this listener has accepted; none where it cannot be
     /// served.
     pub fn accept(
@@ -162,6 +188,8 @@
             return;
         };
         if self.advance_handshake(&mut handshake) {
+            // A record of TLS may have been long, and the reader keeps what it has read itself.
+            self.to_backend.shrink_if_empty();
             self.handshake = Some(handshake);
         } else if self.phase != Phase::Closed && self.session.is_none() {
             self.hold_closing_slot(handshake.waiting);
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -79,6 +79,12 @@
     /// The time by which the client must have sent its next input.
     fn deadline(&self) -> Micros;
 
+    /// The memory in which it keeps input that is not complete, in bytes; without the buffer that it
+    /// reads.
+    fn buffered_bytes(&self) -> usize {
+        0
+    }
+
     /// The final message and the reason for the log when reading ends early. An empty reason means
     /// that the connection is not logged.
     fn interrupt(&mut self, inbox: &Buffer, why: Interruption) -> (Vec<u8>, &'static str);
@@ -160,6 +166,12 @@
     /// Continues with the bytes received; the attempt is abandoned after `left`.
     fn next_action(&mut self, inbox: &mut Buffer, left: Micros) -> AttemptAction;
 
+    /// The memory in which it keeps input that is not complete, in bytes; without the buffer that it
+    /// reads.
+    fn buffered_bytes(&self) -> usize {
+        0
+    }
+
     /// The forwarder of the connection, once it is established.
     fn into_forwarder(self: Box<Self>) -> Box<dyn Forwarder>;
 }
--- a/src/protocol/xmpp/client_negotiation.rs
+++ b/src/protocol/xmpp/client_negotiation.rs
@@ -410,6 +410,10 @@
         self.step_deadline
     }
 
+    fn buffered_bytes(&self) -> usize {
+        self.framer.buffered_bytes()
+    }
+
     fn interrupt(&mut self, _inbox: &Buffer, why: Interruption) -> (Vec<u8>, &'static str) {
         let silent = !self.header_sent
             && self.framer.at_unit_boundary()
--- a/src/protocol/xmpp/frame.rs
+++ b/src/protocol/xmpp/frame.rs
@@ -124,6 +124,9 @@
     }
 }
 
+/// Memory of an element or attribute that is kept, in bytes, beside its names and values.
+const BYTES_PER_PART: usize = 150;
+
 /// An XML element, as far as stream negotiation needs it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Element {
@@ -274,6 +277,16 @@
         self.unit_bytes == 0
     }
 
+    /// The memory in which the unit so far is kept, in bytes: its text, the parser's token, and its
+    /// elements and attributes. Nothing where the unit stays in the caller's buffer only.
+    pub fn buffered_bytes(&self) -> usize {
+        if !self.keeping || self.unit_bytes == 0 {
+            return 0;
+        }
+        let token = self.unit_bytes.min(self.bounds.token);
+        self.unit_bytes + token + BYTES_PER_PART * self.markup.parts()
+    }
+
     /// Reads up to the end of the next unit. Returns the number of bytes read, and the unit if it
     /// is complete; if it is not, all bytes were read. The next call takes the bytes that follow.
     /// After an error, each call returns the same error.
--- a/src/protocol/xmpp/server_negotiation.rs
+++ b/src/protocol/xmpp/server_negotiation.rs
@@ -196,6 +196,10 @@
         }
     }
 
+    fn buffered_bytes(&self) -> usize {
+        self.framer.buffered_bytes()
+    }
+
     fn into_forwarder(self: Box<Self>) -> Box<dyn Forwarder> {
         Box::new(StanzaForwarder::new(
             self.settings,
