XMPP: a session request that a server had whole when it sent its clients away may have run

What callers saw: a server that had nine requests of an unsafe class whole began to drain and ended their streams with system-shutdown.

Cause: attempt_outcome took system-shutdown, see-other-host and resource-constraint for a refusal, which proves that nothing ran, also behind the last byte of <auth/>. A stream error says why the stream ends and nothing about the request. For established sessions the same conditions were taken for MOVE, as they should be: the rule stood twice and differently.

Change: the conditions stand in one place. Before the last byte of <auth/> they are a rejection, after it the attempt counts as cancelled, as with MOVE of the line protocol. temporary-auth-failure stays a rejection: it answers <auth/> itself, as BUSY answers the line.

Checks: only_a_refusal_by_the_server_is_a_rejection demanded the fault (system-shutdown behind the request as a rejection); it demands Outcome::Cancelled there now, and a_stream_error_is_a_rejection_only_before_the_request has all conditions before TLS, before the request and after it.

--- a/src/protocol/xmpp/server_negotiation.rs
+++ b/src/protocol/xmpp/server_negotiation.rs
@@ -4,7 +4,9 @@
 //! That reply, a challenge, a success or a failure, corresponds to `UP` of the line protocol: the
 //! server has accepted the session, and only this server can continue it, since a challenge is
 //! valid only at the server that issued it. Before the last byte of `<auth/>` is sent nothing can
-//! have run; a refusal by the server up to its reply corresponds to `BUSY`.
+//! have run: a server that sends its clients away until then refuses, which corresponds to `BUSY`.
+//! After that only its reply to `<auth/>` itself can refuse. A stream error says why the stream ends
+//! and nothing about the request, so it corresponds to `MOVE` or `ERR`: the request may have run.
 
 use super::frame::{Bounds, Condition, Element, Framer, Unit, NS_SASL, NS_STREAMS, NS_TLS};
 use super::jid::Jid;
@@ -90,10 +92,22 @@
         AttemptAction::Send(stream_header(&attributes).into_bytes())
     }
 
+    /// Handles a stream error (RFC 6120, 4.9.3), which ends the attempt.
+    fn on_stream_error(&self, e: &Element) -> AttemptAction {
+        let condition = e.children.first().map_or("", |c| c.name.as_str());
+        let auth_sent = self.state == State::AwaitSaslReply;
+        let outcome = match (sends_away(condition), auth_sent) {
+            (true, false) => Outcome::Rejected,
+            (true, true) => Outcome::Cancelled,
+            (false, _) => Outcome::Error,
+        };
+        AttemptAction::Failed(outcome, Vec::new())
+    }
+
     /// Handles an element from the server.
     fn on_element(&mut self, e: &Element) -> AttemptAction {
         if e.is(NS_STREAMS, "error") {
-            return attempt_outcome(e);
+            return self.on_stream_error(e);
         }
         match self.state {
             State::AwaitStartTlsFeature if e.is(NS_STREAMS, "features") => {
@@ -130,15 +144,13 @@
     }
 }
 
-/// The outcome of an attempt that ends with a stream error (RFC 6120, 4.9.3).
-fn attempt_outcome(e: &Element) -> AttemptAction {
-    let condition = e.children.first().map_or("", |c| c.name.as_str());
-    match condition {
-        "resource-constraint" | "system-shutdown" | "see-other-host" => {
-            AttemptAction::Failed(Outcome::Rejected, Vec::new())
-        }
-        _ => AttemptAction::Failed(Outcome::Error, Vec::new()),
-    }
+/// Whether a server that ends a stream with this condition sends its client away, since it drains or
+/// is full (RFC 6120, 4.9.3.17, 4.9.3.19 and 4.9.3.20).
+fn sends_away(condition: &str) -> bool {
+    matches!(
+        condition,
+        "resource-constraint" | "system-shutdown" | "see-other-host"
+    )
 }
 
 fn new_framer(settings: &XmppSettings) -> Framer {
@@ -214,9 +226,7 @@
 /// condition.
 pub(super) fn session_outcome(condition: &str) -> (Outcome, &'static str) {
     match condition {
-        "system-shutdown" | "see-other-host" | "resource-constraint" => {
-            (Outcome::Cancelled, "sent-away")
-        }
+        c if sends_away(c) => (Outcome::Cancelled, "sent-away"),
         c if c == Condition::InternalServerError.name() => (Outcome::Error, "server-error"),
         // `conflict`, `policy-violation` and others: the server has served the session as it
         // intended.
@@ -328,6 +338,31 @@
         );
     }
 
+    /// Guards against a request that runs twice: a stream error was taken for a refusal also where
+    /// the server had the whole request.
+    #[test]
+    fn a_stream_error_is_a_rejection_only_before_the_request() {
+        let head = stream_header(&[]);
+        for (condition, before, after) in [
+            ("system-shutdown", Outcome::Rejected, Outcome::Cancelled),
+            ("see-other-host", Outcome::Rejected, Outcome::Cancelled),
+            ("resource-constraint", Outcome::Rejected, Outcome::Cancelled),
+            ("internal-server-error", Outcome::Error, Outcome::Error),
+            ("undefined-condition", Outcome::Error, Outcome::Error),
+        ] {
+            let error = super::super::stream_error_with("stream:stream", condition, "", "");
+            let outcome = |security, inputs: &[&str]| run(security, inputs, 5).pop();
+            let failed = |outcome| Some(AttemptAction::Failed(outcome, Vec::new()));
+            let unsecured = outcome(Security::StartTls, &[&head, &error]);
+            assert_eq!(unsecured, failed(before), "{condition} before TLS");
+            let not_sent = outcome(Security::Plain, &[&head, &error]);
+            assert_eq!(not_sent, failed(before), "{condition} before the request");
+            let offer = head.clone() + OFFER;
+            let sent = outcome(Security::Plain, &[&offer, &error]);
+            assert_eq!(sent, failed(after), "{condition} after the request");
+        }
+    }
+
     #[test]
     fn only_a_refusal_by_the_server_is_a_rejection() {
         let head = stream_header(&[]);
@@ -341,7 +376,7 @@
             (vec![head.clone() + &error("resource-constraint")], full),
             (
                 vec![head.clone() + OFFER, error("system-shutdown")],
-                AttemptAction::Failed(Outcome::Rejected, Vec::new()),
+                AttemptAction::Failed(Outcome::Cancelled, Vec::new()),
             ),
             (
                 vec![head.clone() + OFFER, error("internal-server-error")],
