A server that sends without pause during the negotiation does not hold up other clients

What callers saw: an XMPP server that sends white space without end in place of its features kept the relay's thread until the attempt ended; nobody else was accepted or served meanwhile.

Cause: an attempt read its socket until nothing was left, which a server that sends without pause never lets happen.

Change: an attempt reads 16 times a turn at most; the rest is reported again in the next turn.

--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -4,7 +4,7 @@
 //!
 //! Guards against: two attempts of one request at the same time (the socket is closed before the
 //! outcome is reported), a first byte to a backend that has left the endpoint list meanwhile, and a
-//! silent backend that delays all others.
+//! silent backend, or one that sends without pause, that delays all others.
 
 use crate::config::endpoint_list::BackendAddress;
 use crate::decisions::api::{EndpointId, Micros, Outcome, RequestId};
@@ -34,6 +34,10 @@
 /// more than any line, or the features of a usual XMPP server.
 const USUAL_BUFFERED_BYTES: usize = 8 * 1024;
 
+/// Reads of the backend's socket in one turn, so that a backend that sends without pause does not
+/// delay other connections. What it has sent beyond that is read in the next turn.
+const MAX_READS_PER_TURN: usize = 16;
+
 /// The outcome of a failed attempt, and the load report that the backend sent with it; empty if
 /// none.
 pub type AttemptFailure = (Outcome, Vec<f32>);
@@ -381,6 +385,7 @@
             ..
         } = context;
         let adopted = client_request.adopted_backend().is_some();
+        let mut reads = 0;
         loop {
             let now = shared.decisions.now();
             if now >= self.deadline {
@@ -485,6 +490,10 @@
                     });
                 }
             }
+            if reads == MAX_READS_PER_TURN {
+                return None;
+            }
+            reads += 1;
             match self.link.as_mut()?.read_into(&mut self.inbox) {
                 Ok(n) if n > 0 => {}
                 Err(e) if timed_out(&e) => return None,
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -3,11 +3,15 @@
 
 #[allow(dead_code)]
 mod peers;
+#[allow(dead_code)]
+mod scripted_xmpp;
 
 use jaspermoor::protocol::xmpp::frame::NS_SASL;
 use jaspermoor_lab::demo::{Xmpp, DOMAIN};
 use jaspermoor_lab::stream::Stream;
+use jaspermoor_lab::xmpp_client::header;
 use peers::*;
+use scripted_xmpp::Site;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::path::{Path, PathBuf};
@@ -259,3 +263,31 @@
         report(name, slowest);
     }
 }
+
+/// Guards against a server that holds up all clients for as long as an attempt may last: it sends
+/// white space without pause in place of its features, and the relay read all that came.
+#[test]
+fn a_server_that_floods_during_the_negotiation_does_not_hold_up_other_clients() {
+    let mut site = Site::start_with_single_attempts("server-flood");
+    site.request();
+    let (_, mut server) = site.accept_attempt();
+    server.send(&header(DOMAIN, None)).unwrap();
+    let (flooding, attempt_over) = (AtomicBool::new(false), AtomicBool::new(false));
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            // Until the relay ends the attempt.
+            while server.send_bytes(&[b' '; 64 * 1024]).is_ok() {
+                flooding.store(true, Relaxed);
+            }
+            attempt_over.store(true, Relaxed);
+        });
+        until("the flood", || flooding.load(Relaxed).then_some(()));
+        let other = site.login.connect();
+        assert!(
+            other.is_ok() && !attempt_over.load(Relaxed),
+            "the other client waited for the end of the attempt"
+        );
+        // Ends the flood.
+        site.client.socket().shutdown(Shutdown::Both).unwrap();
+    });
+}
--- a/tests/scripted_xmpp/mod.rs
+++ b/tests/scripted_xmpp/mod.rs
@@ -52,8 +52,19 @@
         Site::start_with(name, "safe")
     }
 
+    /// A site whose requests have one attempt each, which lasts until their deadline.
+    pub fn start_with_single_attempts(name: &str) -> Site {
+        Site::start_replacing(name, ("\"max_attempts\": 6", "\"max_attempts\": 1"))
+    }
+
     /// A site whose classes have this idempotency.
     pub fn start_with(name: &str, idempotency: &str) -> Site {
+        let replacement = format!("\"idempotency\": \"{idempotency}\"");
+        Site::start_replacing(name, ("\"idempotency\": \"safe\"", &replacement))
+    }
+
+    /// A site with another text in its configuration.
+    fn start_replacing(name: &str, (from, to): (&str, &str)) -> Site {
         let dir = dir(name);
         let authority = Authority::new(&dir).unwrap();
         let pair = authority.leaf("relay", DOMAIN, Valid::Long).unwrap();
@@ -66,9 +77,7 @@
         let program = Path::new(env!("CARGO_BIN_EXE_jaspermoor"));
         let mut setup = setup(program, &dir, &discovery);
         setup.operator = Some(operator(DOMAIN, &pair));
-        let safe = "\"idempotency\": \"safe\"";
-        let replacement = format!("\"idempotency\": \"{idempotency}\"");
-        setup.replace.push((safe.into(), replacement));
+        setup.replace.push((from.into(), to.into()));
         let relay = Relay::start(&setup).unwrap();
         let tls = certs::client(&authority.file()).unwrap();
         let login = Login::new(relay.xmpp(), DOMAIN, "ali", Some(tls));
