--- a/src/net/placement.rs
+++ b/src/net/placement.rs
@@ -2,8 +2,8 @@
 //! carried out, and the client gets its final answer or its connection.
 
 use crate::config::endpoint_list::endpoint_id;
-use crate::decision_service::{Decision, RequestHandle};
-use crate::decisions::api::{Micros, Outcome, Request};
+use crate::decision_service::Decision;
+use crate::decisions::api::{EndpointId, Micros, Outcome, Request};
 use crate::net::admission::{AdmissionError, WaitingConnection};
 use crate::net::attempt::{
     Attempt, AttemptContext, AttemptFailure, EstablishedBackend, ADOPT_TIMEOUT,
@@ -58,7 +58,7 @@
             ),
             Err(AdmissionError::IdInUse) => (FinalAnswer::IdInUse, "id-in-use"),
         };
-        self.answer_and_close(Some(answer), client_request.encode_answer(answer), reason);
+        self.answer_request(&*client_request, Some(answer), reason);
     }
 
     /// Submits a request to the decisions. A connection that was established before this process
@@ -67,72 +67,82 @@
         let Some(session) = self.session.clone() else {
             return;
         };
-        let (shared, now) = (self.shared.clone(), self.now());
+        let now = self.now();
         // While this process stops, the client must have its answer before the process ends.
-        let shutdown_deadline = shared.answer_deadline.load(Relaxed);
-        let request = &Request {
-            time_left: client_request
-                .request()
-                .time_left
-                .min(shutdown_deadline.saturating_sub(now)),
-            ..client_request.request().clone()
+        let shutdown_deadline = self.shared.answer_deadline.load(Relaxed);
+        let request = client_request.request();
+        let request = Request {
+            time_left: request.time_left.min(shutdown_deadline.saturating_sub(now)),
+            ..request.clone()
         };
-        let handle: Arc<dyn RequestHandle> = session.clone();
         let id = session.connection_id();
         tracing::debug!(%id, group = request.group, key = request.client_key, again = request.returning, "request");
-        let (id, decision, attempt, endpoint_id, answer_deadline) = match client_request
-            .adopted_backend()
-        {
-            Some(at) => {
-                let endpoint_id = endpoint_id(at);
-                let id = shared
-                    .decisions
-                    .adopt_connection(request.clone(), endpoint_id, handle);
-                if let Some(record) = &mut self.record {
-                    (record.backend, record.attempts) = (at.to_string(), 1);
-                }
+        let pending = match client_request.adopted_backend().map(str::to_string) {
+            Some(backend) => {
                 let deadline = (now + ADOPT_TIMEOUT).min(shutdown_deadline);
-                (
-                    id,
-                    None,
-                    Some(Attempt::new(
-                        &*client_request,
-                        endpoint_id,
-                        deadline,
-                        0,
-                        now,
-                    )),
-                    endpoint_id,
-                    deadline,
-                )
-            }
-            None => {
-                // The time before the request arrived does not count against the client's deadline.
-                let answer_deadline = now + request.time_left;
-                let decision = shared
-                    .decisions
-                    .submit(request.clone(), handle, |id| session.set_request_id(id));
-                (
-                    decision.id,
-                    Some(decision),
-                    None,
-                    Default::default(),
-                    answer_deadline,
-                )
+                self.adopt_request(client_request, request, &session, backend, deadline)
             }
+            None => self.submit_new_request(client_request, request, &session, now),
         };
-        let failure_cause = FailureCause::BackendFailed;
-        self.pending = Some(Box::new(PendingRequest {
+        self.pending = Some(Box::new(pending));
+        self.advance_request(false);
+    }
+
+    /// Submits a new request, which the decisions place. The time before it arrived does not count
+    /// against the client's deadline.
+    fn submit_new_request(
+        &self,
+        client_request: Box<dyn ClientRequest>,
+        request: Request,
+        session: &Arc<Session>,
+        now: Micros,
+    ) -> PendingRequest {
+        let answer_deadline = now + request.time_left;
+        let decision = self
+            .shared
+            .decisions
+            .submit(request, session.clone(), |id| session.set_request_id(id));
+        PendingRequest {
+            client_request,
+            id: decision.id,
+            decision: Some(decision),
+            attempt: None,
+            endpoint_id: EndpointId::default(),
+            failure_cause: FailureCause::BackendFailed,
+            answer_deadline,
+            withdrawal: None,
+        }
+    }
+
+    /// Begins the only attempt of a connection that was established at this backend before this
+    /// process started.
+    fn adopt_request(
+        &mut self,
+        client_request: Box<dyn ClientRequest>,
+        request: Request,
+        session: &Arc<Session>,
+        backend: String,
+        deadline: Micros,
+    ) -> PendingRequest {
+        let endpoint_id = endpoint_id(&backend);
+        let id = self
+            .shared
+            .decisions
+            .adopt_connection(request, endpoint_id, session.clone());
+        if let Some(record) = &mut self.record {
+            (record.backend, record.attempts) = (backend, 1);
+        }
+        let attempt = Attempt::new(&*client_request, endpoint_id, deadline, 0, self.now());
+        PendingRequest {
             client_request,
             id,
-            decision,
-            attempt,
+            decision: None,
+            attempt: Some(attempt),
             endpoint_id,
-            failure_cause,
-            answer_deadline,
+            failure_cause: FailureCause::BackendFailed,
+            answer_deadline: deadline,
             withdrawal: None,
-        }));
-        self.advance_request(false);
+        }
     }
 
     /// Lowers the deadline of its answer, because the process stops.
@@ -155,79 +165,104 @@
             return;
         };
         loop {
-            if self
-                .pending
-                .as_ref()
-                .and_then(|p| p.attempt.as_ref())
-                .is_some_and(|a| a.may_dial_or_send(ready))
-            {
+            let attempt = self.pending.as_ref().and_then(|p| p.attempt.as_ref());
+            if attempt.is_some_and(|a| a.may_dial_or_send(ready)) {
                 // Where the client does not wait, the attempt below ends as cancelled.
                 self.check_client_waits();
             }
-            let Some(mut p) = self.pending.take() else {
+            let Some(p) = self.pending.take() else {
                 return;
             };
-            if let Some(attempt) = &mut p.attempt {
-                let context = AttemptContext {
-                    shared: &self.shared,
-                    session: &session,
-                    client_request: &*p.client_request,
-                    id: p.id,
-                };
-                let Some(result) = attempt.advance(context, std::mem::take(&mut ready)) else {
-                    self.pending = Some(p);
-                    return;
-                };
-                self.handle_attempt_result(p, &session, result);
-                continue;
-            }
-            let verdict = match &p.decision {
-                Some(decision) => decision.try_next(),
-                None => Some(Decision::Withdrawn),
-            };
-            let (answer, reason) = match verdict {
-                None => {
-                    self.pending = Some(p);
-                    return;
-                }
-                Some(Decision::Attempt {
-                    endpoint: endpoint_id,
-                    give_up_at: deadline,
-                    number,
-                }) => {
-                    if let Some(record) = &mut self.record {
-                        record.attempts += 1;
-                        record.backend = self
-                            .shared
-                            .directory
-                            .backend_address(endpoint_id)
-                            .map_or(String::new(), |e| e.name);
-                    }
-                    p.attempt = Some(Attempt::new(
-                        &*p.client_request,
-                        endpoint_id,
-                        deadline,
-                        number,
-                        self.now(),
-                    ));
-                    p.endpoint_id = endpoint_id;
-                    self.pending = Some(p);
-                    continue;
-                }
-                Some(Decision::Reject(wait)) => (
-                    Some(FinalAnswer::Rejected(
-                        wait.min(self.shared.settings().max_retry_after),
-                    )),
-                    "refused",
-                ),
-                Some(Decision::Fail) => (Some(FinalAnswer::Failed(p.failure_cause)), "failed"),
-                Some(Decision::Withdrawn) => p.withdrawn_answer(),
+            let goes_on = if p.attempt.is_some() {
+                self.advance_attempt(p, &session, std::mem::take(&mut ready))
+            } else {
+                self.follow_decision(p)
             };
-            self.shared.decisions.remove(p.id);
-            let message =
-                answer.map_or(Vec::new(), |answer| p.client_request.encode_answer(answer));
-            self.answer_and_close(answer, message, reason);
+            if !goes_on {
+                return;
+            }
+        }
+    }
+
+    /// Continues the attempt of a request. Returns whether it has ended.
+    fn advance_attempt(
+        &mut self,
+        mut p: Box<PendingRequest>,
+        session: &Session,
+        ready: bool,
+    ) -> bool {
+        let context = AttemptContext {
+            shared: &self.shared,
+            session,
+            client_request: &*p.client_request,
+            id: p.id,
+        };
+        let result = p.attempt.as_mut().and_then(|a| a.advance(context, ready));
+        let Some(result) = result else {
+            self.pending = Some(p);
+            return false;
+        };
+        self.handle_attempt_result(p, session, result);
+        true
+    }
+
+    /// Carries out the next decision on a request without an attempt. Returns whether there was one
+    /// to begin an attempt.
+    fn follow_decision(&mut self, mut p: Box<PendingRequest>) -> bool {
+        let decision = match &p.decision {
+            Some(decision) => decision.try_next(),
+            None => Some(Decision::Withdrawn),
+        };
+        let (answer, reason) = match decision {
+            None => {
+                self.pending = Some(p);
+                return false;
+            }
+            Some(Decision::Attempt {
+                endpoint,
+                give_up_at,
+                number,
+            }) => {
+                self.begin_attempt(&mut p, endpoint, give_up_at, number);
+                self.pending = Some(p);
+                return true;
+            }
+            Some(Decision::Reject(wait)) => {
+                let wait = wait.min(self.shared.settings().max_retry_after);
+                (Some(FinalAnswer::Rejected(wait)), "refused")
+            }
+            Some(Decision::Fail) => (Some(FinalAnswer::Failed(p.failure_cause)), "failed"),
+            Some(Decision::Withdrawn) => p.withdrawn_answer(),
+        };
+        self.shared.decisions.remove(p.id);
+        self.answer_request(&*p.client_request, answer, reason);
+        false
+    }
+
+    /// Begins an attempt at this endpoint, which the decisions have chosen.
+    fn begin_attempt(
+        &mut self,
+        p: &mut PendingRequest,
+        endpoint_id: EndpointId,
+        deadline: Micros,
+        number: u16,
+    ) {
+        if let Some(record) = &mut self.record {
+            record.attempts += 1;
+            record.backend = self
+                .shared
+                .directory
+                .backend_address(endpoint_id)
+                .map_or(String::new(), |e| e.name);
         }
+        let attempt = Attempt::new(
+            &*p.client_request,
+            endpoint_id,
+            deadline,
+            number,
+            self.now(),
+        );
+        (p.attempt, p.endpoint_id) = (Some(attempt), endpoint_id);
     }
 
     /// Handles the result of an attempt.
@@ -317,16 +352,15 @@
             Some(_) => p.withdrawn_answer(),
             None => (Some(not_adopted), "not-adopted"),
         };
-        let message = answer.map_or(Vec::new(), |answer| p.client_request.encode_answer(answer));
-        self.answer_and_close(answer, message, reason);
+        self.answer_request(&*p.client_request, answer, reason);
     }
 
-    /// Sends the client a final answer other than a connection, and closes; no answer where the
-    /// client is gone.
-    fn answer_and_close(
+    /// Sends the client of a request its final answer other than a connection, and closes; no answer
+    /// where the client is gone.
+    fn answer_request(
         &mut self,
+        client_request: &dyn ClientRequest,
         answer: Option<FinalAnswer>,
-        message: Vec<u8>,
         reason: &'static str,
     ) {
         if let Some(record) = self.record.take() {
@@ -335,7 +369,7 @@
                 .for_each(|answer| count_answer(&record, *answer));
             record.log_end(reason);
         }
-        self.last_bytes = message;
+        self.last_bytes = answer.map_or(Vec::new(), |answer| client_request.encode_answer(answer));
         self.close();
     }
 
--- a/tests/departed_clients.rs
+++ b/tests/departed_clients.rs
@@ -86,16 +86,22 @@
     assert!(backend.line().starts_with("OPEN 03 "));
 }
 
-/// Guards against a connection from before the start that is lost although its backend is there: it
-/// was given up after one dial that failed.
-#[test]
-fn a_connection_from_before_the_start_survives_a_dial_that_fails() {
+/// A client that names its earlier backend, whose port refuses connections.
+fn client_of_a_backend_that_refuses() -> (Fleet, RefusingPort, Relay, Peer) {
     let mut fleet = Fleet::new(&["s-1"]);
     let port = RefusingPort::new();
     fleet.set_backend_addr("s-1", port.addr());
     let relay = fleet.relay();
     let mut client = relay.client();
     client.send("OPEN 01 7f c=chat,d=60000,at=s-1");
+    (fleet, port, relay, client)
+}
+
+/// Guards against a connection from before the start that is lost although its backend is there: it
+/// was given up after one dial that failed.
+#[test]
+fn a_connection_from_before_the_start_survives_a_dial_that_fails() {
+    let (_fleet, port, relay, mut client) = client_of_a_backend_that_refuses();
     // Its end where it is given up, or the next dial.
     until("the first dial to fail", || {
         let failed = relay.logged("end id=01 ") || relay.logged("dialled again");
@@ -142,12 +148,7 @@
 /// The same where the flood comes while the request waits for its next attempt.
 #[test]
 fn a_client_that_floods_while_it_waits_for_an_attempt_gets_its_error_and_the_relay_goes_on() {
-    let mut fleet = Fleet::new(&["s-1"]);
-    let port = RefusingPort::new();
-    fleet.set_backend_addr("s-1", port.addr());
-    let relay = fleet.relay();
-    let mut client = relay.client();
-    client.send("OPEN 01 7f c=chat,d=60000,at=s-1");
+    let (_fleet, _port, relay, mut client) = client_of_a_backend_that_refuses();
     relay.wait_for_log("dialled again");
     relay.signal("STOP");
     fill_sockets(&mut client);
