The two processes of an upgrade share their relay's part of a cold server's budget

Both count as one relay, so the fleet could be sent twice its share while all relays are upgraded.

Cause: the share is that of settings.balancer_count, whatever the number of processes.

Change: the processes that exchange the ids of their requests are counted (event_loop/id_exchange.rs), and the decisions of all cells divide the share by that number until the link ends. New log line `takeover: processes beside this one: N`. With a build that does not exchange ids nothing changes.

--- a/src/decision_service/cell_map.rs
+++ b/src/decision_service/cell_map.rs
@@ -60,12 +60,9 @@
         existing.unwrap_or_else(|| {
             let seed = self.seed ^ (count as u64).rotate_left(32);
             let settings = self.settings.clone();
-            self.balancers.push(CellBalancer::new(
-                cell_name,
-                settings,
-                self.parameters,
-                seed,
-            ));
+            let mut cell = CellBalancer::new(cell_name, settings, self.parameters, seed);
+            cell.balancer.set_other_processes(self.other_processes);
+            self.balancers.push(cell);
             count
         })
     }
--- a/src/decision_service/mod.rs
+++ b/src/decision_service/mod.rs
@@ -150,6 +150,12 @@
         });
     }
 
+    /// Sets the number of processes of this relay that serve beside this one, during an upgrade.
+    /// They share what this relay may send to endpoints that warm up.
+    pub fn set_other_processes(&self, count: u32) {
+        self.lock().set_other_processes(count);
+    }
+
     /// Ejects an endpoint by an operator's order, or readmits it.
     pub fn set_manual_ejection(&self, endpoint: EndpointId, ejected: bool) {
         let mut state = self.lock();
--- a/src/decision_service/state.rs
+++ b/src/decision_service/state.rs
@@ -39,6 +39,8 @@
     pub settings: Settings,
     /// Parameters of all balancers.
     pub parameters: Parameters,
+    /// Processes of this relay that serve beside this one.
+    pub other_processes: u32,
     /// Number of changes of the cell map so far.
     pub map_version: u64,
     /// The endpoint list.
@@ -74,6 +76,7 @@
             seed,
             settings,
             parameters,
+            other_processes: 0,
             map_version: 0,
             endpoints: BTreeMap::new(),
             has_complete_list: false,
@@ -87,6 +90,14 @@
         }
     }
 
+    /// Tells all balancers how many processes of this relay serve beside this one.
+    pub(super) fn set_other_processes(&mut self, count: u32) {
+        self.other_processes = count;
+        for cell in &mut self.balancers {
+            cell.balancer.set_other_processes(count);
+        }
+    }
+
     /// Adds a request or connection and counts it.
     pub(super) fn register(&mut self, mut entry: InFlight) -> RequestId {
         entry.map_version = self.map_version;
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -64,6 +64,8 @@
     load_shedding: LoadShedding,
     retry_budget: RetryBudget,
     connection_rate: ConnectionRate,
+    /// Processes of this relay that serve beside this one: one during an upgrade.
+    other_processes: u32,
     discovery: DiscoveryBackoff,
     /// Turns of the periodic health checks so far. The remainder by the number of ready endpoints
     /// selects the next endpoint; 0 until the checks have started.
@@ -95,6 +97,12 @@
         self.parameters = parameters;
     }
 
+    /// Sets the number of processes of this relay that serve beside this one. All of them count as
+    /// one relay and share its part of the budget of an endpoint that warms up.
+    pub fn set_other_processes(&mut self, count: u32) {
+        self.other_processes = count;
+    }
+
     /// Handles one event and appends the actions to carry out, in order. `now` must not be less
     /// than in earlier calls.
     ///
--- a/src/decisions/slow_start.rs
+++ b/src/decisions/slow_start.rs
@@ -144,15 +144,21 @@
     }
 
     /// Requests per microsecond that an endpoint of this size carries now, from all balancers, if
-    /// each has as much traffic as this one: what connects there, or what fills it with the
-    /// connections that it has, if that is less. When many clients return at once, more connects
-    /// for a while than an endpoint can carry for long; and short connections end before they fill
-    /// it.
+    /// each process of each has as much traffic as this one: what connects there, or what fills it
+    /// with the connections that it has, if that is less. When many clients return at once, more
+    /// connects for a while than an endpoint can carry for long; and short connections end before
+    /// they fill it.
     fn carried_requests(&self, size: f32, time_to_fill: f32) -> f32 {
         let connecting = self.connection_rate.per_microsecond(self.now)
             * self.endpoints.fraction_of_ready_size(size);
         let filling = self.endpoints.mean_in_flight(size) / time_to_fill;
-        self.settings.balancer_count as f32 * connecting.min(filling)
+        self.sharing_processes() * connecting.min(filling)
+    }
+
+    /// Number of processes that share the budget of an endpoint: those of all balancers, if each
+    /// has as many as this one.
+    fn sharing_processes(&self) -> f32 {
+        self.settings.balancer_count as f32 * (1 + self.other_processes) as f32
     }
 
     /// Tokens that this balancer earns for a warming endpoint within the overload window.
@@ -160,7 +166,7 @@
         let budget = self.warm_up_budget(endpoint.id).unwrap_or_default();
         self.parameters.slow_start_budget_fraction * budget
             / WINDOWS_PER_SPAN
-            / self.settings.balancer_count as f32
+            / self.sharing_processes()
     }
 
     /// Refills an endpoint's token bucket. Returns whether slow start lets this balancer send the
--- a/src/net/event_loop/id_exchange.rs
+++ b/src/net/event_loop/id_exchange.rs
@@ -38,6 +38,7 @@
     pub(super) fn apply_id_changes(&mut self, n: u64, changes: Vec<IdChange>) {
         self.shared.admission.apply_id_changes(changes);
         if self.id_peers.insert(n) {
+            self.count_processes();
             let open = self.shared.admission.share_ids();
             self.send_ids(n, &open);
         }
@@ -75,8 +76,19 @@
 
     /// Forgets the ids of a process whose link has ended.
     pub(super) fn end_id_exchange(&mut self, n: u64) {
-        if self.id_peers.remove(&n) && self.id_peers.is_empty() {
+        if !self.id_peers.remove(&n) {
+            return;
+        }
+        self.count_processes();
+        if self.id_peers.is_empty() {
             self.shared.admission.stop_sharing_ids();
         }
     }
+
+    /// Tells the decisions how many processes serve beside this one: together they are one relay.
+    fn count_processes(&self) {
+        let others = self.id_peers.len() as u32;
+        self.shared.decisions.set_other_processes(others);
+        log(&format!("takeover: processes beside this one: {others}"));
+    }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2040,6 +2040,60 @@
     }
 }
 
+/// The requests that the processes of one relay send to an endpoint within 6 s of the end of its
+/// manual ejection, if they share the relay's traffic.
+fn requests_to_returning_endpoint(processes: u32) -> usize {
+    let mut relay: Vec<_> = (0..processes)
+        .map(|_| {
+            let mut process = BalancerHarness::with_endpoints(Settings::default(), 4);
+            process.balancer.set_other_processes(processes - 1);
+            let connections = 0..40 / processes;
+            let endpoints: Vec<_> = connections
+                .map(|id| process.connect(request(id, u64::from(id), 0)))
+                .collect();
+            for ejected in [true, false] {
+                process.handle(Event::ManualEjection {
+                    endpoint: EndpointId(2),
+                    ejected,
+                });
+            }
+            for (id, endpoint) in endpoints.into_iter().enumerate() {
+                if endpoint == Some(EndpointId(2)) {
+                    process.end_attempt(id as u32, EndpointId(2), Outcome::Cancelled, true);
+                }
+            }
+            process
+        })
+        .collect();
+    let returned_at = relay[0].now;
+    let mut attempts = 0;
+    for n in 0..600 {
+        let process = &mut relay[n % processes as usize];
+        process.now = returned_at + n as Micros * SECOND / 100;
+        let id = 1_000 + n as u32;
+        if let Some(endpoint) = attempted_endpoint(&process.submit(request(id, u64::from(id), 0))) {
+            attempts += usize::from(endpoint == EndpointId(2));
+            process.end_attempt(id, endpoint, Outcome::Cancelled, true);
+        }
+    }
+    attempts
+}
+
+/// Guards against an upgrade during which a relay sends a cold endpoint twice its share: both
+/// processes count as one relay.
+#[test]
+fn both_processes_of_an_upgrade_share_the_tokens_of_their_relay() {
+    let (one, both) = (
+        requests_to_returning_endpoint(1),
+        requests_to_returning_endpoint(2),
+    );
+    // The buckets of both may hold a token at first.
+    assert!(
+        both <= one + 1,
+        "{both} requests, {one} of a single process"
+    );
+}
+
 /// If the list shows the new start, the endpoint does not count as cold from the end of the
 /// ejection on.
 #[test]
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -297,3 +297,18 @@
         assert_eq!(again.rest(), "ERR id-in-use\r\n", "{id}");
     }
 }
+
+/// Guards against two processes of an upgrade that each send cold backends the whole share of their
+/// relay: each knows of the other as long as that serves.
+#[test]
+fn the_processes_of_an_upgrade_know_how_many_serve() {
+    let upgrade = Upgrade::new();
+    let mut old = upgrade.start();
+    let new = upgrade.start();
+    for process in [&old, &new] {
+        process.wait_for_log("takeover: processes beside this one: 1");
+    }
+    old.signal("TERM");
+    assert!(old.exit().success());
+    new.wait_for_log("takeover: processes beside this one: 0");
+}
