Established connections at a cold server that drains take slow-start tokens, too

In a burst most of these connections are new to the server.

Change: the step asks slow start for servers in their grace as for ready ones; a warm server is not affected.

--- a/src/decisions/placement.rs
+++ b/src/decisions/placement.rs
@@ -100,13 +100,11 @@
 
     fn accepts_established(&mut self, index: EndpointIndex) -> bool {
         let availability = &self.endpoints[index].availability;
-        if availability.ready {
-            // Slow start counts them as requests: in a burst, most of the connections are new to
-            // the endpoint.
-            return self.slow_start_admits(index);
-        }
         let since = availability.unavailable_since;
-        since > 0 && self.now < since + self.settings.drain_grace
+        let in_grace = since > 0 && self.now < since + self.settings.drain_grace;
+        // Slow start counts them as requests: in a burst, most of the connections are new to the
+        // endpoint.
+        (availability.ready || in_grace) && self.slow_start_admits(index)
     }
 
     /// Step: an endpoint that has come back gets its first request once that is due and slow start
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1199,6 +1199,35 @@
     }
 }
 
+/// Guards against a burst at a cold endpoint that has just begun to drain: until its grace has
+/// passed it takes established connections, of which most are new to it in a burst.
+#[test]
+fn established_connections_take_the_slow_start_tokens_of_a_cold_endpoint_that_drains() {
+    let settings = Settings {
+        forwards_packets: true,
+        ..Settings::default()
+    };
+    let mut harness = BalancerHarness::with_endpoints(settings, 1);
+    for state in [EndpointState::Ready, EndpointState::Draining] {
+        let cold = ListedEndpoint {
+            started_at: Some(harness.now),
+            ..endpoint_in_state(1, state)
+        };
+        harness.update_endpoints(EndpointListKind::Delta, vec![cold, ready_endpoint(2)]);
+    }
+    let established = (0..60).map(|id| Request {
+        established: true,
+        returning: true,
+        ..request(id, u64::from(id), 0)
+    });
+    let attempts = established
+        .filter(|request| {
+            attempted_endpoint(&harness.submit(request.clone())) == Some(EndpointId(1))
+        })
+        .count();
+    assert!(attempts <= 1, "{attempts} requests to a cold endpoint");
+}
+
 // ---- Health ----
 
 #[test]
