--- a/tests/cold_returns.rs
+++ b/tests/cold_returns.rs
@@ -39,13 +39,13 @@
 
 /// What happens to the servers, and to the relays beside it.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Story {
+enum Scenario {
     /// They end and start again; no operator calls.
     Restart,
     /// They are called out, started again, and called back.
     CallBack,
     /// As before, and the list tells their start only after the call.
-    CallBackBeforeNews,
+    CallBackBeforeList,
     /// They are called out and back without a restart.
     CallBackOnly,
     /// They are called out and back many times in a row.
@@ -64,7 +64,7 @@
     returning: u64,
     /// Whether servers report their load.
     reports: bool,
-    story: Story,
+    scenario: Scenario,
 }
 
 impl Case {
@@ -80,8 +80,8 @@
     /// only the call back itself makes that happen, as far as the relay remembers it.
     fn steers_requests(&self) -> bool {
         let is_remembered = !matches!(
-            self.story,
-            Story::Restart | Story::Lists | Story::RelayRestarts
+            self.scenario,
+            Scenario::Restart | Scenario::Lists | Scenario::RelayRestarts
         );
         !self.reports || is_remembered
     }
@@ -89,13 +89,13 @@
     /// Whether each relay gets one call back, and nothing interferes with it.
     fn ends_with_one_call(&self) -> bool {
         matches!(
-            self.story,
-            Story::CallBack | Story::CallBackBeforeNews | Story::CallBackOnly
+            self.scenario,
+            Scenario::CallBack | Scenario::CallBackBeforeList | Scenario::CallBackOnly
         )
     }
 }
 
-/// A step of a story.
+/// A step of a scenario.
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Crash,
@@ -114,15 +114,15 @@
         .collect()
 }
 
-impl Story {
+impl Scenario {
     /// The steps, at times relative to the first call back, or to the start if there is no call.
     fn steps(self) -> Vec<(i64, Step)> {
         use EndpointState::{Ready, Removed};
         let listed = Step::List(Ready);
         let mut steps = match self {
-            Story::Restart => vec![(-3_000, Step::Crash), (0, Step::Start), (10, listed)],
-            Story::CallBackOnly => vec![(-1_000, Step::CallOut), (0, Step::CallBack)],
-            Story::CallBackBeforeNews => vec![
+            Scenario::Restart => vec![(-3_000, Step::Crash), (0, Step::Start), (10, listed)],
+            Scenario::CallBackOnly => vec![(-1_000, Step::CallOut), (0, Step::CallBack)],
+            Scenario::CallBackBeforeList => vec![
                 (-3_500, Step::CallOut),
                 (-500, Step::Start),
                 (0, Step::CallBack),
@@ -136,13 +136,13 @@
             ],
         };
         steps.extend(match self {
-            Story::RepeatedCalls => repeated(Step::CallOut, Step::CallBack),
-            Story::Lists => {
+            Scenario::RepeatedCalls => repeated(Step::CallOut, Step::CallBack),
+            Scenario::Lists => {
                 let mut lists = vec![(-300, Step::List(Removed)), (-100, listed)];
                 lists.extend(repeated(Step::List(Removed), listed));
                 lists
             }
-            Story::RelayRestarts => vec![(1_000, Step::RestartRelays)],
+            Scenario::RelayRestarts => vec![(1_000, Step::RestartRelays)],
             _ => vec![],
         });
         steps
@@ -323,15 +323,15 @@
     fn apply(&mut self, step: Step) {
         match step {
             Step::Crash | Step::Start => self.restart_servers(matches!(step, Step::Start)),
-            Step::CallOut => self.tell_relays(|_, server| Event::ManualEjection {
+            Step::CallOut => self.notify_relays(|_, server| Event::ManualEjection {
                 endpoint: EndpointId(server),
                 ejected: true,
             }),
-            Step::CallBack => self.tell_relays(|_, server| Event::ManualEjection {
+            Step::CallBack => self.notify_relays(|_, server| Event::ManualEjection {
                 endpoint: EndpointId(server),
                 ejected: false,
             }),
-            Step::List(state) => self.tell_relays(|simulation, server| Event::EndpointList {
+            Step::List(state) => self.notify_relays(|simulation, server| Event::EndpointList {
                 kind: EndpointListKind::Delta,
                 endpoints: vec![simulation.listed(server, state)],
             }),
@@ -342,7 +342,7 @@
         }
     }
 
-    fn tell_relays(&mut self, event: impl Fn(&Simulation, u64) -> Event) {
+    fn notify_relays(&mut self, event: impl Fn(&Simulation, u64) -> Event) {
         for relay in 0..self.case.relays {
             for server in 1..=self.case.returning {
                 let event = event(self, server);
@@ -392,7 +392,7 @@
     }
 
     fn run(mut self) -> Self {
-        let mut steps: Vec<(Micros, Step)> = (self.case.story.steps().into_iter())
+        let mut steps: Vec<(Micros, Step)> = (self.case.scenario.steps().into_iter())
             .map(|(ms, step)| ((self.returned_at as i64 + ms * MS as i64) as Micros, step))
             .collect();
         steps.sort_by_key(|step| Reverse(step.0));
@@ -458,17 +458,17 @@
     }
 
     /// The time until each relay's first request to each server that returns, in ascending order.
-    fn waits(&self) -> Vec<Micros> {
-        let mut waits = Vec::new();
+    fn first_requests(&self) -> Vec<Micros> {
+        let mut first_requests = Vec::new();
         for server in self.returning() {
             for relay in 0..self.case.relays {
                 let back = server.requests.iter().filter(|r| r.0 >= self.returned_at);
                 let first = back.clone().find(|request| request.1 == relay);
-                waits.push(first.map_or(COUNTED, |request| request.0 - self.returned_at));
+                first_requests.push(first.map_or(COUNTED, |request| request.0 - self.returned_at));
             }
         }
-        waits.sort_unstable();
-        waits
+        first_requests.sort_unstable();
+        first_requests
     }
 
     /// What is wrong in this run.
@@ -482,7 +482,7 @@
         if fewest < MIN_REQUESTS && self.case.steers_requests() {
             problems.push(format!("{fewest} requests within {} s", WATCHED / SECOND));
         }
-        let longest = self.waits().pop().unwrap_or_default();
+        let longest = self.first_requests().pop().unwrap_or_default();
         if longest > MAX_UNUSED && self.case.ends_with_one_call() && self.case.relays <= SMALL_FLEET
         {
             problems.push(format!("a relay used a server after {longest} us"));
@@ -490,9 +490,9 @@
         problems
     }
 
-    /// The fewest requests that a server got within [`WATCHED`] of the last step of the story.
+    /// The fewest requests that a server got within [`WATCHED`] of the last step of the scenario.
     fn fewest_watched(&self) -> usize {
-        let steps = self.case.story.steps();
+        let steps = self.case.scenario.steps();
         let last_step_ms = steps.iter().map(|step| step.0).max().unwrap_or(0);
         let settled_at = self.returned_at + last_step_ms as Micros * MS;
         let watched = settled_at..settled_at + WATCHED;
@@ -506,10 +506,10 @@
     }
 }
 
-/// Plays a story with fleets and numbers of servers of several sizes, and checks in each that the
+/// Runs a scenario with fleets and numbers of servers of several sizes, and checks in each that the
 /// fleet keeps the budget, that the servers are used, and that each relay of a small fleet uses one
 /// that was called back soon.
-fn check(story: Story) {
+fn check(scenario: Scenario) {
     let mut broken = Vec::new();
     for relays in [1, 3, 10, 20, 30] {
         for (reports, returning) in [(false, 1), (false, 3), (true, 1), (true, 3)] {
@@ -517,7 +517,7 @@
                 relays,
                 returning,
                 reports,
-                story,
+                scenario,
             };
             let runs = (0..SEEDS).map(|seed| Simulation::new(case, seed).run());
             let runs: Vec<Simulation> = runs.collect();
@@ -538,12 +538,13 @@
     let (count, allowed) = windows
         .max_by(|a, b| ratio(a).total_cmp(&ratio(b)))
         .unwrap();
-    let mut waits: Vec<Micros> = runs.iter().flat_map(Simulation::waits).collect();
-    waits.sort_unstable();
+    let mut first_requests: Vec<Micros> =
+        runs.iter().flat_map(Simulation::first_requests).collect();
+    first_requests.sort_unstable();
     let seconds = |wait: Micros| wait as f32 / SECOND as f32;
     let (median, longest) = (
-        seconds(waits[waits.len() / 2]),
-        seconds(waits[waits.len() - 1]),
+        seconds(first_requests[first_requests.len() / 2]),
+        seconds(first_requests[first_requests.len() - 1]),
     );
     let fewest = runs.iter().map(Simulation::fewest_watched).min().unwrap();
     format!(
@@ -555,36 +556,36 @@
 
 #[test]
 fn a_server_that_restarts_without_a_call_gets_requests_within_the_budget() {
-    check(Story::Restart);
+    check(Scenario::Restart);
 }
 
 /// Each relay sent a first request within 3 s of the call, without a token.
 #[test]
 fn all_relays_together_keep_the_budget_of_a_server_that_is_called_back() {
-    check(Story::CallBack);
+    check(Scenario::CallBack);
 }
 
 #[test]
-fn news_of_the_start_after_the_call_back_grant_no_requests() {
-    check(Story::CallBackBeforeNews);
+fn a_start_that_is_listed_after_the_call_back_grants_no_requests() {
+    check(Scenario::CallBackBeforeList);
 }
 
 #[test]
 fn a_server_that_is_called_back_without_a_restart_is_used() {
-    check(Story::CallBackOnly);
+    check(Scenario::CallBackOnly);
 }
 
 #[test]
 fn repeated_calls_grant_no_requests() {
-    check(Story::RepeatedCalls);
+    check(Scenario::RepeatedCalls);
 }
 
 #[test]
 fn a_server_that_lists_drop_and_name_again_gets_requests_within_the_budget() {
-    check(Story::Lists);
+    check(Scenario::Lists);
 }
 
 #[test]
 fn relays_that_restart_beside_a_cold_server_get_no_requests_by_that() {
-    check(Story::RelayRestarts);
+    check(Scenario::RelayRestarts);
 }
