A relay alone uses a server that is called back for its next client

Cause: the delay spreads the requests of several relays, and was drawn for one relay, too.

Change: relays take turns within the same time (manual_return_spread_us times index over number). The first does not wait, nor does a single one; no random number is drawn.

--- a/src/decisions/manual_ejection.rs
+++ b/src/decisions/manual_ejection.rs
@@ -40,16 +40,18 @@
         availability.returned_at = if restarted { None } else { Some(self.now) };
         self.return_slowly(index, was_warm);
         let delay = self.delay_of_return(index);
-        self.endpoints[index].availability.first_request_due = Some(self.now + delay);
+        self.endpoints[index].availability.first_request_due = Some(self.now.saturating_add(delay));
     }
 
-    /// Time until the first request to an endpoint whose manual ejection has ended: random where
-    /// slow start would let all balancers send one at the same moment.
-    fn delay_of_return(&mut self, index: EndpointIndex) -> Micros {
-        let spread = self.parameters.manual_return_spread_us;
-        if spread == 0 || !self.returns_everywhere_at_once(index) {
+    /// Time until the first request to an endpoint whose manual ejection has ended. Where slow
+    /// start would let all balancers send one at the same moment, they take turns. The first of
+    /// them does not wait, nor does a single balancer.
+    fn delay_of_return(&self, index: EndpointIndex) -> Micros {
+        if !self.returns_everywhere_at_once(index) {
             return 0;
         }
-        self.random.range(0..spread)
+        let spread = self.parameters.manual_return_spread_us;
+        let turn = u64::from(self.settings.balancer_index);
+        spread.saturating_mul(turn) / u64::from(self.settings.balancer_count.max(1))
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2069,6 +2069,29 @@
     }
 }
 
+/// Guards against a random delay that adds up with the wait for the next client: a relay alone has
+/// nobody to take turns with.
+#[test]
+fn a_relay_alone_sends_a_returning_endpoint_its_next_request() {
+    let late: Vec<u64> = (0..20)
+        .filter(|&seed| {
+            let mut harness = BalancerHarness::new(Settings::default(), seed);
+            let listed = (1..=4).map(ready_endpoint).collect();
+            harness.update_endpoints(EndpointListKind::Full, listed);
+            for ejected in [true, false] {
+                harness.handle(Event::ManualEjection {
+                    endpoint: EndpointId(2),
+                    ejected,
+                });
+            }
+            // A client every 4 s: this one, or the next one after 6 s.
+            harness.now += 2 * SECOND;
+            harness.connect(request(1, seed, 0)) != Some(EndpointId(2))
+        })
+        .collect();
+    assert!(late.is_empty(), "unused for 6 s with the seeds {late:?}");
+}
+
 /// The requests that the processes of one relay send to an endpoint within 6 s of the end of its
 /// manual ejection, if they share the relay's traffic.
 fn requests_to_returning_endpoint(processes: u32) -> usize {
