Tests: two real processes of an upgrade share the requests to a backend that is called back

The test of the log line passes also where the count does not reach the decisions. The window is 10 minutes, so that no token is earned within the test; the order is forced by log lines and metrics.

--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -312,3 +312,50 @@
     assert!(old.exit().success());
     new.wait_for_log("takeover: processes beside this one: 0");
 }
+
+/// Guards against a count of the processes that does not reach the decisions. A backend that is
+/// called back gets a token's request of each process that has the relay's whole share; of two that
+/// share it, here where no token is earned within the test, not of both.
+#[test]
+fn the_processes_of_an_upgrade_share_the_first_requests_to_a_returning_backend() {
+    let mut upgrade = Upgrade::new();
+    upgrade.config = config(
+        upgrade.fleet.discovery.addr(),
+        &["s-1", "s-2"].map(|name| upgrade.fleet.entry(name, "active")),
+    )
+    .replace("\"fall\": 1000.0", "\"fall\": 600000.0")
+    .replace("\"warm_within\": 24000.0", "\"warm_within\": 3600000.0")
+    .replace("\"overload_factor\": 2.5", "\"overload_factor\": 0.001")
+    .replace("\"peers_total\": 1", "\"peers_total\": 3");
+    let processes = [upgrade.start(), upgrade.start()];
+    for process in &processes {
+        process.wait_for_log("takeover: processes beside this one: 1");
+    }
+    for (order, ejected) in [("offline", 1), ("online", 0)] {
+        let path = format!("/control/backends/s-2/{order}");
+        assert_eq!(processes[0].admin_request("POST", &path).0, 200);
+        for process in &processes {
+            process.wait_for_metric("skipped_backends", ejected);
+        }
+    }
+    let mut open = Vec::new();
+    let mut at_s2 = 0;
+    // The kernel chooses the process that accepts a client: until both have served some.
+    let served = |process: &Relay| process.metric("passed_total{category=\"chat\"}") >= Some(4);
+    while !processes.iter().all(served) {
+        assert!(open.len() < 200, "a process accepts no clients");
+        let mut client = processes[0].client();
+        client.send(&format!(
+            "OPEN {:02x} {:02x}f c=chat,d=60000",
+            open.len(),
+            open.len()
+        ));
+        let (backend, mut connection) = upgrade.fleet.accept_any();
+        connection.line();
+        connection.send("UP r");
+        assert_eq!(client.line(), "UP r");
+        at_s2 += u32::from(backend == "s-2");
+        open.push((client, connection));
+    }
+    assert!(at_s2 <= 1, "{at_s2} requests");
+}
