Tests of an older build's texts use ports that no other socket is given meanwhile

Cause: the test takes a port from the kernel, releases it and has the relay listen there. Another socket can be given the port in between; the relay then ends (admin: cannot listen).

Change: the ports come from 10,000 to 31,999, which Linux gives to nobody by itself, and are checked to be free. No check is changed.

--- a/tests/older_build/process.rs
+++ b/tests/older_build/process.rs
@@ -7,12 +7,27 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-/// A local address at which nothing listens.
+/// Ports that Linux assigns to nobody by itself (by default it assigns those from 32768 on), so that
+/// no other socket of the machine gets one of them before the relay listens there.
+const FIRST_PORT: u32 = 10_000;
+const PORT_COUNT: u32 = 22_000;
+/// Distance between the first ports of two processes with consecutive ids.
+const PORTS_PER_PROCESS: u32 = 64;
+
+/// A local address at which nothing listens, another one for each call.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap()
+    static CALLS: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    let mut ports = (0..PORT_COUNT).map(|_| {
+        let offset = first.wrapping_add(CALLS.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
+        (FIRST_PORT + offset) as u16
+    });
+    let is_free = |port: &u16| TcpListener::bind((Ipv4Addr::LOCALHOST, *port)).is_ok();
+    let port = ports.find(is_free).expect("a free port");
+    (Ipv4Addr::LOCALHOST, port).into()
 }
 
 /// An entry of the endpoint list.
