A keyed request is sent only while its window is open by the clock at the write

What callers saw: XMPP, a keyed class with a window of 1 s. The first server hung with the request, the relay gave it up after 0.3 s and opened a stream to the second server, which offered SASL 1.2 s later.

Cause: the window was looked at only when the second attempt was decided (decisions/retry.rs), with a promise that the first byte follows within one dial. Nothing looked at it where the request is written (net/attempt.rs), which asked right before each message whether the backend is available, the request awaits its answer and the lease is valid.

Change: Balancer::check_send (decisions/send_check.rs) is the one rule, asked with the clock at that moment before each write up to the last byte of the request, in every protocol. While the request is not sent the attempt also has the end of the window as a timer, so that it ends then and the client gets its one answer at once. The estimate in retry.rs stays as an early refusal. A refused attempt is NotAttempted where nothing was sent (the retry token comes back), else the new outcome NotSent: nothing was executed, the server has not failed, the token stays taken. The window is measured from the decision, for the ids that are remembered as well (the attempt's time was taken when it was created). New debug log line "request not sent" with the refusal, which no log showed before.

--- a/src/decision_service/requests.rs
+++ b/src/decision_service/requests.rs
@@ -8,6 +8,7 @@
 use super::DecisionService;
 use crate::cells::Placement;
 use crate::decisions::api::{EndpointId, Event, Micros, Outcome, Request, RequestId};
+use crate::decisions::send_check::SendRefusal;
 use std::sync::Arc;
 
 impl DecisionService {
@@ -161,6 +162,34 @@
         self.lock().in_flight.unanswered(id).is_some()
     }
 
+    /// Whether the request of the attempt in progress may be sent now. The clock is read once the
+    /// lock is held, so that a wait for the lock is not overlooked.
+    pub fn check_send(&self, id: RequestId) -> Result<(), SendRefusal> {
+        let state = self.lock();
+        let entry = state.in_flight.unanswered(id);
+        let balancer = entry.ok_or(SendRefusal::Answered)?.balancer;
+        if !self.may_admit() {
+            return Err(SendRefusal::NoLease);
+        }
+        let now = self.now();
+        state.balancers[balancer].balancer.check_send(now, id)
+    }
+
+    /// The time from which on [`DecisionService::check_send`] refuses the request of the attempt in
+    /// progress because its window has ended; none if there is no such time.
+    pub fn send_deadline(&self, id: RequestId) -> Option<Micros> {
+        let state = self.lock();
+        let balancer = state.in_flight.get(id)?.balancer;
+        state.balancers[balancer].balancer.send_deadline(id)
+    }
+
+    /// When the attempt in progress was issued; none if there is none.
+    pub fn attempt_issued_at(&self, id: RequestId) -> Option<Micros> {
+        let state = self.lock();
+        let balancer = state.in_flight.get(id)?.balancer;
+        state.balancers[balancer].balancer.attempt_issued_at(id)
+    }
+
     /// Sets an earlier deadline for a request, because this process stops. A deadline
     /// later than the current one is ignored.
     pub fn shorten_deadline(&self, id: RequestId, deadline: Micros) {
--- a/src/decisions/api.rs
+++ b/src/decisions/api.rs
@@ -111,6 +111,9 @@
     Cancelled,
     /// The attempt was never started.
     NotAttempted,
+    /// The relay ended the attempt before it had sent the last byte of the request, for a reason
+    /// that is not the endpoint's: nothing was executed, but the endpoint has worked on it.
+    NotSent,
 }
 
 impl Outcome {
@@ -118,7 +121,7 @@
     pub fn proves_not_executed(self) -> bool {
         matches!(
             self,
-            Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotAttempted
+            Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotAttempted | Outcome::NotSent
         )
     }
 }
--- a/src/decisions/idempotency.rs
+++ b/src/decisions/idempotency.rs
@@ -10,19 +10,24 @@
 use super::endpoints::Endpoint;
 use super::requests::{PendingRequest, Phase};
 
-/// Whether another attempt may send its first byte at this time; that of a keyed request must be
-/// within the deduplication window.
-pub(super) fn permits_first_byte_at(pending: &PendingRequest, first_byte_at: Micros) -> bool {
-    let Some(first) = &pending.possible_execution else {
-        return true;
-    };
+/// The time from which on no byte of another attempt may be sent, because the attempt would be a
+/// second execution: the endpoints forget a key when the deduplication window ends, which is
+/// measured from the issue of the earliest attempt that may have executed the request. None where
+/// there is no such time.
+pub(super) fn send_deadline(pending: &PendingRequest) -> Option<Micros> {
+    let first = pending.possible_execution.as_ref()?;
     match pending.class.idempotency {
-        Idempotency::Idempotent => true,
-        Idempotency::NonIdempotent => false,
-        Idempotency::Keyed { window, .. } => first_byte_at < first.started_at + window,
+        Idempotency::Idempotent => None,
+        Idempotency::NonIdempotent => Some(first.issued_at),
+        Idempotency::Keyed { window, .. } => Some(first.issued_at.saturating_add(window)),
     }
 }
 
+/// Whether another attempt may send a byte of the request at this time.
+pub(super) fn permits_send_at(pending: &PendingRequest, time: Micros) -> bool {
+    send_deadline(pending).is_none_or(|deadline| time < deadline)
+}
+
 /// Whether another attempt may go to an endpoint; that of a keyed request only to one that drops
 /// duplicates of the first.
 pub(super) fn permits_endpoint(pending: &PendingRequest, endpoint: &Endpoint) -> bool {
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -30,6 +30,7 @@
 mod requests;
 mod retry;
 pub mod ring;
+pub mod send_check;
 pub mod settings;
 mod slow_start;
 pub mod timers;
--- a/src/decisions/requests.rs
+++ b/src/decisions/requests.rs
@@ -23,7 +23,8 @@
 
 /// The first attempt that may have executed a request.
 pub(super) struct PossibleExecution {
-    pub started_at: Micros,
+    /// When the attempt was issued: decided on, before anything was sent.
+    pub issued_at: Micros,
     pub zone: u16,
     pub cell: u16,
 }
@@ -41,8 +42,8 @@
     pub migrating: bool,
     /// The endpoint of its last attempt.
     pub endpoint: EndpointId,
-    /// When its last attempt began.
-    attempt_started_at: Micros,
+    /// When its last attempt was issued: decided on, before anything was sent.
+    pub attempt_issued_at: Micros,
     /// The endpoints of its attempts, in order.
     pub attempted: Vec<EndpointId>,
     /// When the next placement is due, while no endpoint can take it.
@@ -169,7 +170,7 @@
         endpoint.load.record_request();
         pending.phase = Phase::Attempting;
         pending.endpoint = endpoint.id;
-        pending.attempt_started_at = self.now;
+        pending.attempt_issued_at = self.now;
         pending.attempted.push(endpoint.id);
         actions.push(Action::Attempt {
             id: pending.request.id,
@@ -263,7 +264,7 @@
         match outcome {
             Outcome::Success => self.endpoints[index].health.record_success(),
             Outcome::NotAttempted => self.retry_budget.refund(pending, &self.parameters),
-            Outcome::Cancelled => {}
+            Outcome::Cancelled | Outcome::NotSent => {}
             Outcome::Reset if pending.phase == Phase::Established => {
                 self.endpoints[index].health.cut_cap(self.now);
             }
@@ -283,7 +284,7 @@
         if !outcome.proves_not_executed() && pending.possible_execution.is_none() {
             let endpoint = &self.endpoints[index];
             pending.possible_execution = Some(PossibleExecution {
-                started_at: pending.attempt_started_at,
+                issued_at: pending.attempt_issued_at,
                 zone: endpoint.zone,
                 cell: endpoint.cell,
             });
--- a/src/decisions/retry.rs
+++ b/src/decisions/retry.rs
@@ -72,11 +72,12 @@
         self.now < last_moment
             && attempts < self.settings.max_attempts
             && has_budget
-            && idempotency::permits_first_byte_at(pending, self.latest_first_byte_at())
+            && idempotency::permits_send_at(pending, self.latest_first_byte_at())
     }
 
-    /// The latest time at which an attempt that begins now sends its first byte, which it does once
-    /// it is connected.
+    /// The latest time at which an attempt that begins now sends its first byte if it does so once
+    /// it is connected. An estimate, by which an attempt that would come too late is not begun; the
+    /// rule itself is [`Balancer::check_send`], which the network code asks before each write.
     fn latest_first_byte_at(&self) -> Micros {
         self.now + self.settings.tick + self.settings.connect_timeout
     }
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -3,11 +3,13 @@
 //! expires; it never blocks.
 //!
 //! Guards against: two attempts of one request at the same time (the socket is closed before the
-//! outcome is reported), a first byte to a backend that has left the endpoint list meanwhile, and a
-//! silent backend, or one that sends without pause, that delays all others.
+//! outcome is reported), a byte of the request that is written after the reasons for the attempt have
+//! gone (its deduplication window has ended, its backend has left the endpoint list), and a silent
+//! backend, or one that sends without pause, that delays all others.
 
 use crate::config::endpoint_list::BackendAddress;
 use crate::decisions::api::{EndpointId, Micros, Outcome, RequestId};
+use crate::decisions::send_check::SendRefusal;
 use crate::log::log;
 use crate::net::link::Link;
 use crate::net::poll::{dial, is_local_failure, Interest};
@@ -92,8 +94,11 @@
     deadline: Micros,
     /// The number of the attempt within its request.
     pub number: u16,
-    /// The time at which the attempt was created.
-    pub started_at: Micros,
+    /// The time at which the attempt was issued: decided on, before anything was sent.
+    pub issued_at: Micros,
+    /// The time from which on no byte of the request may be written, if there is one. Read from the
+    /// decisions until the request is sent.
+    send_deadline: Option<Micros>,
     /// The backend's name and address; none until it is dialled.
     backend: Option<BackendAddress>,
     state: AttemptState,
@@ -121,13 +126,14 @@
         endpoint_id: EndpointId,
         deadline: Micros,
         number: u16,
-        now: Micros,
+        issued_at: Micros,
     ) -> Attempt {
         Attempt {
             endpoint_id,
             deadline,
             number,
-            started_at: now,
+            issued_at,
+            send_deadline: None,
             backend: None,
             state: AttemptState::AwaitingAddress,
             link: None,
@@ -222,9 +228,13 @@
 
     /// The time at which it must be advanced even if its socket is not ready.
     pub fn next_timer(&self) -> Micros {
-        match self.state {
-            AttemptState::Backoff(by) | AttemptState::Dialling(by) => by.min(self.deadline),
+        let end = match self.send_deadline {
+            Some(send_deadline) if !self.request_sent => self.deadline.min(send_deadline),
             _ => self.deadline,
+        };
+        match self.state {
+            AttemptState::Backoff(by) | AttemptState::Dialling(by) => by.min(end),
+            _ => end,
         }
     }
 
@@ -242,7 +252,7 @@
             self.endpoint_id.0,
             context.shared.decisions.now(),
         );
-        let ms = now.saturating_sub(self.started_at) / 1_000;
+        let ms = now.saturating_sub(self.issued_at) / 1_000;
         self.state = AttemptState::Over;
         match &result {
             Ok(_) => tracing::debug!(%id, server, ms, "attempt is up"),
@@ -278,6 +288,9 @@
             return self.link_broken(context);
         }
         let now = context.shared.decisions.now();
+        if self.window_has_ended(context, now) {
+            return self.refuse_to_send(context, SendRefusal::WindowEnded);
+        }
         match self.state {
             AttemptState::Over => None,
             AttemptState::Backoff(until) if now < until => None,
@@ -375,16 +388,63 @@
         )
     }
 
-    fn exchange(
-        &mut self,
-        context: AttemptContext<'_>,
-    ) -> Option<Result<EstablishedBackend, AttemptFailure>> {
+    /// Whether the time in which the request may be sent has ended before its last byte was.
+    fn window_has_ended(&mut self, context: AttemptContext<'_>, now: Micros) -> bool {
+        if self.request_sent || self.state == AttemptState::Over {
+            return false;
+        }
+        self.send_deadline = context.shared.decisions.send_deadline(context.id);
+        self.send_deadline.is_some_and(|deadline| now >= deadline)
+    }
+
+    /// Whether bytes may be written to the backend now. Asked right before each write up to the last
+    /// byte of the request: what the decision rested on may have changed during a dial, a
+    /// negotiation, or while the socket accepted nothing.
+    fn check_send(&self, context: AttemptContext<'_>) -> Result<(), SendRefusal> {
         let AttemptContext {
             shared,
             client_request,
+            id,
             ..
         } = context;
-        let adopted = client_request.adopted_backend().is_some();
+        if client_request.adopted_backend().is_some() {
+            // Such a connection can go to no other backend, and the decisions did not choose this one.
+            let now = shared.decisions.now();
+            let ended = self.send_deadline.is_some_and(|deadline| now >= deadline);
+            return if ended {
+                Err(SendRefusal::WindowEnded)
+            } else {
+                Ok(())
+            };
+        }
+        if !shared.directory.is_available(self.endpoint_id) {
+            return Err(SendRefusal::EndpointUnavailable);
+        }
+        shared.decisions.check_send(id)
+    }
+
+    /// Ends the attempt before its request was sent. The backend has not failed, so the outcome does
+    /// not count against it; the retry budget gets its token back if nothing was sent at all.
+    fn refuse_to_send(
+        &self,
+        context: AttemptContext<'_>,
+        refusal: SendRefusal,
+    ) -> Option<Result<EstablishedBackend, AttemptFailure>> {
+        let (id, attempt) = (context.session.connection_id(), self.number);
+        let server = self.endpoint_id.0;
+        tracing::debug!(%id, server, attempt, ?refusal, "request not sent");
+        failed(if self.anything_sent {
+            Outcome::NotSent
+        } else {
+            Outcome::NotAttempted
+        })
+    }
+
+    fn exchange(
+        &mut self,
+        context: AttemptContext<'_>,
+    ) -> Option<Result<EstablishedBackend, AttemptFailure>> {
+        let shared = context.shared;
         let mut reads = 0;
         loop {
             let now = shared.decisions.now();
@@ -408,8 +468,15 @@
                 continue;
             }
             if !self.unsent.is_empty() || self.blocked {
+                if !self.request_sent {
+                    if let Err(refusal) = self.check_send(context) {
+                        return self.refuse_to_send(context, refusal);
+                    }
+                }
+                let link = self.link.as_mut()?;
                 match link.write_available(&self.unsent) {
                     Ok((n, blocked)) => {
+                        self.anything_sent |= n > 0;
                         self.unsent.drain(..n);
                         self.blocked = blocked;
                     }
@@ -429,24 +496,10 @@
                 .protocol
                 .as_mut()?
                 .next_action(&mut self.inbox, self.deadline - now);
-            // While the dial or a negotiation was in progress, the backend may have left or the
-            // request may have been answered. Checked again right before each new message.
-            let sends_message = matches!(
-                action,
-                AttemptAction::SendRequest(_) | AttemptAction::Send(_) | AttemptAction::StartTls(_)
-            );
-            let may_send = || {
-                shared.directory.is_available(self.endpoint_id)
-                    && shared.decisions.awaits_answer(context.id)
-                    && shared.decisions.may_admit()
-            };
-            if sends_message && !adopted && !may_send() {
-                return failed(Outcome::NotAttempted);
-            }
             match action {
                 AttemptAction::Read => {}
                 AttemptAction::Send(bytes) => {
-                    (self.anything_sent, self.unsent) = (true, bytes);
+                    self.unsent = bytes;
                     continue;
                 }
                 AttemptAction::SendRequest(bytes) => {
@@ -454,6 +507,9 @@
                     continue;
                 }
                 AttemptAction::StartTls(domain) => {
+                    if let Err(refusal) = self.check_send(context) {
+                        return self.refuse_to_send(context, refusal);
+                    }
                     let Some(tls) = shared
                         .xmpp()
                         .and_then(|xmpp| xmpp.tls.client_connection(&domain))
--- a/src/net/attempt/tests.rs
+++ b/src/net/attempt/tests.rs
@@ -2,19 +2,20 @@
 
 use super::*;
 use crate::config::Config;
-use crate::decision_service::{DecisionService, Hooks};
+use crate::decision_service::{Decision, DecisionService, Hooks, PendingDecision};
 use crate::decisions::api::{EndpointState, ListedEndpoint};
 use crate::net::poll::{Events, Poller};
 use crate::platform::directory::Directory;
 use crate::protocol::line::LineRequestReader;
 use crate::protocol::{ReaderAction, RequestReader};
 use crossbeam_channel::bounded;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 const ENDPOINT: EndpointId = EndpointId(1);
 const MINUTE: Micros = 60_000_000;
+const SETTINGS: &str = include_str!("../../../tests/data/settings.json");
 
 struct Setup {
     shared: Arc<SharedState>,
@@ -23,26 +24,39 @@
     _client: TcpStream,
 }
 
+fn listed(id: EndpointId, state: EndpointState) -> ListedEndpoint {
+    ListedEndpoint {
+        id,
+        zone: 0,
+        cell: 0,
+        state,
+        size: 1.0,
+        started_at: None,
+    }
+}
+
 /// A session with one backend in this state at this address. `at` is the last part of the
 /// request's line.
 fn setup(addr: SocketAddr, state: EndpointState, at: &str, dial_ms: f64) -> Setup {
-    let settings = include_str!("../../../tests/data/settings.json").replace(
-        "\"dial_timeout\": 250.0",
-        &format!("\"dial_timeout\": {dial_ms:.3}"),
-    );
+    let dial_timeout = format!("\"dial_timeout\": {dial_ms:.3}");
+    let settings = SETTINGS.replace("\"dial_timeout\": 250.0", &dial_timeout);
+    setup_with(&settings, addr, &[(ENDPOINT, state)], at)
+}
+
+/// A session with these settings and these endpoints, all at this address. All were ready when the
+/// decisions last heard of them; the directory has their present states.
+fn setup_with(
+    settings: &str,
+    addr: SocketAddr,
+    endpoints: &[(EndpointId, EndpointState)],
+    at: &str,
+) -> Setup {
     let text =
         format!(r#"{{"listen":"{addr}","discovery":"{addr}","seed":"1","settings":{settings}}}"#);
     let config = Config::parse(text.into_bytes(), &|_| None).unwrap();
-    let member = |state| ListedEndpoint {
-        id: ENDPOINT,
-        zone: 0,
-        cell: 0,
-        state,
-        size: 1.0,
-        started_at: None,
-    };
     let (watch, (probe, _)) = (Box::new(|_| ()), bounded(1));
-    let cached = vec![member(EndpointState::Ready)];
+    let ready = |(id, _): &(EndpointId, EndpointState)| listed(*id, EndpointState::Ready);
+    let cached = endpoints.iter().map(ready).collect();
     let decisions = DecisionService::new(
         config.settings.clone(),
         1,
@@ -53,16 +67,12 @@
         },
     );
     let directory = Arc::new(Directory::default());
-    directory.update(
-        true,
-        &[(
-            BackendAddress {
-                name: "s-1".into(),
-                addr,
-            },
-            member(state),
-        )],
-    );
+    let present = |&(id, state): &(EndpointId, EndpointState)| {
+        let name = format!("s-{}", id.0);
+        (BackendAddress { name, addr }, listed(id, state))
+    };
+    let present: Vec<_> = endpoints.iter().map(present).collect();
+    directory.update(true, &present);
     let shared = SharedState::new(&config, decisions, directory);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let idle = shared
@@ -192,14 +202,6 @@
     );
     let mut attempt = s.attempt(MINUTE);
     assert!(attempt.advance(s.context(id), false).is_none() && attempt.awaits_address());
-    let member = ListedEndpoint {
-        id: ENDPOINT,
-        zone: 0,
-        cell: 0,
-        state: EndpointState::Ready,
-        size: 1.0,
-        started_at: None,
-    };
     s.shared.directory.update(
         false,
         &[(
@@ -207,7 +209,7 @@
                 name: "s-1".into(),
                 addr,
             },
-            member,
+            listed(ENDPOINT, EndpointState::Ready),
         )],
     );
     assert!(attempt.advance(s.context(id), false).is_none() && !attempt.awaits_address());
@@ -344,3 +346,110 @@
         assert_eq!(rest.is_empty(), !sent);
     }
 }
+
+/// The deduplication window of the requests below: long enough that their second attempt begins within
+/// it on a busy machine.
+const WINDOW: Micros = 2_000_000;
+
+/// A session whose request is of a class with this idempotency, and two ready endpoints.
+fn setup_with_class(addr: SocketAddr, idempotency: &str) -> Setup {
+    let window = format!("\"window\": {}.0", WINDOW / 1_000);
+    let settings = SETTINGS
+        .replace("\"dial_timeout\": 250.0", "\"dial_timeout\": 20.0")
+        .replace(
+            "\"idempotency\": \"safe\"",
+            &format!("\"idempotency\": \"{idempotency}\""),
+        )
+        .replace("\"goal_time\": 300.0", "\"goal_time\": 60000.0")
+        .replace("\"window\": 5000.0", &window);
+    let ready = [ENDPOINT, EndpointId(2)].map(|id| (id, EndpointState::Ready));
+    setup_with(&settings, addr, &ready, "")
+}
+
+impl Setup {
+    /// The second attempt of the request, whose first one may have run; and a time at which its window
+    /// has ended.
+    fn second_attempt(&self) -> (PendingDecision, Attempt, Micros) {
+        let decisions = &self.shared.decisions;
+        let request = self.client_request.request().clone();
+        let pending = decisions.submit(request, self.session.clone(), |_| {});
+        let window_ended_by = decisions.now() + WINDOW;
+        assert!(matches!(
+            pending.wait(),
+            Decision::Attempt { number: 0, .. }
+        ));
+        decisions.attempt_failed(pending.id, Outcome::Error, Vec::new());
+        let Decision::Attempt {
+            endpoint,
+            give_up_at,
+            number: 1,
+        } = pending.wait()
+        else {
+            panic!("no second attempt")
+        };
+        let now = decisions.now();
+        let attempt = Attempt::new(&*self.client_request, endpoint, give_up_at, 1, now);
+        (pending, attempt, window_ended_by)
+    }
+
+    fn wait_until(&self, time: Micros) {
+        std::thread::sleep(self.shared.decisions.time_until(time));
+    }
+}
+
+/// Writes to a socket until it accepts no more; the number of bytes that it has accepted.
+fn fill(socket: &TcpStream) -> usize {
+    let mut accepted = 0;
+    while let Ok(n) = { socket }.write(&[b'-'; 4096]) {
+        accepted += n;
+    }
+    accepted
+}
+
+/// Guards against a keyed request of the line protocol that is sent past its window by a process that
+/// was suspended right behind the decision, before it dialled. A request that may run again is sent.
+#[test]
+fn an_attempt_that_is_dialled_after_the_window_sends_no_keyed_request() {
+    for (idempotency, is_sent) in [("keyed", false), ("safe", true)] {
+        let (listener, addr) = listener();
+        let setup = setup_with_class(addr, idempotency);
+        let (pending, mut attempt, window_ended_by) = setup.second_attempt();
+        setup.wait_until(window_ended_by);
+        // Up to the first answer of the socket, or of the attempt.
+        while attempt.advance(setup.context(pending.id), true).is_none() && !attempt.request_sent {}
+        assert_eq!(attempt.request_sent, is_sent, "{idempotency}");
+        drop(attempt);
+        setup.session.detach_backend();
+        drop(listener);
+    }
+}
+
+/// Guards against a keyed request that waits in the relay for a socket that takes nothing, and is
+/// written when it does. Nothing of it was sent, and the backend has not failed.
+#[test]
+fn a_keyed_request_that_a_full_socket_held_back_is_not_sent_after_the_window() {
+    for (idempotency, is_sent) in [("keyed", false), ("safe", true)] {
+        let (listener, addr) = listener();
+        let setup = setup_with_class(addr, idempotency);
+        let (pending, mut attempt, window_ended_by) = setup.second_attempt();
+        assert!(attempt.advance(setup.context(pending.id), false).is_none());
+        let (mut backend, _) = listener.accept().unwrap();
+        let socket = attempt.interest().unwrap().0.clone();
+        let filled = fill(&socket);
+        // The dial is over, and the request finds the socket full.
+        assert!(attempt.advance(setup.context(pending.id), true).is_none());
+        assert!(!attempt.request_sent && attempt.blocked, "{idempotency}");
+        setup.wait_until(window_ended_by);
+        backend.read_exact(&mut vec![0; filled]).unwrap();
+        let result = loop {
+            match attempt.advance(setup.context(pending.id), true) {
+                None if !attempt.request_sent => {}
+                result => break result,
+            }
+        };
+        assert_eq!(attempt.request_sent, is_sent, "{idempotency}");
+        let outcome = result.and_then(Result::err).map(|(outcome, _)| outcome);
+        let expected = (!is_sent).then_some(Outcome::NotAttempted);
+        assert_eq!(outcome, expected, "{idempotency}");
+    }
+}
--- a/src/net/placement.rs
+++ b/src/net/placement.rs
@@ -255,12 +255,13 @@
                 .backend_address(endpoint_id)
                 .map_or(String::new(), |e| e.name);
         }
+        let issued_at = self.shared.decisions.attempt_issued_at(p.id);
         let attempt = Attempt::new(
             &*p.client_request,
             endpoint_id,
             deadline,
             number,
-            self.now(),
+            issued_at.unwrap_or_else(|| self.now()),
         );
         (p.attempt, p.endpoint_id) = (Some(attempt), endpoint_id);
     }
@@ -273,10 +274,10 @@
         result: Result<EstablishedBackend, AttemptFailure>,
     ) {
         let decisions = self.shared.decisions.clone();
-        let (started_at, number) = p
+        let (issued_at, number) = p
             .attempt
             .as_ref()
-            .map_or((0, 0), |attempt| (attempt.started_at, attempt.number));
+            .map_or((0, 0), |attempt| (attempt.issued_at, attempt.number));
         let failure = result.as_ref().err().map(|(outcome, _)| *outcome);
         if p.attempt
             .take()
@@ -284,7 +285,7 @@
         {
             let settings = self.shared.settings();
             let idempotency = settings.idempotency(p.client_request.request().class);
-            let began = Duration::from_micros(self.now().saturating_sub(started_at));
+            let began = Duration::from_micros(self.now().saturating_sub(issued_at));
             session.record_possible_execution(idempotency, began);
         }
         // Before the decisions are told: they may request a migration at once.
@@ -292,7 +293,7 @@
         match (result, p.decision.is_some()) {
             (Ok(established), false) => return self.establish(*p, established),
             (Ok(established), true)
-                if decisions.connected(p.id, self.now().saturating_sub(started_at)) =>
+                if decisions.connected(p.id, self.now().saturating_sub(issued_at)) =>
             {
                 return self.establish(*p, established)
             }
--- a/tests/scripted_xmpp/mod.rs
+++ b/tests/scripted_xmpp/mod.rs
@@ -1,6 +1,6 @@
 //! A relay before two XMPP servers whose steps the test decides, and one client.
 
-use jaspermoor::protocol::xmpp::frame::{Unit, NS_SASL};
+use jaspermoor::protocol::xmpp::frame::{Unit, NS_SASL, NS_TLS};
 use jaspermoor_lab::certs::{self, Authority, Valid};
 use jaspermoor_lab::demo::{operator, setup, DOMAIN};
 use jaspermoor_lab::discovery::{Discovery, Entry};
@@ -8,8 +8,10 @@
 use jaspermoor_lab::stream::Stream;
 use jaspermoor_lab::until;
 use jaspermoor_lab::xmpp_client::{element, header, Login};
+use rustls::ServerConfig;
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// A server whose steps the test decides.
 pub struct ScriptedServer(TcpListener);
@@ -37,7 +39,20 @@
     pub relay: Relay,
     pub login: Login,
     pub client: Stream,
-    _discovery: Discovery,
+    /// The domain's certificate, which the servers of a site under TLS show.
+    server_tls: Arc<ServerConfig>,
+    pub discovery: Discovery,
+}
+
+/// What differs from the demo's installation.
+#[derive(Default)]
+pub struct SiteOptions {
+    /// Texts to replace in the configuration.
+    pub config: Vec<(&'static str, String)>,
+    /// Texts to replace in the operator file.
+    pub operator: Vec<(&'static str, String)>,
+    /// Whether the relay's streams to the servers use STARTTLS.
+    pub starttls: bool,
 }
 
 fn dir(name: &str) -> PathBuf {
@@ -64,7 +79,18 @@
     }
 
     /// A site with another text in its configuration.
-    fn start_replacing(name: &str, (from, to): (&str, &str)) -> Site {
+    fn start_replacing(name: &str, (from, to): (&'static str, &str)) -> Site {
+        Site::start_with_options(
+            name,
+            SiteOptions {
+                config: vec![(from, to.to_string())],
+                ..SiteOptions::default()
+            },
+        )
+    }
+
+    /// A site with these options.
+    pub fn start_with_options(name: &str, options: SiteOptions) -> Site {
         let dir = dir(name);
         let authority = Authority::new(&dir).unwrap();
         let pair = authority.leaf("relay", DOMAIN, Valid::Long).unwrap();
@@ -76,8 +102,22 @@
         let discovery = Discovery::start(None, &entries).unwrap();
         let program = Path::new(env!("CARGO_BIN_EXE_jaspermoor"));
         let mut setup = setup(program, &dir, &discovery);
-        setup.operator = Some(operator(DOMAIN, &pair));
-        setup.replace.push((from.into(), to.into()));
+        let mut operator_file = operator(DOMAIN, &pair);
+        for (from, to) in options.operator {
+            assert!(operator_file.contains(from), "{from}");
+            operator_file = operator_file.replace(from, &to);
+        }
+        if options.starttls {
+            let ca = authority.file();
+            operator_file += &format!(
+                "\n[xmpp.servers]\nsecurity = \"starttls\"\nca = \"{}\"\n",
+                ca.display()
+            );
+        }
+        setup.operator = Some(operator_file);
+        for (from, to) in options.config {
+            setup.replace.push((from.into(), to));
+        }
         let relay = Relay::start(&setup).unwrap();
         let tls = certs::client(&authority.file()).unwrap();
         let login = Login::new(relay.xmpp(), DOMAIN, "ali", Some(tls));
@@ -87,10 +127,16 @@
             relay,
             login,
             client,
-            _discovery: discovery,
+            server_tls: certs::server(&pair.certificate, &pair.key).unwrap(),
+            discovery,
         }
     }
 
+    /// TLS of its servers.
+    pub fn server_tls(&self) -> &Arc<ServerConfig> {
+        &self.server_tls
+    }
+
     /// Sends the client's request.
     pub fn request(&mut self) {
         let auth = format!("<auth xmlns='{NS_SASL}' mechanism='PLAIN'>AGFsaQBhbGk=</auth>");
@@ -106,6 +152,21 @@
         (n, attempt)
     }
 
+    /// Takes an attempt's stream header, as a server that requires STARTTLS, up to `<starttls/>`.
+    pub fn offer_starttls(&self, attempt: &mut Stream) {
+        attempt
+            .send(&(header(DOMAIN, None) + &offer_of_starttls()))
+            .unwrap();
+        assert!(element(attempt).unwrap().is(NS_TLS, "starttls"));
+    }
+
+    /// Goes on from `<starttls/>` up to the relay's stream header under TLS.
+    pub fn secure(&self, attempt: &mut Stream) {
+        attempt.send(&proceed()).unwrap();
+        attempt.secure_server(&self.server_tls).unwrap();
+        assert!(matches!(attempt.unit().unwrap().0, Unit::Header(_)));
+    }
+
     /// The same, up to the request.
     pub fn accept_request(&self) -> (usize, Stream) {
         let (n, mut attempt) = self.accept_attempt();
@@ -132,6 +193,16 @@
     }
 }
 
+/// The answer to `<starttls/>` after which TLS begins.
+pub fn proceed() -> String {
+    format!("<proceed xmlns='{NS_TLS}'/>")
+}
+
+/// Stream features that require STARTTLS.
+fn offer_of_starttls() -> String {
+    format!("<stream:features><starttls xmlns='{NS_TLS}'><required/></starttls></stream:features>")
+}
+
 /// A server's stream header, and its features.
 pub fn offer_of_sasl() -> String {
     let mechanisms = format!(
