A keyed request goes only to servers of the zone or cell that has seen its key

What callers would have seen: a keyed class whose servers drop duplicates of their own zone or cell only. The first attempt may have run; during the dial or the negotiation with the second server the list moves that server to another group. The request was sent there all the same, to a server that has never seen its key, and ran twice. Likewise where the list moves the first server while its attempt is in progress: the group was taken when the attempt ended, so that the request went to servers of the new group instead of the old one's.

Cause: the look right before the send repeated the server's state, the answer and the lease, but not the group; and the group of the earliest attempt was read from the table when its outcome came.

Change: check_send asks idempotency::permits_endpoint again with the endpoint as it is listed now; an attempt's issue (time, zone, cell) is recorded as one value when it is decided on.

--- a/src/decisions/requests.rs
+++ b/src/decisions/requests.rs
@@ -21,9 +21,10 @@
     Established,
 }
 
-/// The first attempt that may have executed a request.
-pub(super) struct PossibleExecution {
-    /// When the attempt was issued: decided on, before anything was sent.
+/// The issue of an attempt: the moment at which it was decided on, before anything was sent, and
+/// the groups in which its endpoint was then. Endpoints of these groups see its idempotency key.
+#[derive(Clone, Copy, Default)]
+pub(super) struct AttemptIssue {
     pub issued_at: Micros,
     pub zone: u16,
     pub cell: u16,
@@ -42,15 +43,16 @@
     pub migrating: bool,
     /// The endpoint of its last attempt.
     pub endpoint: EndpointId,
-    /// When its last attempt was issued: decided on, before anything was sent.
-    pub attempt_issued_at: Micros,
+    /// The issue of its last attempt.
+    pub last_attempt: AttemptIssue,
     /// The endpoints of its attempts, in order.
     pub attempted: Vec<EndpointId>,
     /// When the next placement is due, while no endpoint can take it.
     placement_retry_at: Micros,
     /// An attempt has begun, so an endpoint may have worked on it.
     pub has_begun: bool,
-    pub possible_execution: Option<PossibleExecution>,
+    /// The first attempt that may have executed it.
+    pub possible_execution: Option<AttemptIssue>,
 }
 
 impl Balancer {
@@ -170,7 +172,11 @@
         endpoint.load.record_request();
         pending.phase = Phase::Attempting;
         pending.endpoint = endpoint.id;
-        pending.attempt_issued_at = self.now;
+        pending.last_attempt = AttemptIssue {
+            issued_at: self.now,
+            zone: endpoint.zone,
+            cell: endpoint.cell,
+        };
         pending.attempted.push(endpoint.id);
         actions.push(Action::Attempt {
             id: pending.request.id,
@@ -248,7 +254,7 @@
         if request_finished || pending.answered {
             return Ok(());
         }
-        self.record_possible_execution(index, &mut pending, outcome);
+        Self::record_possible_execution(&mut pending, outcome);
         if outcome == Outcome::Reset {
             // A connection that breaks during set-up fails the request, whatever its class: it is
             // unknown how far the set-up came, and the client connects again.
@@ -273,21 +279,13 @@
     }
 
     /// Remembers the first attempt that may have executed the request; it limits further attempts.
-    fn record_possible_execution(
-        &mut self,
-        index: EndpointIndex,
-        pending: &mut PendingRequest,
-        outcome: Outcome,
-    ) {
+    fn record_possible_execution(pending: &mut PendingRequest, outcome: Outcome) {
         pending.phase = Phase::WaitingForEndpoint;
         pending.has_begun |= outcome != Outcome::NotAttempted;
-        if !outcome.proves_not_executed() && pending.possible_execution.is_none() {
-            let endpoint = &self.endpoints[index];
-            pending.possible_execution = Some(PossibleExecution {
-                issued_at: pending.attempt_issued_at,
-                zone: endpoint.zone,
-                cell: endpoint.cell,
-            });
+        if !outcome.proves_not_executed() {
+            pending
+                .possible_execution
+                .get_or_insert(pending.last_attempt);
         }
     }
 
--- a/src/decisions/send_check.rs
+++ b/src/decisions/send_check.rs
@@ -2,8 +2,9 @@
 //! still holds.
 //!
 //! Time passes between that decision and the last byte of the request: dial, TLS, a negotiation,
-//! a socket that accepts nothing, a process that was suspended. Inputs: the time of the write, and
-//! the request of the attempt. Output: why the request must not be sent, if it must not.
+//! a socket that accepts nothing, a process that was suspended. Inputs: the time of the write, the
+//! request of the attempt, and the endpoint as it is listed now. Output: why the request must not
+//! be sent, if it must not.
 
 use super::api::{Micros, RequestId};
 use super::idempotency;
@@ -21,6 +22,9 @@
     EndpointUnavailable,
     /// An earlier attempt may have executed the request, and the endpoints have forgotten its key.
     WindowEnded,
+    /// An earlier attempt may have executed the request, and the endpoint is no longer in the zone
+    /// or cell that has seen its key.
+    OutsideGroup,
 }
 
 impl Balancer {
@@ -31,6 +35,11 @@
         if !idempotency::permits_send_at(pending, now) {
             return Err(SendRefusal::WindowEnded);
         }
+        let index = self.endpoints.find(pending.endpoint);
+        let index = index.ok_or(SendRefusal::EndpointUnavailable)?;
+        if !idempotency::permits_endpoint(pending, &self.endpoints[index]) {
+            return Err(SendRefusal::OutsideGroup);
+        }
         Ok(())
     }
 
@@ -43,7 +52,7 @@
 
     /// When the attempt in progress was issued.
     pub fn attempt_issued_at(&self, id: RequestId) -> Option<Micros> {
-        Some(self.attempting(id)?.attempt_issued_at)
+        Some(self.attempting(id)?.last_attempt.issued_at)
     }
 
     /// The request with this id, if an attempt is in progress and its answer is awaited.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -6,6 +6,7 @@
 use common::*;
 use jaspermoor::decisions::api::*;
 use jaspermoor::decisions::ring::{hash, mix};
+use jaspermoor::decisions::send_check::SendRefusal;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The endpoints of `keys` clients without a group, each placed while no other connection exists.
@@ -2198,3 +2199,69 @@
         );
     }
 }
+
+/// A zone and a cell of their own for each of these endpoints, or the same for all.
+fn listed_in_group(n: u64, group: u16) -> ListedEndpoint {
+    ListedEndpoint {
+        zone: group,
+        cell: group,
+        ..ready_endpoint(n)
+    }
+}
+
+/// A keyed request with this scope, whose first attempt goes to one of these endpoints.
+fn keyed_request(
+    scope: DeduplicationScope,
+    listed: Vec<ListedEndpoint>,
+) -> (BalancerHarness, EndpointId) {
+    let window = SECOND;
+    let settings = settings_with_idempotency(Idempotency::Keyed { scope, window });
+    let mut harness = BalancerHarness::new(settings, 1);
+    harness.update_endpoints(EndpointListKind::Full, listed);
+    let first = attempted_endpoint(&harness.submit(request(1, 5, 0))).unwrap();
+    (harness, first)
+}
+
+const SCOPES: [DeduplicationScope; 3] = [
+    DeduplicationScope::All,
+    DeduplicationScope::Zone,
+    DeduplicationScope::Cell,
+];
+
+/// Guards against a keyed request that runs twice: the list moved the second server to a zone or cell
+/// that has not seen the key, between the decision and the send, which looked at its state only.
+#[test]
+fn a_keyed_request_is_not_sent_to_an_endpoint_that_has_left_the_group_meanwhile() {
+    let checks = SCOPES.map(|scope| {
+        let listed = (1..=2).map(|n| listed_in_group(n, 1)).collect();
+        let (mut harness, first) = keyed_request(scope, listed);
+        let actions = harness.end_attempt(1, first, Outcome::Error, false);
+        let second = attempted_endpoint(&actions).unwrap();
+        assert_eq!(
+            harness.balancer.check_send(harness.now, RequestId(1)),
+            Ok(())
+        );
+        let moved = vec![listed_in_group(second.0, 2)];
+        harness.update_endpoints(EndpointListKind::Delta, moved);
+        harness.balancer.check_send(harness.now, RequestId(1))
+    });
+    let outside = Err(SendRefusal::OutsideGroup);
+    assert_eq!(checks, [Ok(()), outside, outside], "{SCOPES:?}");
+}
+
+/// Guards against a keyed request that runs twice: the group was that of the first server when the
+/// attempt ended, though another group has seen the key if the list moved the server meanwhile.
+#[test]
+fn the_group_of_a_keyed_request_is_that_of_its_server_when_the_attempt_was_issued() {
+    let group = |endpoint: EndpointId| (endpoint.0 % 2) as u16;
+    let same_group = SCOPES.map(|scope| {
+        let listed = (1..=6).map(|n| listed_in_group(n, group(EndpointId(n))));
+        let (mut harness, first) = keyed_request(scope, listed.collect());
+        let moved = vec![listed_in_group(first.0, 1 - group(first))];
+        harness.update_endpoints(EndpointListKind::Delta, moved);
+        let actions = harness.end_attempt(1, first, Outcome::Error, false);
+        let second = attempted_endpoint(&actions).expect("two others have seen the key");
+        group(second) == group(first)
+    });
+    assert_eq!(same_group[1..], [true, true], "{SCOPES:?}");
+}
--- a/tests/xmpp_deduplication_window.rs
+++ b/tests/xmpp_deduplication_window.rs
@@ -7,7 +7,9 @@
 
 use jaspermoor::protocol::xmpp::frame::{Unit, NS_SASL};
 use jaspermoor_lab::demo::DOMAIN;
+use jaspermoor_lab::discovery::Entry;
 use jaspermoor_lab::stream::Stream;
+use jaspermoor_lab::until;
 use jaspermoor_lab::xmpp_client::{element, header, Answer, Broke};
 use scripted_xmpp::{offer_of_sasl, proceed, Site, SiteOptions};
 use std::thread;
@@ -160,6 +162,8 @@
                     "\"goal_time\": 300.0",
                     format!("\"goal_time\": {goal_ms:.1}"),
                 ),
+                // The servers are in the second zone, "a".
+                ("\"zones\": [", "\"zones\": [\"b\",".to_string()),
                 (
                     "\"max_attempts\": 6",
                     format!("\"max_attempts\": {max_attempts}"),
@@ -351,6 +355,36 @@
     }
 }
 
+/// Guards against a keyed request that runs twice: the list moved the second server to a zone that has
+/// not seen the key, between the decision and the send.
+#[test]
+fn no_request_is_sent_to_a_server_that_has_left_the_zone_of_its_key_meanwhile() {
+    let cases = ["zone", "all"].map(|group| Case { group, ..CASE });
+    for_each(&cases, |case| {
+        let mut play = Play::start("moved", case, LONG_WINDOW);
+        play.leave_first();
+        let second = play.hold_second();
+        let address = second.socket().local_addr().unwrap();
+        let entries = play.site.discovery.entries();
+        let moved = entries.into_iter().find(|entry| entry.addr == address);
+        let zone = "b".to_string();
+        play.site.discovery.set(Entry {
+            zone,
+            ..moved.unwrap()
+        });
+        // A third entry shows that the relay has the list.
+        play.site.discovery.set(Entry::active("s-3", address));
+        until("the list", || {
+            (play.site.relay.figure("known_backends") == Some(3)).then_some(())
+        });
+        assert_eq!(
+            play.continue_second(second),
+            case.group == "all",
+            "{case:?}"
+        );
+    });
+}
+
 /// An attempt whose connection ends behind the request fails it within the window, too: how far the
 /// server came is unknown. An unsafe request that may have run is never sent again.
 #[test]
