The window of a keyed request that is repeated under its id counts from the earlier one

What callers would have seen: a client of the line protocol leaves a keyed request that its server has, and comes again under the same id within the window. The relay lets it in, as it should, but then knew no window any more: where no backend was available, or the address of the one it named (at=ID) was not listed yet, the repetition was sent whenever that changed, long after the servers had forgotten the key.

Cause: the admission looked at the id once; the decisions measured the window from the attempts of one connection only, and adopted connections had none.

Change: an admitted request carries the end of the earlier one's window (RequestSlot::deduplicated_until). The decisions get it with the new event RepeatedRequest and count it in the one rule of idempotency.rs, so that attempts, the check at the write, the answer and its advised wait follow; an adopted connection's only attempt is ended by it and not dialled again. Admission of a connection that another process hands over does not look at the id's window: it is established, and nothing runs again.

--- a/src/decision_service/mod.rs
+++ b/src/decision_service/mod.rs
@@ -97,6 +97,11 @@
         self.started_at + self.started.elapsed().as_micros() as Micros
     }
 
+    /// This moment on the clock of [`DecisionService::now`]; that of the start for an earlier one.
+    pub fn time_of(&self, moment: Instant) -> Micros {
+        self.started_at + moment.saturating_duration_since(self.started).as_micros() as Micros
+    }
+
     /// Time left until a moment of [`DecisionService::now`]; zero if it has passed.
     pub fn time_until(&self, until: Micros) -> Duration {
         Duration::from_micros(until.saturating_sub(self.now()))
--- a/src/decision_service/requests.rs
+++ b/src/decision_service/requests.rs
@@ -20,6 +20,32 @@
         request: Request,
         handle: Arc<dyn RequestHandle>,
         registered: impl FnOnce(RequestId),
+    ) -> PendingDecision {
+        self.submit_event(request, handle, registered, Event::Request)
+    }
+
+    /// The same for a request whose connection id had an earlier one, which may have been executed;
+    /// endpoints drop duplicates of it until this time.
+    pub fn submit_repeated(
+        &self,
+        request: Request,
+        deduplicated_until: Micros,
+        handle: Arc<dyn RequestHandle>,
+        registered: impl FnOnce(RequestId),
+    ) -> PendingDecision {
+        let event = |request| Event::RepeatedRequest {
+            request,
+            deduplicated_until,
+        };
+        self.submit_event(request, handle, registered, event)
+    }
+
+    fn submit_event(
+        &self,
+        request: Request,
+        handle: Arc<dyn RequestHandle>,
+        registered: impl FnOnce(RequestId),
+        event: impl FnOnce(Request) -> Event,
     ) -> PendingDecision {
         let mut state = self.lock();
         let placement = if self.may_admit() {
@@ -38,7 +64,7 @@
         registered(id);
         if cell.is_some() {
             let request = Request { id, ..request };
-            self.dispatch(state, balancer, Event::Request(request));
+            self.dispatch(state, balancer, event(request));
         } else {
             // No balancer gets the request: no cell can take it, or the lease is not valid.
             let retry_after = if placement.is_some() {
--- a/src/decisions/api.rs
+++ b/src/decisions/api.rs
@@ -149,6 +149,13 @@
     },
     /// A client's request; it gets exactly one final answer.
     Request(Request),
+    /// The same, where an earlier request under the same connection id may have been executed.
+    RepeatedRequest {
+        /// The request.
+        request: Request,
+        /// Until when endpoints drop duplicates of the earlier one.
+        deduplicated_until: Micros,
+    },
     /// A connection that was established before this balancer started.
     Adopted {
         /// The connection.
--- a/src/decisions/idempotency.rs
+++ b/src/decisions/idempotency.rs
@@ -15,8 +15,8 @@
 /// measured from the issue of the earliest attempt that may have executed the request. None where
 /// there is no such time.
 pub(super) fn send_deadline(pending: &PendingRequest) -> Option<Micros> {
-    let first = pending.possible_execution.as_ref()?;
-    end_of_window(pending.class.idempotency, first)
+    let first = pending.possible_execution.as_ref();
+    earliest_end(pending, first)
 }
 
 /// The time from which on a repetition of the request by its client would be a second execution, as
@@ -24,8 +24,15 @@
 /// such time.
 pub(super) fn repetition_deadline(pending: &PendingRequest) -> Option<Micros> {
     let in_progress = (pending.phase == Phase::Attempting).then_some(&pending.last_attempt);
-    let first = pending.possible_execution.as_ref().or(in_progress)?;
-    end_of_window(pending.class.idempotency, first)
+    let first = pending.possible_execution.as_ref().or(in_progress);
+    earliest_end(pending, first)
+}
+
+/// The end of the window of this execution, or that of an earlier request under the same id.
+fn earliest_end(pending: &PendingRequest, execution: Option<&AttemptIssue>) -> Option<Micros> {
+    let idempotency = pending.class.idempotency;
+    let own = execution.and_then(|execution| end_of_window(idempotency, execution));
+    own.into_iter().chain(pending.deduplicated_until).min()
 }
 
 /// The time from which on endpoints do not drop duplicates of this execution; none where these do
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -126,7 +126,11 @@
             Event::ManualEjection { endpoint, ejected } => {
                 self.set_manual_ejection(endpoint, ejected, actions);
             }
-            Event::Request(request) => self.request_arrived(request, actions),
+            Event::Request(request) => self.request_arrived(request, None, actions),
+            Event::RepeatedRequest {
+                request,
+                deduplicated_until,
+            } => self.request_arrived(request, Some(deduplicated_until), actions),
             Event::Adopted { request, endpoint } => {
                 self.adopt_connection(request, endpoint, actions);
             }
--- a/src/decisions/requests.rs
+++ b/src/decisions/requests.rs
@@ -53,11 +53,20 @@
     pub has_begun: bool,
     /// The first attempt that may have executed it.
     pub possible_execution: Option<AttemptIssue>,
+    /// Until when endpoints drop duplicates of an earlier request under the same id, if one may
+    /// have been executed.
+    pub deduplicated_until: Option<Micros>,
 }
 
 impl Balancer {
-    /// Handles a client's new request.
-    pub(super) fn request_arrived(&mut self, request: Request, actions: &mut Vec<Action>) {
+    /// Handles a client's new request. An earlier one under the same id may have been executed;
+    /// endpoints drop duplicates of it until `deduplicated_until`.
+    pub(super) fn request_arrived(
+        &mut self,
+        request: Request,
+        deduplicated_until: Option<Micros>,
+        actions: &mut Vec<Action>,
+    ) {
         if !request.returning {
             self.record_arrival(request.group);
         }
@@ -66,6 +75,7 @@
         let pending = PendingRequest {
             class: self.class_of(&request),
             request,
+            deduplicated_until,
             deadline,
             ..PendingRequest::default()
         };
--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -388,22 +388,36 @@
         self.admission.lock().begin_closing(self.number, now);
     }
 
-    /// Admits a connection that another process hands over with its id.
+    /// Admits a connection that another process hands over with its id. It is established, so that
+    /// nothing is executed again.
     pub fn admit_handed_over(&self, id: &str) -> Result<RequestSlot, AdmissionError> {
-        self.admission.lock().shared_ids.remove_foreign(id);
-        self.admit_request(id)
+        let mut inner = self.admission.lock();
+        inner.shared_ids.remove_foreign(id);
+        self.admit(&mut inner, id, None)
     }
 
     /// Admits the connection's request under the id that the client has chosen.
     pub fn admit_request(&self, id: &str) -> Result<RequestSlot, AdmissionError> {
         let mut inner = self.admission.lock();
+        let now = Instant::now();
+        let harmful_from = inner.repeated_ids.harmful_from(id, now);
+        if harmful_from.is_some_and(|harmful_from| now >= harmful_from) {
+            return Err(AdmissionError::IdInUse);
+        }
+        self.admit(&mut inner, id, harmful_from)
+    }
+
+    fn admit(
+        &self,
+        inner: &mut Inner,
+        id: &str,
+        deduplicated_until: Option<Instant>,
+    ) -> Result<RequestSlot, AdmissionError> {
         // A backend could not tell two connections with the same id apart.
-        let is_harmful = inner.repeated_ids.is_harmful(id, Instant::now());
-        let is_open = inner.requests.contains_key(id) || inner.shared_ids.is_foreign(id);
-        if is_harmful || is_open {
+        if inner.requests.contains_key(id) || inner.shared_ids.is_foreign(id) {
             return Err(AdmissionError::IdInUse);
         }
-        if self.admission.request_descriptors_left(&inner) < DESCRIPTORS_PER_REQUEST {
+        if self.admission.request_descriptors_left(inner) < DESCRIPTORS_PER_REQUEST {
             return Err(AdmissionError::NoCapacity);
         }
         inner.requests.insert(id.to_string(), self.number);
@@ -413,6 +427,7 @@
             admission: self.admission.clone(),
             number: self.number,
             id: id.to_string(),
+            deduplicated_until,
             harmful_from: OnceLock::new(),
             handed_over: AtomicBool::new(false),
         })
@@ -438,6 +453,9 @@
     pub number: u64,
     /// The connection's id.
     pub id: String,
+    /// The time until which backends drop duplicates of an earlier request under the same id, if one
+    /// may have been executed.
+    pub deduplicated_until: Option<Instant>,
     /// From when on a repetition of the request does harm; unset if it never does.
     harmful_from: OnceLock<Instant>,
     /// Whether the connection goes on in another process, with its id.
--- a/src/net/admission/repeated_ids.rs
+++ b/src/net/admission/repeated_ids.rs
@@ -38,11 +38,10 @@
         self.expiries.push_back((expiry, id.to_string()));
     }
 
-    /// Whether a request under this id must not be executed now.
-    pub(super) fn is_harmful(&mut self, id: &str, now: Instant) -> bool {
+    /// From when on a request under this id must not be executed; none if it may be at any time.
+    pub(super) fn harmful_from(&mut self, id: &str, now: Instant) -> Option<Instant> {
         self.forget_expired(now);
-        let harmful_from = self.harmful_from.get(id);
-        harmful_from.is_some_and(|harmful_from| now >= *harmful_from)
+        self.harmful_from.get(id).copied()
     }
 
     /// All ids that must not be executed now.
--- a/src/net/admission/repeated_ids/tests.rs
+++ b/src/net/admission/repeated_ids/tests.rs
@@ -4,13 +4,17 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+fn is_harmful(ids: &mut RepeatedIds, id: &str, now: Instant) -> bool {
+    ids.harmful_from(id, now).is_some_and(|from| now >= from)
+}
+
 #[test]
 fn an_id_is_harmful_from_its_time_on_and_is_forgotten_after_a_minute() {
     let (start, mut ids) = (Instant::now(), RepeatedIds::default());
     ids.insert("unsafe", start, start);
     // The backends drop its duplicates for five seconds.
     ids.insert("keyed", start + 5 * SECOND, start);
-    let mut harmful = |id, seconds| ids.is_harmful(id, start + seconds * SECOND);
+    let mut harmful = |id, seconds| is_harmful(&mut ids, id, start + seconds * SECOND);
     assert!(harmful("unsafe", 0) && harmful("unsafe", 59));
     assert!(!harmful("keyed", 4) && harmful("keyed", 5));
     assert!(!harmful("other", 5));
@@ -30,6 +34,7 @@
     }
     assert_eq!(ids.expiries.len(), ids.harmful_from.len());
     assert_eq!(ids.expiries.len(), MAX_REMEMBERED);
-    assert!(!ids.is_harmful("0", start));
-    assert!(ids.is_harmful("1", start) && ids.is_harmful(&MAX_REMEMBERED.to_string(), start));
+    assert!(!is_harmful(&mut ids, "0", start));
+    let latest = MAX_REMEMBERED.to_string();
+    assert!(is_harmful(&mut ids, "1", start) && is_harmful(&mut ids, &latest, start));
 }
--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -393,7 +393,11 @@
         if self.request_sent || self.state == AttemptState::Over {
             return false;
         }
-        self.send_deadline = context.shared.decisions.send_deadline(context.id);
+        let decisions = &context.shared.decisions;
+        let decided = decisions.send_deadline(context.id);
+        // The decisions know nothing of attempts at the backend of an adopted connection.
+        let until = context.session.deduplicated_until();
+        self.send_deadline = decided.or_else(|| Some(decisions.time_of(until?)));
         self.send_deadline.is_some_and(|deadline| now >= deadline)
     }
 
--- a/src/net/placement.rs
+++ b/src/net/placement.rs
@@ -98,10 +98,14 @@
         now: Micros,
     ) -> PendingRequest {
         let answer_deadline = now + request.time_left;
-        let decision = self
-            .shared
-            .decisions
-            .submit(request, session.clone(), |id| session.set_request_id(id));
+        let decisions = &self.shared.decisions;
+        let (handle, registered) = (session.clone(), |id| session.set_request_id(id));
+        let decision = match session.deduplicated_until() {
+            None => decisions.submit(request, handle, registered),
+            Some(until) => {
+                decisions.submit_repeated(request, decisions.time_of(until), handle, registered)
+            }
+        };
         PendingRequest {
             client_request,
             id: decision.id,
@@ -330,7 +334,10 @@
         (outcome, report): AttemptFailure,
     ) {
         let failure = (number, outcome);
-        let (endpoint_id, deadline) = (p.endpoint_id, p.answer_deadline);
+        let endpoint_id = p.endpoint_id;
+        let until = session.deduplicated_until();
+        let until = until.map_or(Micros::MAX, |until| self.shared.decisions.time_of(until));
+        let deadline = p.answer_deadline.min(until);
         if p.withdrawal.is_none() {
             let request = &*p.client_request;
             p.attempt =
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -238,6 +238,12 @@
         self.slot.end_request();
     }
 
+    /// The time until which backends drop duplicates of an earlier request under the same id, if one
+    /// may have been executed.
+    pub fn deduplicated_until(&self) -> Option<Instant> {
+        self.slot.deduplicated_until
+    }
+
     /// Records that an attempt that began this long ago may have executed the request.
     pub fn record_possible_execution(&self, idempotency: Idempotency, began: Duration) {
         if let Some(after) = harmful_repetition_after(idempotency) {
