The processes of an upgrade tell each other until when a keyed request may be repeated

What callers would have seen: during an upgrade, a keyed request that may have run at one process, and whose client comes again under its id at the other one. That process sent it at any time, also past the window, and measured a new window from there.

Cause: IdChange had two ends: free, or never again. A keyed request whose window was still open was told as free, and what was remembered before the other process started was sent only once it was harmful already.

Change: a third end, EndedUntil, with the time from which on a repetition does harm. The time is absolute, on the monotonic clock that both processes share, so that a packet that waits does not move it; where a thread is held up in the conversion it comes out early, never late. Each end and each remembered id is told. These lines ("~TIME ID") have packets of their own: a build that does not know them logs and drops such a packet as a whole, and gets all others as before.

--- a/src/net/admission.rs
+++ b/src/net/admission.rs
@@ -18,7 +18,7 @@
 use crate::platform::health_check::MAX_HEALTH_CHECKS;
 use crate::platform::id_exchange::IdChange;
 use repeated_ids::RepeatedIds;
-use shared_ids::SharedIds;
+use shared_ids::{ended, SharedIds};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::TcpStream;
@@ -162,6 +162,17 @@
         }
     }
 
+    /// Records for another process that a request has ended, and what is remembered of its id.
+    fn record_ended(&mut self, id: &str, now: Instant) {
+        let harmful_from = self.repeated_ids.harmful_from(id, now);
+        if harmful_from.is_none_or(|harmful_from| harmful_from > now) {
+            self.shared_ids.record(|| IdChange::Ended(id.to_string()));
+        }
+        if let Some(harmful_from) = harmful_from {
+            self.shared_ids.record(|| ended(id, harmful_from, now));
+        }
+    }
+
     /// Frees a request's id, unless repeating it does harm, and counts its connection as closing.
     fn end_request(&mut self, id: &str, number: u64, harmful_from: Option<Instant>) {
         if self.requests.get(id) == Some(&number) {
@@ -170,11 +181,7 @@
             if let Some(harmful_from) = harmful_from {
                 self.repeated_ids.insert(id, harmful_from, now);
             }
-            let for_good = harmful_from.is_some_and(|harmful_from| harmful_from <= now);
-            self.shared_ids.record(|| match for_good {
-                true => IdChange::EndedForGood(id.to_string()),
-                false => IdChange::Ended(id.to_string()),
-            });
+            self.record_ended(id, now);
             let closing = ClosingState {
                 pool: Pool::Requests,
                 dismissed: false,
--- a/src/net/admission/repeated_ids.rs
+++ b/src/net/admission/repeated_ids.rs
@@ -44,12 +44,11 @@
         self.harmful_from.get(id).copied()
     }
 
-    /// All ids that must not be executed now.
-    pub(super) fn harmful(&mut self, now: Instant) -> Vec<String> {
+    /// All ids, and from when on each must not be executed.
+    pub(super) fn all(&mut self, now: Instant) -> impl Iterator<Item = (&str, Instant)> {
         self.forget_expired(now);
         let all = self.harmful_from.iter();
-        let harmful = all.filter(|(_, harmful_from)| now >= **harmful_from);
-        harmful.map(|(id, _)| id.clone()).collect()
+        all.map(|(id, harmful_from)| (id.as_str(), *harmful_from))
     }
 
     fn forget_expired(&mut self, now: Instant) {
--- a/src/net/admission/shared_ids.rs
+++ b/src/net/admission/shared_ids.rs
@@ -2,6 +2,7 @@
 
 use super::Admission;
 use crate::platform::id_exchange::IdChange;
+use crate::sys::{instant_of, monotonic_of};
 use std::collections::BTreeSet;
 use std::time::Instant;
 
@@ -55,13 +56,25 @@
     }
 }
 
+/// The end of a request whose id must not be executed again from `harmful_from` on.
+pub(super) fn ended(id: &str, harmful_from: Instant, now: Instant) -> IdChange {
+    if harmful_from <= now {
+        IdChange::EndedForGood(id.to_string())
+    } else {
+        IdChange::EndedUntil(id.to_string(), monotonic_of(harmful_from))
+    }
+}
+
 impl Admission {
     /// Begins to record changes for another process; the ids that it has to know already.
     pub fn share_ids(&self) -> Vec<IdChange> {
         let mut inner = self.lock();
         inner.shared_ids.start();
-        let ended = inner.repeated_ids.harmful(Instant::now());
-        let ended = ended.into_iter().map(IdChange::EndedForGood);
+        let now = Instant::now();
+        let remembered = inner.repeated_ids.all(now);
+        let ended: Vec<IdChange> = remembered
+            .map(|(id, harmful_from)| ended(id, harmful_from, now))
+            .collect();
         let open = inner.requests.keys().cloned().map(IdChange::Opened);
         open.chain(ended).collect()
     }
@@ -83,6 +96,10 @@
                     let now = Instant::now();
                     inner.repeated_ids.insert(&id, now, now);
                 }
+                IdChange::EndedUntil(id, time) => {
+                    let now = Instant::now();
+                    inner.repeated_ids.insert(&id, instant_of(time), now);
+                }
             }
         }
     }
--- a/src/net/admission/tests.rs
+++ b/src/net/admission/tests.rs
@@ -187,6 +187,21 @@
     assert!((2..4).map(admit).all(|(_, slot)| slot.is_ok()));
 }
 
+/// Guards against an established connection that is refused at a handover, because its id was used
+/// twice within the window of its class, and that window has ended.
+#[test]
+fn a_connection_that_is_handed_over_is_admitted_after_the_window_of_its_id() {
+    let here = admission(1024, 192);
+    let (waiting, _clients) = connections(&here, 2);
+    let opened = IdChange::Opened("01".into());
+    here.apply_id_changes(vec![IdChange::EndedUntil("01".into(), 1), opened]);
+    assert_eq!(
+        waiting[0].admit_request("01").err(),
+        Some(AdmissionError::IdInUse)
+    );
+    assert!(waiting[1].admit_handed_over("01").is_ok());
+}
+
 /// Guards against ids that stay refused, or are free too early, by what another process tells: each
 /// change, before and after the same id is requested here.
 #[test]
--- a/src/platform/id_exchange.rs
+++ b/src/platform/id_exchange.rs
@@ -3,6 +3,11 @@
 //! During an upgrade two processes serve, and an id that is open at one of them must not be admitted
 //! by the other. A process that starts sends an empty packet to the one that serves; both then send
 //! what is open, and each change. A process of an earlier build logs the packet and does not reply.
+//!
+//! A keyed request that has ended may be repeated until its deduplication window ends. Such changes
+//! have packets of their own, because a build that does not know them drops a packet as a whole.
+
+use crate::decisions::api::Micros;
 
 /// The first line of a packet.
 const HEADER: &[u8] = b"{\"ids\":true}\n";
@@ -18,14 +23,18 @@
     Ended(String),
     /// The request has ended, and must not be executed again.
     EndedForGood(String),
+    /// The request has ended, and must not be executed again from this time of
+    /// [`monotonic`](crate::sys::monotonic) on.
+    EndedUntil(String, Micros),
 }
 
 impl IdChange {
-    fn sign_and_id(&self) -> (char, &str) {
+    fn encode(&self) -> String {
         match self {
-            IdChange::Opened(id) => ('+', id),
-            IdChange::Ended(id) => ('-', id),
-            IdChange::EndedForGood(id) => ('!', id),
+            IdChange::Opened(id) => format!("+{id}\n"),
+            IdChange::Ended(id) => format!("-{id}\n"),
+            IdChange::EndedForGood(id) => format!("!{id}\n"),
+            IdChange::EndedUntil(id, time) => format!("~{time} {id}\n"),
         }
     }
 
@@ -37,25 +46,42 @@
             Some('+') => Ok(IdChange::Opened(id)),
             Some('-') => Ok(IdChange::Ended(id)),
             Some('!') => Ok(IdChange::EndedForGood(id)),
+            Some('~') => IdChange::parse_ended_until(&id),
             _ => Err(format!("'{line}' is no change of an id")),
         }
     }
+
+    fn parse_ended_until(text: &str) -> Result<IdChange, String> {
+        let parts = text.split_once(' ');
+        let parsed = parts.and_then(|(time, id)| Some((time.parse().ok()?, id.to_string())));
+        let (time, id) = parsed.ok_or_else(|| format!("'{text}' is no time and id"))?;
+        Ok(IdChange::EndedUntil(id, time))
+    }
+
+    fn is_known_to_earlier_builds(&self) -> bool {
+        !matches!(self, IdChange::EndedUntil(..))
+    }
 }
 
 /// Encodes changes as packets; one without changes if there are none.
 pub fn encode(changes: &[IdChange]) -> Vec<Vec<u8>> {
-    let packet = |changes: &[IdChange]| {
-        let mut packet = HEADER.to_vec();
-        for change in changes {
-            let (sign, id) = change.sign_and_id();
-            packet.extend_from_slice(format!("{sign}{id}\n").as_bytes());
-        }
-        packet
+    let packet = |changes: &[&IdChange]| {
+        let lines = changes
+            .iter()
+            .flat_map(|change| change.encode().into_bytes());
+        HEADER.iter().copied().chain(lines).collect()
     };
     if changes.is_empty() {
         return vec![packet(&[])];
     }
-    changes.chunks(MAX_CHANGES_PER_PACKET).map(packet).collect()
+    let (known, new): (Vec<&IdChange>, Vec<&IdChange>) = changes
+        .iter()
+        .partition(|change| change.is_known_to_earlier_builds());
+    [known, new]
+        .iter()
+        .flat_map(|changes| changes.chunks(MAX_CHANGES_PER_PACKET))
+        .map(packet)
+        .collect()
 }
 
 /// Decodes a packet; none if it is of another kind. The error tells what is wrong with it.
--- a/src/sys.rs
+++ b/src/sys.rs
@@ -90,6 +90,26 @@
     now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000
 }
 
+/// Microseconds of the monotonic clock (`CLOCK_MONOTONIC`), which all processes of a machine share.
+pub fn monotonic() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000
+}
+
+/// This moment on the clock of [`monotonic`], or a little earlier where the thread is held up
+/// meanwhile.
+pub fn monotonic_of(moment: Instant) -> u64 {
+    let now = monotonic();
+    now.saturating_add(moment.saturating_duration_since(Instant::now()).as_micros() as u64)
+}
+
+/// The moment at this time of [`monotonic`], or a little earlier where the thread is held up
+/// meanwhile; now for an earlier one.
+pub fn instant_of(monotonic_time: u64) -> Instant {
+    let now = Instant::now();
+    now + Duration::from_micros(monotonic_time.saturating_sub(monotonic()))
+}
+
 /// Locks a mutex and ignores poisoning. For values that are changed in a single step, so that a
 /// panicking thread leaves them consistent.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -298,6 +298,49 @@
     }
 }
 
+/// Guards against a keyed request that runs twice: what one process knows of its window was told to the
+/// other one only once it had ended, and not at all if the request had ended before. Rows: whether the
+/// second process starts before the request.
+#[test]
+fn the_window_of_a_keyed_request_binds_both_processes_of_an_upgrade() {
+    const WINDOW: Duration = Duration::from_secs(3);
+    let answers = [false, true].map(|starts_before| {
+        let mut upgrade = Upgrade::new();
+        upgrade.config = upgrade
+            .config
+            .replace("\"idempotency\": \"safe\"", "\"idempotency\": \"keyed\"")
+            .replace("\"window\": 5000.0", "\"window\": 3000.0");
+        let old = upgrade.start();
+        let before = starts_before.then(|| upgrade.start());
+        before.iter().for_each(|new| new.signal("STOP"));
+        let mut client = old.client();
+        client.send("OPEN 01 7f c=chat,d=60000");
+        let mut backend = upgrade.fleet.backend("s-1").accept();
+        backend.line();
+        let sent_by = Instant::now();
+        drop(client);
+        assert!(backend.ended());
+        old.wait_for_metric("in_progress", 0);
+        let new = before.unwrap_or_else(|| upgrade.start());
+        std::thread::sleep((sent_by + WINDOW).saturating_duration_since(Instant::now()));
+        old.signal("STOP");
+        let mut again = new.client();
+        again.send("OPEN 01 7f c=chat,d=60000");
+        new.signal("CONT");
+        let is_answered = until("an answer, or a second attempt", || {
+            let attempted = upgrade.fleet.backend("s-1").try_accept().is_some();
+            again.stream.set_nonblocking(true).unwrap();
+            let answered = again.stream.peek(&mut [0]).is_ok();
+            again.stream.set_nonblocking(false).unwrap();
+            (attempted || answered).then_some(!attempted)
+        });
+        old.signal("CONT");
+        is_answered.then(|| again.rest())
+    });
+    let refused = || Some("ERR id-in-use\r\n".to_string());
+    assert_eq!(answers, [refused(), refused()]);
+}
+
 /// Guards against two processes of an upgrade that each send cold backends the whole share of their
 /// relay: each knows of the other as long as that serves.
 #[test]
