The id of a keyed request is remembered by the window that it arrived under

What callers would have seen: new settings with a longer window (or another effect) are put in force while a server has a keyed request. Its client leaves and comes again under the same id once the window that the request arrived under has ended: the relay counted the new window, let the repetition in, and sent it.

Cause: when an attempt ended, the connection read the idempotency of the class from the settings in force.

Change: the pending request keeps the idempotency that it arrived with.

A connection that is handed over at an upgrade is still remembered by the successor's settings.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -6,7 +6,7 @@
 //! `placement` has it placed, and `forward` passes bytes on and ends the connection.
 
 use crate::decision_service::PendingDecision;
-use crate::decisions::api::{EndpointId, Micros, Outcome, Request, RequestId};
+use crate::decisions::api::{EndpointId, Idempotency, Micros, Outcome, Request, RequestId};
 use crate::net::admission::{WaitingConnection, DISMISS_GRACE, MIN_LINGER};
 use crate::net::attempt::Attempt;
 use crate::net::link::Link;
@@ -95,6 +95,8 @@
 /// The state of a connection in [`Phase::Pending`].
 pub(super) struct PendingRequest {
     pub client_request: Box<dyn ClientRequest>,
+    /// The idempotency of its class in the settings under which it arrived.
+    pub idempotency: Idempotency,
     pub id: RequestId,
     /// The stream of decisions; none where the connection was established before this process
     /// started.
--- a/src/net/placement.rs
+++ b/src/net/placement.rs
@@ -3,7 +3,7 @@
 
 use crate::config::endpoint_list::endpoint_id;
 use crate::decision_service::Decision;
-use crate::decisions::api::{EndpointId, Micros, Outcome, Request};
+use crate::decisions::api::{EndpointId, Idempotency, Micros, Outcome, Request};
 use crate::net::admission::{AdmissionError, WaitingConnection};
 use crate::net::attempt::{
     Attempt, AttemptContext, AttemptFailure, EstablishedBackend, ADOPT_TIMEOUT,
@@ -107,6 +107,7 @@
             }
         };
         PendingRequest {
+            idempotency: self.idempotency_of(&*client_request),
             client_request,
             id: decision.id,
             decision: Some(decision),
@@ -138,6 +139,7 @@
         }
         let attempt = Attempt::new(&*client_request, endpoint_id, deadline, 0, self.now());
         PendingRequest {
+            idempotency: self.idempotency_of(&*client_request),
             client_request,
             id,
             decision: None,
@@ -149,6 +151,11 @@
         }
     }
 
+    fn idempotency_of(&self, client_request: &dyn ClientRequest) -> Idempotency {
+        let class = client_request.request().class;
+        self.shared.settings().idempotency(class)
+    }
+
     /// Lowers the deadline of its answer, because the process stops.
     pub fn shorten_deadline(&mut self, by: Micros) {
         self.answer_deadline = self.answer_deadline.map(|at| at.min(by));
@@ -287,10 +294,8 @@
             .take()
             .is_some_and(|attempt| attempt.may_have_executed(failure))
         {
-            let settings = self.shared.settings();
-            let idempotency = settings.idempotency(p.client_request.request().class);
             let began = Duration::from_micros(self.now().saturating_sub(issued_at));
-            session.record_possible_execution(idempotency, began);
+            session.record_possible_execution(p.idempotency, began);
         }
         // Before the decisions are told: they may request a migration at once.
         session.set_established(result.is_ok());
--- a/tests/repeated_ids.rs
+++ b/tests/repeated_ids.rs
@@ -25,6 +25,11 @@
 impl Play {
     /// Plays up to the end of the first request, whose class has this idempotency.
     fn start(idempotency: &str) -> Play {
+        Play::start_with_reload(idempotency, |config| config)
+    }
+
+    /// The same, where this configuration is put in force while the backend has the request.
+    fn start_with_reload(idempotency: &str, reload: impl Fn(String) -> String) -> Play {
         let fleet = Fleet::new(&["s-1", "s-2", "s-3"]);
         let config = peers::config(fleet.discovery.addr(), &[fleet.entry("s-1", "active")])
             .replace(
@@ -44,6 +49,11 @@
         let mut backend = fleet.backend("s-1").accept();
         backend.line();
         let sent_by = Instant::now();
+        let reloaded = reload(config.clone());
+        if reloaded != config {
+            relay.reload(&reloaded);
+            relay.wait_for_metric("loads_total", 1);
+        }
         drop(client);
         assert!(backend.ended());
         relay.wait_for_metric("in_progress", 0);
@@ -119,6 +129,20 @@
     assert_eq!(answer.as_deref(), Some("FAILED"));
 }
 
+/// Guards against a keyed request that runs twice: new settings with a longer window counted for a
+/// request that its backend had under the earlier ones.
+#[test]
+fn a_request_keeps_the_window_of_its_settings_after_a_reload() {
+    let play = Play::start_with_reload("keyed", |config| {
+        config.replace("\"window\": 3000.0", "\"window\": 3600000.0")
+    });
+    play.wait_for_end_of_window();
+    let mut client = play.relay.client();
+    client.send("OPEN 01 7f c=chat,d=60000");
+    let answer = play.answer_before_attempt(&mut client, "s-1");
+    assert_eq!(answer.as_deref(), Some("ERR id-in-use"));
+}
+
 /// What it costs: within the window the repetition is sent, and one that may run again always is.
 #[test]
 fn a_repeated_request_that_may_run_is_sent() {
