The exchange of an attempt in short steps, in a file of its own

attempt.rs had grown to 580 lines with one function of 117 that wrote, read, shook hands and judged replies. The exchange is a file now (net/attempt/exchange.rs): a step each for the deadline, the TLS handshake, the unsent bytes and the protocol's action, and one place that asks whether bytes may still be written. What it does is as before: the order of the steps is the same, but that the deadline is looked at once more between a write and the protocol's next action.

--- a/src/net/attempt.rs
+++ b/src/net/attempt.rs
@@ -7,6 +7,8 @@
 //! gone (its deduplication window has ended, its backend has left the endpoint list), and a silent
 //! backend, or one that sends without pause, that delays all others.
 
+mod exchange;
+
 use crate::config::endpoint_list::BackendAddress;
 use crate::decisions::api::{EndpointId, Micros, Outcome, RequestId};
 use crate::decisions::send_check::SendRefusal;
@@ -16,11 +18,9 @@
 use crate::net::session::Session;
 use crate::net::shared::SharedState;
 use crate::protocol::buffer::Buffer;
-use crate::protocol::{AttemptAction, AttemptProtocol, ClientRequest, Forwarder};
-use crate::sys::timed_out;
+use crate::protocol::{AttemptProtocol, ClientRequest, Forwarder};
 use socket2::SockRef;
 use std::net::TcpStream;
-use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 
 /// The longest wait for the `UP` of a connection that was established before this process started.
@@ -44,7 +44,10 @@
 /// none.
 pub type AttemptFailure = (Outcome, Vec<f32>);
 
-fn failed<T>(outcome: Outcome) -> Option<Result<T, AttemptFailure>> {
+/// How an attempt ended.
+type AttemptResult = Result<EstablishedBackend, AttemptFailure>;
+
+fn failed(outcome: Outcome) -> Option<AttemptResult> {
     Some(Err((outcome, Vec::new())))
 }
 
@@ -241,11 +244,7 @@
     /// Continues as far as is possible without blocking; `ready` says whether the socket is ready.
     /// Returns none while the attempt is in progress. The socket of a failed attempt is closed
     /// before this returns.
-    pub fn advance(
-        &mut self,
-        context: AttemptContext<'_>,
-        ready: bool,
-    ) -> Option<Result<EstablishedBackend, AttemptFailure>> {
+    pub fn advance(&mut self, context: AttemptContext<'_>, ready: bool) -> Option<AttemptResult> {
         let result = self.advance_state(context, ready)?;
         let (id, server, now) = (
             context.session.connection_id(),
@@ -265,11 +264,7 @@
         Some(result)
     }
 
-    fn advance_state(
-        &mut self,
-        context: AttemptContext<'_>,
-        ready: bool,
-    ) -> Option<Result<EstablishedBackend, AttemptFailure>> {
+    fn advance_state(&mut self, context: AttemptContext<'_>, ready: bool) -> Option<AttemptResult> {
         if context.session.is_cancelled(self.number) {
             // Nothing was begun before the dial, so the attempt is given back to the retry budget.
             return failed(if self.awaits_address() {
@@ -317,11 +312,7 @@
     }
 
     /// Dials the backend once its address is known.
-    fn dial(
-        &mut self,
-        context: AttemptContext<'_>,
-        now: Micros,
-    ) -> Option<Result<EstablishedBackend, AttemptFailure>> {
+    fn dial(&mut self, context: AttemptContext<'_>, now: Micros) -> Option<AttemptResult> {
         let adopted = context.client_request.adopted_backend().is_some();
         let Some(endpoint) = context.shared.directory.backend_address(self.endpoint_id) else {
             // The endpoint list that a relay starts with may be stale, so an adopted connection
@@ -375,10 +366,7 @@
 
     /// The outcome where the connection breaks. Before the request's last byte was sent it cannot
     /// have run.
-    fn link_broken(
-        &self,
-        context: AttemptContext<'_>,
-    ) -> Option<Result<EstablishedBackend, AttemptFailure>> {
+    fn link_broken(&self, context: AttemptContext<'_>) -> Option<AttemptResult> {
         failed(
             match (self.request_sent, context.session.is_cancelled(self.number)) {
                 (_, true) => Outcome::Cancelled,
@@ -388,180 +376,6 @@
         )
     }
 
-    /// Whether the time in which the request may be sent has ended before its last byte was.
-    fn window_has_ended(&mut self, context: AttemptContext<'_>, now: Micros) -> bool {
-        if self.request_sent || self.state == AttemptState::Over {
-            return false;
-        }
-        let decisions = &context.shared.decisions;
-        let decided = decisions.send_deadline(context.id);
-        // The decisions know nothing of attempts at the backend of an adopted connection.
-        let until = context.session.deduplicated_until();
-        self.send_deadline = decided.or_else(|| Some(decisions.time_of(until?)));
-        self.send_deadline.is_some_and(|deadline| now >= deadline)
-    }
-
-    /// Whether bytes may be written to the backend now. Asked right before each write up to the last
-    /// byte of the request: what the decision rested on may have changed during a dial, a
-    /// negotiation, or while the socket accepted nothing.
-    fn check_send(&self, context: AttemptContext<'_>) -> Result<(), SendRefusal> {
-        let AttemptContext {
-            shared,
-            client_request,
-            id,
-            ..
-        } = context;
-        if client_request.adopted_backend().is_some() {
-            // Such a connection can go to no other backend, and the decisions did not choose this one.
-            let now = shared.decisions.now();
-            let ended = self.send_deadline.is_some_and(|deadline| now >= deadline);
-            return if ended {
-                Err(SendRefusal::WindowEnded)
-            } else {
-                Ok(())
-            };
-        }
-        if !shared.directory.is_available(self.endpoint_id) {
-            return Err(SendRefusal::EndpointUnavailable);
-        }
-        shared.decisions.check_send(id)
-    }
-
-    /// Ends the attempt before its request was sent. The backend has not failed, so the outcome does
-    /// not count against it; the retry budget gets its token back if nothing was sent at all.
-    fn refuse_to_send(
-        &self,
-        context: AttemptContext<'_>,
-        refusal: SendRefusal,
-    ) -> Option<Result<EstablishedBackend, AttemptFailure>> {
-        let (id, attempt) = (context.session.connection_id(), self.number);
-        let server = self.endpoint_id.0;
-        tracing::debug!(%id, server, attempt, ?refusal, "request not sent");
-        failed(if self.anything_sent {
-            Outcome::NotSent
-        } else {
-            Outcome::NotAttempted
-        })
-    }
-
-    fn exchange(
-        &mut self,
-        context: AttemptContext<'_>,
-    ) -> Option<Result<EstablishedBackend, AttemptFailure>> {
-        let shared = context.shared;
-        let mut reads = 0;
-        loop {
-            let now = shared.decisions.now();
-            if now >= self.deadline {
-                return failed(match (self.request_sent, self.anything_sent) {
-                    (true, _) => Outcome::Timeout,
-                    (false, true) => Outcome::ConnectFailed,
-                    (false, false) => Outcome::NotAttempted,
-                });
-            }
-            let link = self.link.as_mut()?;
-            if self.state == AttemptState::TlsHandshake {
-                match link.continue_tls_handshake() {
-                    Ok(true) => self.state = AttemptState::Exchanging,
-                    Ok(false) => return None,
-                    Err(e) => {
-                        log(&format!("backend {}: no TLS: {e}", self.backend_name()));
-                        return self.link_broken(context);
-                    }
-                }
-                continue;
-            }
-            if !self.unsent.is_empty() || self.blocked {
-                if !self.request_sent {
-                    if let Err(refusal) = self.check_send(context) {
-                        return self.refuse_to_send(context, refusal);
-                    }
-                }
-                let link = self.link.as_mut()?;
-                match link.write_available(&self.unsent) {
-                    Ok((n, blocked)) => {
-                        self.anything_sent |= n > 0;
-                        self.unsent.drain(..n);
-                        self.blocked = blocked;
-                    }
-                    Err(_) => return self.link_broken(context),
-                }
-                if self.blocked {
-                    return None;
-                }
-                if std::mem::take(&mut self.sending_request) {
-                    shared.metrics.attempts.fetch_add(1, Relaxed);
-                    self.request_sent = true;
-                    let (id, attempt) = (context.session.connection_id(), self.number);
-                    tracing::debug!(%id, attempt, "request sent");
-                }
-            }
-            let action = self
-                .protocol
-                .as_mut()?
-                .next_action(&mut self.inbox, self.deadline - now);
-            match action {
-                AttemptAction::Read => {}
-                AttemptAction::Send(bytes) => {
-                    self.unsent = bytes;
-                    continue;
-                }
-                AttemptAction::SendRequest(bytes) => {
-                    (self.sending_request, self.unsent) = (true, bytes);
-                    continue;
-                }
-                AttemptAction::StartTls(domain) => {
-                    if let Err(refusal) = self.check_send(context) {
-                        return self.refuse_to_send(context, refusal);
-                    }
-                    let Some(tls) = shared
-                        .xmpp()
-                        .and_then(|xmpp| xmpp.tls.client_connection(&domain))
-                    else {
-                        return failed(Outcome::NotAttempted);
-                    };
-                    self.anything_sent = true;
-                    self.link.as_mut()?.start_tls(tls);
-                    self.state = AttemptState::TlsHandshake;
-                    continue;
-                }
-                AttemptAction::Established => {
-                    let (link, forwarder) =
-                        (self.link.take()?, self.protocol.take()?.into_forwarder());
-                    return Some(Ok(EstablishedBackend {
-                        link,
-                        inbox: std::mem::take(&mut self.inbox),
-                        forwarder,
-                    }));
-                }
-                AttemptAction::Failed(Outcome::Error | Outcome::Reset, _) if !self.request_sent => {
-                    return self.link_broken(context)
-                }
-                AttemptAction::Failed(outcome, report) => return Some(Err((outcome, report))),
-                AttemptAction::UnexpectedReply(what) => {
-                    log(&format!(
-                        "backend {}: {what} in place of an answer",
-                        self.backend_name()
-                    ));
-                    return failed(if self.request_sent {
-                        Outcome::Error
-                    } else {
-                        Outcome::ConnectFailed
-                    });
-                }
-            }
-            if reads == MAX_READS_PER_TURN {
-                return None;
-            }
-            reads += 1;
-            match self.link.as_mut()?.read_into(&mut self.inbox) {
-                Ok(n) if n > 0 => {}
-                Err(e) if timed_out(&e) => return None,
-                _ => return self.link_broken(context),
-            }
-        }
-    }
-
     fn backend_name(&self) -> &str {
         self.backend.as_ref().map_or("", |endpoint| &endpoint.name)
     }
