Only an attempt that its window ends during a negotiation keeps its retry token taken

Where the backend drains, the lease ends or the client has its answer, it changed what had been before without need: a rollout in which many backends drain during a negotiation would have used up the budget of others.

Change: NotSent stands for the end of the window only; the other refusals are NotAttempted again, with the token back.

Test: an_attempt_that_ends_unsent_counts_against_no_endpoint_and_costs_its_token_once_begun (tests/decisions.rs).

--- a/src/decisions/api.rs
+++ b/src/decisions/api.rs
@@ -111,8 +111,8 @@
     Cancelled,
     /// The attempt was never started.
     NotAttempted,
-    /// The relay ended the attempt before it had sent the last byte of the request, for a reason
-    /// that is not the endpoint's: nothing was executed, but the endpoint has worked on it.
+    /// The deduplication window ended before the last byte of the request was sent: nothing was
+    /// executed, but the endpoint has worked on the attempt.
     NotSent,
 }
 
--- a/src/net/attempt/exchange.rs
+++ b/src/net/attempt/exchange.rs
@@ -218,7 +218,8 @@
     }
 
     /// Ends the attempt before its request was sent. The backend has not failed, so the outcome does
-    /// not count against it; the retry budget gets its token back if nothing was sent at all.
+    /// not count against it. The retry budget gets its token back, unless the window ended while the
+    /// backend worked on the attempt: a slow one would be sent ever more of them.
     pub(super) fn refuse_to_send(
         &self,
         context: AttemptContext<'_>,
@@ -227,10 +228,9 @@
         let (id, attempt) = (context.session.connection_id(), self.number);
         let server = self.endpoint_id.0;
         tracing::debug!(%id, server, attempt, ?refusal, "request not sent");
-        failed(if self.anything_sent {
-            Outcome::NotSent
-        } else {
-            Outcome::NotAttempted
+        failed(match refusal {
+            SendRefusal::WindowEnded if self.anything_sent => Outcome::NotSent,
+            _ => Outcome::NotAttempted,
         })
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -7,6 +7,7 @@
 use jaspermoor::decisions::api::*;
 use jaspermoor::decisions::ring::{hash, mix};
 use jaspermoor::decisions::send_check::SendRefusal;
+use jaspermoor::{Balancer, Parameters};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The endpoints of `keys` clients without a group, each placed while no other connection exists.
@@ -2318,3 +2319,36 @@
         "{cases:?}"
     );
 }
+
+/// Guards against a slow server that costs others: an attempt that ends with its window, after a part of
+/// its negotiation, is no failure of its server, and its retry token is not given back. That of an
+/// attempt that never began is.
+#[test]
+fn an_attempt_that_ends_unsent_counts_against_no_endpoint_and_costs_its_token_once_begun() {
+    let results = [
+        Outcome::NotSent,
+        Outcome::NotAttempted,
+        Outcome::ConnectFailed,
+    ]
+    .map(|outcome| {
+        let parameters = Parameters {
+            max_retry_tokens: 1.0,
+            retry_budget_ratio: 0.0,
+            ejection_failures: 1,
+            ..Parameters::default()
+        };
+        let mut harness = BalancerHarness::new(Settings::default(), 7);
+        harness.balancer = Balancer::new(Settings::default(), 7).with_parameters(parameters);
+        harness.update_endpoints(
+            EndpointListKind::Full,
+            (1..=3).map(ready_endpoint).collect(),
+        );
+        let first = attempted_endpoint(&harness.submit(request(1, 5, 0))).unwrap();
+        let actions = harness.end_attempt(1, first, Outcome::Rejected, false);
+        let second = attempted_endpoint(&actions).expect("there is one token");
+        let third = attempted_endpoint(&harness.end_attempt(1, second, outcome, false));
+        let now = harness.now;
+        (third.is_some(), harness.balancer.unavailable_endpoints(now))
+    });
+    assert_eq!(results, [(false, 0), (true, 0), (false, 1)]);
+}
