--- a/tests/repeated_ids.rs
+++ b/tests/repeated_ids.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code)]
 mod peers;
 
-use peers::{Fleet, Peer, Relay, Watch};
+use peers::{Fleet, Peer, RefusingPort, Relay, Watch};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -89,14 +89,9 @@
 
     /// The client's answer; none where this backend gets an attempt before it.
     fn answer_before_attempt(&self, client: &mut Peer, backend: &str) -> Option<String> {
-        client.stream.set_nonblocking(true).unwrap();
-        let is_answered = peers::until("an answer or an attempt", || {
-            let attempted = !self.fleet.backend(backend).has_no_new_connection();
-            let answered = client.stream.peek(&mut [0]).is_ok();
-            (attempted || answered).then_some(!attempted)
-        });
-        client.stream.set_nonblocking(false).unwrap();
-        is_answered.then(|| client.line())
+        answer_before(client, || {
+            self.fleet.backend(backend).try_accept().is_some()
+        })
     }
 
     fn wait_for_end_of_window(&self) {
@@ -104,6 +99,18 @@
     }
 }
 
+/// The client's answer; none where the backend gets an attempt before it.
+fn answer_before(client: &mut Peer, is_attempted: impl Fn() -> bool) -> Option<String> {
+    client.stream.set_nonblocking(true).unwrap();
+    let is_answered = peers::until("an answer or an attempt", || {
+        let attempted = is_attempted();
+        let answered = client.stream.peek(&mut [0]).is_ok();
+        (attempted || answered).then_some(!attempted)
+    });
+    client.stream.set_nonblocking(false).unwrap();
+    is_answered.then(|| client.line())
+}
+
 /// Guards against a keyed request that runs twice: its client comes again within the window, and the
 /// relay sends the repetition when a backend is available, long after it.
 #[test]
@@ -129,6 +136,22 @@
     assert_eq!(answer.as_deref(), Some("FAILED"));
 }
 
+/// The same for such a client whose backend cannot be reached, and is dialled again and again.
+#[test]
+fn a_repeated_keyed_request_that_waits_for_a_dial_is_not_sent_after_the_first_one_s_window() {
+    let mut play = Play::start("keyed");
+    let refusing = RefusingPort::new();
+    play.fleet.set_backend_addr("s-3", refusing.addr());
+    play.list("leaving");
+    play.list("leaving");
+    let mut client = play.repeat(",at=s-3");
+    play.relay.wait_for_log("adopted connection: dialled again");
+    play.wait_for_end_of_window();
+    let backend = refusing.listen();
+    let answer = answer_before(&mut client, || backend.try_accept().is_some());
+    assert_eq!(answer.as_deref(), Some("FAILED"));
+}
+
 /// Guards against a keyed request that runs twice: new settings with a longer window counted for a
 /// request that its backend had under the earlier ones.
 #[test]
